--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The decisions of a control replica: the replicated log over the declared resources.
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The decisions of an entry: configuration lease, membership and routing.
--- /dev/null
+++ b/crates/link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Framed connections between the system's own processes.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! The table of announced upstreams and its exchange between entries.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! The settings of a daemon, read from INI and checked.
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,1 @@
+//! The declared resources and their versions, conflicts, retained answers and status.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Files of a control replica: the checksummed log and its snapshots.
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,25 @@
+//! Domain types that every part of the system shares.
+//!
+//! Nothing here reads a clock, a file or a socket: time is handed in as [`TimeUs`].
+
+mod announcement;
+mod lookup;
+mod name;
+mod outcome;
+mod resource;
+mod time;
+
+pub use crate::{
+    announcement::{AnnounceAnswer, Announcement, UpstreamState},
+    lookup::{LookupAnswer, LookupEntry},
+    name::{
+        DomainName, EntryName, InvalidName, RegionName, ReplicaName, ResourceName, ServiceName,
+        UpstreamName,
+    },
+    outcome::{Outcome, Refusal},
+    resource::{
+        DrainSpec, DrainTarget, EntrySpec, Key, Kind, LinkSpec, Priority, RegionSpec, Resource,
+        ServiceSpec, ShiftSpec, Spec,
+    },
+    time::TimeUs,
+};
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,19 @@
+//! Messages between the system's own processes and their framing.
+//!
+//! Only this crate knows the encoding; the cores work on their own types.
+
+mod codec;
+mod error;
+mod raft_message;
+
+/// The messages that `proto/` describes.
+#[allow(missing_docs, clippy::all)]
+pub mod peer {
+    include!("generated/oleanderwell.peer.rs");
+}
+
+pub use crate::{
+    codec::{FRAME_MAX_BYTES, FrameCodec},
+    error::WireError,
+    raft_message::{raft_from_wire, raft_to_wire},
+};
