--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here reads a clock, a file or a socket: time is handed in as [`TimeUs`].
 
 mod announcement;
+mod error;
 mod lookup;
 mod name;
 mod outcome;
@@ -11,6 +12,7 @@
 
 pub use crate::{
     announcement::{AnnounceAnswer, Announcement, UpstreamState},
+    error::{ApiError, ErrorBody},
     lookup::{LookupAnswer, LookupEntry},
     name::{
         DomainName, EntryName, InvalidName, RegionName, ReplicaName, ResourceName, ServiceName,
