--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -2,11 +2,11 @@
 
 use crate::{Key, Outcome, Refusal};
 use serde::{Deserialize, Serialize};
-use strum::{EnumIter, IntoStaticStr};
+use strum::IntoStaticStr;
 use thiserror::Error;
 
 /// A failure that an HTTP interface answers with.
-#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize, EnumIter, IntoStaticStr)]
+#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize, IntoStaticStr)]
 #[serde(rename_all = "snake_case", tag = "type", content = "details")]
 #[strum(serialize_all = "snake_case")]
 pub enum ApiError {
