--- /dev/null
+++ b/crates/control/src/api.rs
@@ -0,0 +1,237 @@
+//! What goes into a control replica and what comes out of it.
+
+use raft::{Membership, Message, Persist, RaftConfig, ReplicaId, Role, Status};
+use serde::{Deserialize, Serialize};
+use state::{Applied, Changes, Item, List, Operation, Watched};
+use std::collections::BTreeMap;
+use thiserror::Error;
+use types::{ApiError, EntryName, Key, Kind};
+
+/// The fixed parameters of a control replica.
+#[derive(Clone, Debug)]
+pub struct ControlConfig {
+    /// The parameters of the replicated log.
+    pub raft: RaftConfig,
+    /// Where operators reach each replica, by the replica's name.
+    pub http_addresses: BTreeMap<String, String>,
+    /// A snapshot is taken after so many applied entries of the log.
+    pub snapshot_entries: u64,
+    /// A request that is not answered after this time is answered `unavailable`.
+    pub request_timeout_us: u64,
+}
+
+/// An operator's request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Request {
+    /// Every resource, or those of one kind.
+    List {
+        /// The kind.
+        kind: Option<Kind>,
+    },
+    /// One resource.
+    Get {
+        /// The resource.
+        key: Key,
+    },
+    /// A change.
+    Change {
+        /// Chosen by the operator; a resend gets the first answer again.
+        request_id: String,
+        /// What to change.
+        operation: Operation,
+    },
+    /// What a change would do.
+    Preview {
+        /// What would change.
+        operation: Operation,
+    },
+    /// Changes after a revision.
+    Watch {
+        /// The revision.
+        from: u64,
+        /// How long to wait for one.
+        wait_ms: u64,
+    },
+    /// This replica's view of the replicas.
+    Replicas,
+    /// Admits a replica as a learner that becomes a voter once it has caught up.
+    Admit {
+        /// The replica to admit.
+        id: ReplicaId,
+        /// The replica that it replaces.
+        replaces: Option<ReplicaId>,
+    },
+}
+
+/// The answer to a [`Request`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case", untagged)]
+pub enum Answer {
+    /// Answers [`Request::List`].
+    List(List),
+    /// Answers [`Request::Get`], and a [`Request::Change`] of one resource.
+    Item(Box<Item>),
+    /// Answers a [`Request::Change`] that withdrew a resource.
+    Deleted {
+        /// The revision that withdrew it.
+        revision: u64,
+    },
+    /// Answers a [`Request::Change`] of several resources and [`Request::Preview`].
+    Applied(Applied),
+    /// Answers [`Request::Watch`].
+    Watched(Watched),
+    /// Answers [`Request::Replicas`] and [`Request::Admit`].
+    Replicas(Box<Replicas>),
+}
+
+/// A replica's view of all replicas.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Replicas {
+    /// The replica that answers.
+    pub replica: ReplicaId,
+    /// What it does.
+    pub role: Role,
+    /// Its term.
+    pub term: u64,
+    /// The leader, when known.
+    pub leader: Option<ReplicaId>,
+    /// The last index of its log.
+    pub last_index: u64,
+    /// The last index that it applied.
+    pub applied_index: u64,
+    /// Who votes and who only receives the log.
+    pub membership: Membership,
+    /// The index of the entry that set the membership.
+    pub membership_index: u64,
+}
+
+/// An entry's question for what changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Poll {
+    /// The entry.
+    pub entry: EntryName,
+    /// The index up to which the entry runs the configuration.
+    pub applied_index: u64,
+    /// The revision that the entry can't run, when there is one.
+    pub rejected: Option<PollRejection>,
+}
+
+/// A revision that an entry can't run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PollRejection {
+    /// The revision.
+    pub revision: u64,
+    /// Why.
+    pub reason: String,
+}
+
+/// The answer to a [`Poll`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PollAnswer {
+    /// The end of this replica's log.
+    pub last_index: u64,
+    /// The index that `changes` lead to.
+    pub applied_index: u64,
+    /// The index of the entry that set the membership.
+    pub membership_index: u64,
+    /// How many replicas vote.
+    pub voters: u32,
+    /// Whether this replica votes.
+    pub votes: bool,
+    /// What leads from the entry's index to `applied_index`.
+    pub changes: Changes,
+}
+
+/// An event for the control replica.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Time has passed.
+    Tick,
+    /// A message of the replicated log has come.
+    Receive {
+        /// The sender, as the link authenticated it.
+        from: ReplicaId,
+        /// The message.
+        message: Message,
+    },
+    /// Everything up to this [`Persist::ticket`] is synced.
+    Persisted {
+        /// The ticket.
+        ticket: u64,
+    },
+    /// The disk failed: the replica takes no further part until it is restarted.
+    StorageFailed,
+    /// An operator's request.
+    Request {
+        /// Names the request in the answer; never used again in this run.
+        request: u64,
+        /// What is asked.
+        body: Request,
+    },
+    /// The operator has left: the request needs no answer.
+    Cancel {
+        /// The request.
+        request: u64,
+    },
+    /// An entry's poll; answered at once.
+    Poll {
+        /// Names the poll in the answer.
+        poll: u64,
+        /// What is asked.
+        body: Poll,
+    },
+}
+
+/// Something for the shell to do, in this order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Send a message to another replica.
+    Send {
+        /// The receiver.
+        to: ReplicaId,
+        /// The message.
+        message: Message,
+    },
+    /// Write and sync, then answer [`Input::Persisted`].
+    Persist(Persist),
+    /// The answer to a request; each request has exactly one unless it was cancelled.
+    Answer {
+        /// The request.
+        request: u64,
+        /// The answer.
+        answer: Result<Answer, ApiError>,
+    },
+    /// The answer to a poll.
+    PollAnswer {
+        /// The poll.
+        poll: u64,
+        /// The answer.
+        answer: PollAnswer,
+    },
+    /// The role, term or leader changed.
+    Changed(Status),
+    /// The state machine can't go on: the log or a snapshot is not readable by this program.
+    Broken(ControlError),
+}
+
+/// A log or snapshot that this program can't read.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum ControlError {
+    /// The snapshot is not readable.
+    #[error("the snapshot at index {index} is not readable: {reason}")]
+    Snapshot {
+        /// Its index.
+        index: u64,
+        /// What the decoder said.
+        reason: String,
+    },
+    /// A log entry holds no command.
+    #[error("the log entry at index {index} holds no command: {reason}")]
+    Command {
+        /// Its index.
+        index: u64,
+        /// What the decoder said.
+        reason: String,
+    },
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,19 @@
 //! The decisions of a control replica: the replicated log over the declared resources.
+//!
+//! [`Control`] owns the log and the state, answers operators' requests and entries' polls, and
+//! follows how far the entries have come. The shell holds the sockets, the files and the timer.
+
+mod api;
+mod core;
+mod entries;
+mod pending;
+mod watches;
+
+pub use crate::{
+    api::{
+        Answer, ControlConfig, ControlError, Input, Output, Poll, PollAnswer, PollRejection,
+        Replicas, Request,
+    },
+    core::Control,
+    entries::{CONFIG_LEASE_MARGIN_MS, CONFIG_LEASE_MS},
+};
--- /dev/null
+++ b/crates/control/src/pending.rs
@@ -0,0 +1,1 @@
+//! Requests that wait.
--- /dev/null
+++ b/crates/control/src/watches.rs
@@ -0,0 +1,1 @@
+//! Watches.
--- a/crates/raft/src/api.rs
+++ b/crates/raft/src/api.rs
@@ -1,7 +1,7 @@
 //! What goes into the replicated log and what comes out of it.
 
 use crate::message::{Entry, HardState, Membership, Message, ReplicaId, Snapshot};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// The fixed parameters of a replica.
@@ -162,7 +162,7 @@
 }
 
 /// What a replica does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Role {
     /// Receives the log and doesn't vote.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,1 +1,26 @@
 //! The declared resources and their versions, conflicts, retained answers and status.
+//!
+//! [`State`] is the state machine of the replicated log: every replica applies the same
+//! [`Command`]s in the same order and holds the same contents.
+
+mod command;
+mod digest;
+mod history;
+mod key_text;
+mod machine;
+mod plan;
+mod rejection;
+mod retained;
+mod snapshot;
+mod status;
+mod validate;
+
+pub use crate::{
+    command::{Command, CommandError, Declaration, Operation, REQUEST_ID_MAX_BYTES},
+    history::{Change, Changes, HISTORY_MAX_CHANGES},
+    machine::{Accepted, Applied, State},
+    rejection::{InvalidReason, Rejection},
+    retained::{RETAIN_MIN_MS, RETAIN_MIN_REQUESTS, RETAINED_MAX_BYTES, RETAINED_MAX_REQUESTS},
+    snapshot::SnapshotError,
+    status::{Item, List, RejectedBy, ResourceState, ResourceStatus, WaitingEntry, Watched},
+};
--- /dev/null
+++ b/crates/state/src/status.rs
@@ -0,0 +1,87 @@
+//! Resources together with what the entries say of them.
+
+use crate::history::Change;
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString};
+use types::{EntryName, Resource};
+
+/// How far a resource has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display, EnumString)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum ResourceState {
+    /// Every declared entry runs it or is fenced.
+    InForce,
+    /// An entry has yet to confirm it.
+    Waiting,
+    /// An entry can't run it.
+    Rejected,
+}
+
+/// An entry that has not confirmed a revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct WaitingEntry {
+    /// The entry.
+    pub entry: EntryName,
+    /// For how long it has been waited for.
+    pub since_ms: u64,
+}
+
+/// An entry that can't run a revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct RejectedBy {
+    /// The entry.
+    pub entry: EntryName,
+    /// Why.
+    pub reason: String,
+}
+
+/// What the entries say of a resource's revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ResourceStatus {
+    /// How far it has come.
+    pub state: ResourceState,
+    /// Entries that run the revision.
+    pub confirmed: Vec<EntryName>,
+    /// Entries that don't yet.
+    pub waiting: Vec<WaitingEntry>,
+    /// Entries whose configuration lease ran out; they take no work.
+    pub fenced: Vec<EntryName>,
+    /// Entries that can't run it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rejected: Vec<RejectedBy>,
+}
+
+/// A resource with its status.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Item {
+    /// The resource.
+    #[serde(flatten)]
+    pub resource: Resource,
+    /// Its status.
+    pub status: ResourceStatus,
+}
+
+/// Resources as of a revision.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct List {
+    /// The revision of the latest change; a watch goes on from here.
+    pub revision: u64,
+    /// The resources, by kind and name.
+    pub items: Vec<Item>,
+}
+
+/// What a watch saw.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Watched {
+    /// The watch goes on from here.
+    pub revision: u64,
+    /// The changes, in their order.
+    pub events: Vec<Change>,
+}
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -22,6 +22,12 @@
         /// The name.
         name: String,
     },
+    /// A query parameter is unknown or has a wrong value.
+    #[error("invalid query parameter {parameter:?}")]
+    InvalidQuery {
+        /// The parameter.
+        parameter: String,
+    },
     /// No such kind of resource.
     #[error("no kind of resource is named {kind:?}")]
     UnknownKind {
@@ -70,6 +76,18 @@
         /// The field or other resource that it names.
         subject: String,
     },
+    /// A request id is empty, too long or not visible ASCII.
+    #[error("a request id is 1 to {limit_bytes} visible ASCII characters")]
+    InvalidRequestId {
+        /// The longest one.
+        limit_bytes: u64,
+    },
+    /// Another change came under this request id.
+    #[error("request id {request_id:?} belongs to another change")]
+    RequestIdReused {
+        /// The request id.
+        request_id: String,
+    },
     /// This replica does not lead.
     #[error("this replica does not lead")]
     NotLeader {
@@ -103,7 +121,10 @@
     #[must_use]
     pub const fn status_code(&self) -> u16 {
         match self {
-            Self::MalformedJson { .. } | Self::InvalidName { .. } => 400,
+            Self::MalformedJson { .. }
+            | Self::InvalidName { .. }
+            | Self::InvalidQuery { .. }
+            | Self::InvalidRequestId { .. } => 400,
             Self::Unauthorized => 401,
             Self::Forbidden { .. } => 403,
             Self::UnknownKind { .. } | Self::NotFound => 404,
@@ -112,7 +133,7 @@
             Self::Conflict { .. } => 409,
             Self::Compacted { .. } => 410,
             Self::BodyTooLarge { .. } => 413,
-            Self::InvalidResource { .. } => 422,
+            Self::InvalidResource { .. } | Self::RequestIdReused { .. } => 422,
             Self::NotLeader { .. } | Self::Unavailable | Self::TooBusy => 503,
             Self::RequestRefused {
                 outcome: Outcome::Unknown,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -20,8 +20,8 @@
     },
     outcome::{Outcome, Refusal},
     resource::{
-        DrainSpec, DrainTarget, EntrySpec, Key, Kind, LinkSpec, Priority, RegionSpec, Resource,
-        ServiceSpec, ShiftSpec, Spec,
+        DrainSpec, DrainTarget, EntrySpec, InvalidKey, Key, Kind, LinkSpec, Priority, RegionSpec,
+        Resource, ServiceSpec, ShiftSpec, Spec,
     },
     time::TimeUs,
 };
--- a/crates/types/src/resource.rs
+++ b/crates/types/src/resource.rs
@@ -2,8 +2,9 @@
 
 use crate::{DomainName, EntryName, RegionName, ResourceName, ServiceName, UpstreamName};
 use serde::{Deserialize, Serialize};
-use std::{fmt, net::SocketAddr};
+use std::{fmt, net::SocketAddr, str::FromStr};
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+use thiserror::Error;
 
 /// The kinds of declared resources.
 #[derive(
@@ -55,6 +56,30 @@
     }
 }
 
+/// A text that is no key of a resource.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{text:?} is not of the form KIND/NAME")]
+pub struct InvalidKey {
+    /// The rejected text.
+    pub text: String,
+}
+
+impl FromStr for Key {
+    type Err = InvalidKey;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let parsed = text.split_once('/').and_then(|(kind, name)| {
+            Some(Self {
+                kind: kind.parse().ok()?,
+                name: name.parse().ok()?,
+            })
+        });
+        parsed.ok_or_else(|| InvalidKey {
+            text: text.to_owned(),
+        })
+    }
+}
+
 /// A region.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
