--- a/crates/raft/src/api.rs
+++ b/crates/raft/src/api.rs
@@ -58,7 +58,11 @@
         /// Names the read in the answer.
         request: u64,
     },
-    /// Adds a replica as a learner, or drops one; promotion follows by itself once it caught up.
+    /// Adds a replica as a learner; promotion follows by itself once it caught up.
+    ///
+    /// A voter of the same name but another incarnation is replaced in any case. May be sent again:
+    /// for a member already in place only `replaces` is noted, and the answer names the index of
+    /// the membership in force.
     Admit {
         /// Names the change in the answer.
         request: u64,
@@ -67,6 +71,13 @@
         /// The identity that it replaces, if any.
         replaces: Option<ReplicaId>,
     },
+    /// Drops a voter or a learner.
+    Remove {
+        /// Names the change in the answer.
+        request: u64,
+        /// The replica to drop.
+        id: ReplicaId,
+    },
     /// Everything up to this [`Persist::ticket`] is synced.
     Persisted {
         /// The ticket.
@@ -137,7 +148,7 @@
         /// The index.
         index: u64,
     },
-    /// The role, term or leader changed.
+    /// The role, term, leader or membership changed.
     Changed(Status),
 }
 
@@ -156,6 +167,9 @@
     /// The disk failed.
     #[error("the disk of this replica failed")]
     StorageFailed,
+    /// The only voter can't be dropped.
+    #[error("the only voter can't be dropped")]
+    LastVoter,
     /// Too many proposals wait for a majority.
     #[error("too many proposals wait for a majority")]
     Busy,
--- a/crates/raft/src/message.rs
+++ b/crates/raft/src/message.rs
@@ -161,3 +161,18 @@
         round: u64,
     },
 }
+
+impl Message {
+    /// The term that the message carries.
+    #[must_use]
+    pub fn term(&self) -> u64 {
+        match self {
+            Self::RequestVote { term, .. }
+            | Self::Vote { term, .. }
+            | Self::Append { term, .. }
+            | Self::Appended { term, .. }
+            | Self::InstallSnapshot { term, .. }
+            | Self::SnapshotReceived { term, .. } => *term,
+        }
+    }
+}
--- /dev/null
+++ b/crates/raft/tests/group/checks.rs
@@ -0,0 +1,82 @@
+//! The invariants of the replicated log.
+
+use super::Machine;
+use raft::{Entry, Message, ReplicaId, Role, Status};
+use std::{
+    collections::{BTreeMap, HashMap, hash_map::DefaultHasher},
+    hash::{Hash, Hasher},
+};
+
+/// What the replicas of a group have shown so far.
+#[derive(Default)]
+pub struct Checks {
+    pub elections: u64,
+    leaders: HashMap<u64, ReplicaId>,
+    votes: HashMap<(ReplicaId, u64), ReplicaId>,
+    digests: BTreeMap<u64, u64>,
+    floors: HashMap<u64, u64>,
+}
+
+impl Checks {
+    /// No replica votes for two candidates of one term.
+    pub fn sent(&mut self, from: &ReplicaId, to: &ReplicaId, message: &Message) {
+        let (term, choice) = match message {
+            Message::Vote {
+                term,
+                pre: false,
+                granted: true,
+            } => (*term, to),
+            Message::RequestVote {
+                term, pre: false, ..
+            } => (*term, from),
+            _ => return,
+        };
+        let voted = self.votes.entry((from.clone(), term));
+        assert_eq!(voted.or_insert(choice.clone()), choice, "one vote a term");
+    }
+
+    /// Committed entries are the same on every replica, in order and without a gap.
+    pub fn applied(&mut self, machine: &mut Machine, entry: &Entry) {
+        assert_eq!(entry.index, machine.index + 1, "entries come in order");
+        let mut hasher = DefaultHasher::new();
+        let content = serde_json::to_string(&entry.payload).unwrap();
+        (machine.digest, entry.index, entry.term, content).hash(&mut hasher);
+        machine.index = entry.index;
+        machine.digest = hasher.finish();
+        let known = *self.digests.entry(entry.index).or_insert(machine.digest);
+        assert_eq!(known, machine.digest, "state machines agree at {entry:?}");
+    }
+
+    /// A snapshot holds what was committed.
+    pub fn restored(&self, machine: &Machine) {
+        let known = self.digests.get(&machine.index);
+        assert_eq!(known, Some(&machine.digest), "a snapshot agrees");
+    }
+
+    /// One leader a term.
+    pub fn changed(&mut self, status: &Status) {
+        if status.role != Role::Leader {
+            return;
+        }
+        if !self.leaders.contains_key(&status.term) {
+            self.elections += 1;
+        }
+        let leader = self.leaders.entry(status.term);
+        let leader = leader.or_insert_with(|| status.id.clone());
+        assert_eq!(*leader, status.id, "one leader in term {}", status.term);
+    }
+
+    pub fn committed_index(&self) -> u64 {
+        self.digests.keys().next_back().copied().unwrap_or(0)
+    }
+
+    /// A read must see everything that was committed when it came.
+    pub fn reading(&mut self, request: u64) {
+        self.floors.insert(request, self.committed_index());
+    }
+
+    pub fn read_ready(&self, request: u64, index: u64) {
+        let floor = self.floors[&request];
+        assert!(index >= floor, "read at {index} of what was {floor}");
+    }
+}
--- /dev/null
+++ b/crates/raft/tests/schedules.rs
@@ -0,0 +1,140 @@
+//! Random schedules of loss, delay, reordering, duplication, crashes and lost disks.
+
+mod group;
+
+use group::Group;
+use proptest::{collection::vec, prelude::*, sample::Index};
+use raft::Input;
+
+const NODES: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Deliver(Index),
+    DeliverAgain(Index),
+    Lose(Index),
+    Sync(usize),
+    Wait(u64),
+    Run(u64),
+    Propose(usize),
+    Read(usize),
+    Snapshot(usize),
+    Crash(usize, usize),
+    LoseDisk(usize),
+    Restart(usize),
+    Pause(usize),
+    Admit,
+    Cut(usize, usize),
+    Mend,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let node = 0..NODES;
+    prop_oneof![
+        30 => any::<Index>().prop_map(Event::Deliver),
+        3 => any::<Index>().prop_map(Event::DeliverAgain),
+        4 => any::<Index>().prop_map(Event::Lose),
+        12 => node.clone().prop_map(Event::Sync),
+        8 => (1_000_u64..700_000).prop_map(Event::Wait),
+        12 => (1_000_u64..900_000).prop_map(Event::Run),
+        10 => node.clone().prop_map(Event::Propose),
+        5 => node.clone().prop_map(Event::Read),
+        2 => node.clone().prop_map(Event::Snapshot),
+        3 => (node.clone(), 0_usize..3).prop_map(|(n, kept)| Event::Crash(n, kept)),
+        1 => node.clone().prop_map(Event::LoseDisk),
+        4 => node.clone().prop_map(Event::Restart),
+        1 => node.clone().prop_map(Event::Pause),
+        4 => Just(Event::Admit),
+        1 => (node.clone(), node).prop_map(|(a, b)| Event::Cut(a, b)),
+        2 => Just(Event::Mend),
+    ]
+}
+
+/// Whether the group can go on without what the disk of `node` holds.
+fn may_lose_disk(group: &Group, node: usize) -> bool {
+    let intact = |id: &raft::ReplicaId| {
+        let others = group.nodes.iter().enumerate();
+        others
+            .filter(|(other, _)| *other != node)
+            .any(|(_, n)| n.id == *id)
+    };
+    let running = (0..NODES).filter(|n| group.nodes[*n].raft.is_some());
+    let mut memberships = running.map(|n| group.status(n).membership);
+    group.nodes.iter().all(|n| n.raft.is_some())
+        && memberships.all(|membership| {
+            let voters = &membership.voters;
+            voters.is_empty() || voters.iter().filter(|id| intact(id)).count() > voters.len() / 2
+        })
+}
+
+fn play(group: &mut Group, event: &Event, request: u64) {
+    match event {
+        Event::Deliver(position) => group.deliver(position.index(usize::MAX), false),
+        Event::DeliverAgain(position) => group.deliver(position.index(usize::MAX), true),
+        Event::Lose(position) => group.lose(position.index(usize::MAX)),
+        Event::Sync(node) => group.sync(*node),
+        Event::Wait(span_us) => {
+            group.now_us += span_us;
+            for node in 0..NODES {
+                if !group.nodes[node].paused {
+                    group.input(node, Input::Tick);
+                }
+            }
+        }
+        Event::Run(span_us) => group.run_for(*span_us),
+        Event::Propose(node) => {
+            let data = request.to_le_bytes().to_vec();
+            let leader = group.leader().unwrap_or(*node);
+            group.input(leader, Input::Propose { request, data });
+        }
+        Event::Read(node) => {
+            let leader = group.leader().unwrap_or(*node);
+            group.read(leader, request);
+        }
+        Event::Snapshot(node) => group.snapshot(*node),
+        Event::Crash(node, kept) => group.crash(*node, *kept),
+        Event::LoseDisk(node) => {
+            if may_lose_disk(group, *node) {
+                group.lose_disk(*node);
+            }
+        }
+        Event::Restart(node) => group.restart(*node),
+        Event::Pause(node) => group.nodes[*node].paused ^= true,
+        Event::Admit => group.admit_strangers(),
+        Event::Cut(from, to) => {
+            group.cut.insert((*from, *to));
+        }
+        Event::Mend => group.cut.clear(),
+    }
+}
+
+/// Mends everything; the group must then settle with every replica as a voter again.
+fn mend_and_settle(group: &mut Group) {
+    group.cut.clear();
+    for node in 0..NODES {
+        group.nodes[node].paused = false;
+        group.restart(node);
+    }
+    for _ in 0..600 {
+        if group.has_settled() {
+            return;
+        }
+        group.admit_strangers();
+        group.run_for(100_000);
+    }
+    let views: Vec<_> = (0..NODES).map(|node| group.status(node)).collect();
+    panic!("the group did not settle: {views:#?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+
+    #[test]
+    fn log_holds_under_faults(seed in any::<u32>(), events in vec(event(), 1..400)) {
+        let mut group = Group::new(NODES, 12_000, u64::from(seed));
+        for (request, event) in events.iter().enumerate() {
+            play(&mut group, event, request as u64);
+        }
+        mend_and_settle(&mut group);
+    }
+}
