Add the control core, the command line and the entries' rejections

A Control owns the replicated log and the state: changes are answered once applied, reads once a majority confirmed them, polls at once by any replica. An entry counts as fenced only when both its silence and the revision are older than the lease with its margin, so a leader that can't hear an entry does not call a fresh revision in force. The log's clock is the state's clock plus the time since the last applied entry, so the core needs no wall clock. Poll carries the revision that an entry can't run.

Tests: kills of leaders, resends, races and a cut-off leader over three cores pass. The command line is built but untested against a server so far.

--- /dev/null
+++ b/crates/control/src/answers.rs
@@ -0,0 +1,128 @@
+//! The answers to operators' requests.
+
+use crate::{
+    api::{Answer, Output, Replicas, Request},
+    core::Control,
+    pending::Wait,
+};
+use raft::ReplicaId;
+use state::{Accepted, Item, List, Rejection};
+use types::{ApiError, Kind, Resource};
+
+type Result<T> = std::result::Result<T, ApiError>;
+
+impl Control {
+    /// Answers requests whose index has been applied already.
+    pub(crate) fn answer_reached(&mut self, outputs: &mut Vec<Output>) {
+        for (request, wait) in self.pending.take_reached(self.state.applied_index()) {
+            self.answer_restored(request, wait, outputs);
+        }
+    }
+
+    /// Answers a request whose entry of the log was applied just now.
+    pub(crate) fn answer_applied(
+        &self,
+        request: u64,
+        wait: Wait,
+        entry_term: u64,
+        applied: Option<&std::result::Result<Accepted, Rejection>>,
+        outputs: &mut Vec<Output>,
+    ) {
+        let answer = match (wait, applied) {
+            (Wait::Commit { term, .. }, Some(applied)) if term == entry_term => {
+                self.change_answer(applied.clone())
+            }
+            (Wait::Admitted { id, .. }, _) => self.admitted(&id),
+            (Wait::Applied { query, .. }, _) => self.read(&query),
+            _ => Err(ApiError::Unavailable),
+        };
+        outputs.push(Output::Answer { request, answer });
+    }
+
+    /// Answers a request whose entry of the log was applied some time ago.
+    pub(crate) fn answer_restored(&self, request: u64, wait: Wait, outputs: &mut Vec<Output>) {
+        let answer = match wait {
+            Wait::Commit {
+                request_id,
+                operation,
+                ..
+            } => match self.state.first_answer(&request_id, &operation) {
+                Some(applied) => self.change_answer(applied),
+                None => Err(ApiError::Unavailable),
+            },
+            Wait::Applied { query, .. } => self.read(&query),
+            Wait::Admitted { id, .. } => self.admitted(&id),
+            Wait::Propose { .. } | Wait::Admit { .. } | Wait::Confirm { .. } => {
+                Err(ApiError::Unavailable)
+            }
+        };
+        outputs.push(Output::Answer { request, answer });
+    }
+
+    /// This replica's view of all replicas.
+    pub(crate) fn replicas(&self) -> Answer {
+        let status = self.raft.status();
+        Answer::Replicas(Box::new(Replicas {
+            replica: status.id,
+            role: status.role,
+            term: status.term,
+            leader: status.leader,
+            last_index: status.last_index,
+            applied_index: self.state.applied_index(),
+            membership: status.membership,
+            membership_index: status.membership_index,
+        }))
+    }
+
+    fn admitted(&self, id: &ReplicaId) -> Result<Answer> {
+        let membership = self.raft.status().membership;
+        if membership.voters.contains(id) || membership.learners.contains(id) {
+            return Ok(self.replicas());
+        }
+        Err(ApiError::Unavailable)
+    }
+
+    fn change_answer(&self, applied: std::result::Result<Accepted, Rejection>) -> Result<Answer> {
+        Ok(match applied? {
+            Accepted::Put(resource) => Answer::Item(Box::new(self.item(&resource))),
+            Accepted::Deleted { revision } => Answer::Deleted { revision },
+            Accepted::Applied(applied) => Answer::Applied(applied),
+        })
+    }
+
+    fn read(&self, query: &Request) -> Result<Answer> {
+        match query {
+            Request::List { kind } => Ok(Answer::List(self.list(*kind))),
+            Request::Get { key } => self
+                .state
+                .get(key)
+                .map(|resource| Answer::Item(Box::new(self.item(resource))))
+                .ok_or(ApiError::NotFound),
+            Request::Preview { operation } => Ok(Answer::Applied(self.state.preview(operation)?)),
+            Request::Change { .. }
+            | Request::Watch { .. }
+            | Request::Replicas
+            | Request::Admit { .. } => Err(ApiError::MethodNotAllowed),
+        }
+    }
+
+    fn list(&self, kind: Option<Kind>) -> List {
+        List {
+            revision: self.state.revision(),
+            items: self
+                .state
+                .resources(kind)
+                .map(|resource| self.item(resource))
+                .collect(),
+        }
+    }
+
+    fn item(&self, resource: &Resource) -> Item {
+        Item {
+            resource: resource.clone(),
+            status: self
+                .entries
+                .status(&self.state, resource.revision, self.now_us),
+        }
+    }
+}
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -2,7 +2,7 @@
 
 use raft::{Membership, Message, Persist, RaftConfig, ReplicaId, Role, Status};
 use serde::{Deserialize, Serialize};
-use state::{Applied, Changes, Item, List, Operation, Watched};
+use state::{Applied, Changes, CommandError, Item, List, Operation, SnapshotError, Watched};
 use std::collections::BTreeMap;
 use thiserror::Error;
 use types::{ApiError, EntryName, Key, Kind};
@@ -235,3 +235,19 @@
         reason: String,
     },
 }
+
+impl ControlError {
+    pub(crate) fn snapshot(index: u64, error: &SnapshotError) -> Self {
+        Self::Snapshot {
+            index,
+            reason: error.to_string(),
+        }
+    }
+
+    pub(crate) fn command(index: u64, error: &CommandError) -> Self {
+        Self::Command {
+            index,
+            reason: error.to_string(),
+        }
+    }
+}
--- a/crates/control/src/entries.rs
+++ b/crates/control/src/entries.rs
@@ -1,6 +1,207 @@
 //! How far each entry has come.
+
+use crate::api::{Poll, PollRejection};
+use serde::Serialize;
+use state::{RejectedBy, ResourceState, ResourceStatus, State, WaitingEntry};
+use std::collections::{BTreeMap, VecDeque};
+use types::{EntryName, Key, Kind, ResourceName, TimeUs};
+
 /// How long an entry takes work without a confirmation by a majority, in milliseconds.
 pub const CONFIG_LEASE_MS: u64 = 3_000;
 
 /// What is added to the lease before an entry counts as fenced, in milliseconds.
 pub const CONFIG_LEASE_MARGIN_MS: u64 = 1_000;
+
+/// After a pause between two events as long as this, silence before it says nothing.
+const PAUSE_MAX_US: u64 = 1_000_000;
+
+/// For how many revisions the time of their application is kept.
+const APPLIED_TIMES_MAX: usize = 1_024;
+
+/// When a silence that began at `since_us` proves that the lease has run out.
+const fn lease_over_us(since_us: TimeUs) -> TimeUs {
+    since_us.after_ms(CONFIG_LEASE_MS + CONFIG_LEASE_MARGIN_MS)
+}
+
+/// What an entry last said.
+#[derive(Clone, Debug)]
+struct Heard {
+    applied_index: u64,
+    at_us: TimeUs,
+    rejected: Option<PollRejection>,
+}
+
+/// What an entry last said, for the dump.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct EntryDump {
+    /// The entry.
+    pub entry: EntryName,
+    /// The index up to which it runs the configuration.
+    pub applied_index: u64,
+    /// For how long nothing was heard from it.
+    pub silent_ms: u64,
+}
+
+/// How an entry stands to a revision.
+enum Standing {
+    Confirmed,
+    Waiting,
+    Fenced,
+    Rejected { reason: String },
+}
+
+/// The polls of the declared entries.
+#[derive(Debug)]
+pub(crate) struct Entries {
+    heard: BTreeMap<EntryName, Heard>,
+    /// Silence counts from here at the earliest.
+    listening_since_us: TimeUs,
+    last_event_us: TimeUs,
+    /// When the latest revisions were applied here.
+    applied_times: VecDeque<(u64, TimeUs)>,
+    /// No revision before `applied_times` was applied later than this.
+    earlier_applied_us: TimeUs,
+}
+
+impl Entries {
+    pub(crate) const fn new(now_us: TimeUs) -> Self {
+        Self {
+            heard: BTreeMap::new(),
+            listening_since_us: now_us,
+            last_event_us: now_us,
+            applied_times: VecDeque::new(),
+            earlier_applied_us: now_us,
+        }
+    }
+
+    /// Notes that the process runs; a frozen process has heard nothing.
+    pub(crate) const fn advance(&mut self, now_us: TimeUs) {
+        if now_us.since_us(self.last_event_us) > PAUSE_MAX_US {
+            self.listening_since_us = now_us;
+        }
+        self.last_event_us = now_us;
+    }
+
+    /// Lets silence count from now on only.
+    pub(crate) const fn listen_anew(&mut self, now_us: TimeUs) {
+        self.listening_since_us = now_us;
+    }
+
+    /// Notes that a revision was applied.
+    pub(crate) fn revision_applied(&mut self, state: &State, now_us: TimeUs) {
+        self.applied_times.push_back((state.revision(), now_us));
+        if self.applied_times.len() > APPLIED_TIMES_MAX
+            && let Some((_, at_us)) = self.applied_times.pop_front()
+        {
+            self.earlier_applied_us = at_us;
+        }
+        self.heard.retain(|entry, _| is_declared(state, entry));
+    }
+
+    /// Notes a poll of a declared entry.
+    pub(crate) fn polled(&mut self, state: &State, poll: &Poll, now_us: TimeUs) {
+        if !is_declared(state, &poll.entry) {
+            return;
+        }
+        let heard = Heard {
+            applied_index: poll.applied_index,
+            at_us: now_us,
+            rejected: poll.rejected.clone(),
+        };
+        self.heard.insert(poll.entry.clone(), heard);
+    }
+
+    /// What the declared entries say of a revision.
+    pub(crate) fn status(&self, state: &State, revision: u64, now_us: TimeUs) -> ResourceStatus {
+        let mut status = ResourceStatus {
+            state: ResourceState::InForce,
+            confirmed: Vec::new(),
+            waiting: Vec::new(),
+            fenced: Vec::new(),
+            rejected: Vec::new(),
+        };
+        let since_us = self.applied_us(revision);
+        for declared in state.resources(Some(Kind::Entry)) {
+            let Ok(entry) = EntryName::new(declared.name.as_str()) else {
+                continue;
+            };
+            match self.standing(&entry, declared.revision, revision, now_us) {
+                Standing::Confirmed => status.confirmed.push(entry),
+                Standing::Fenced => status.fenced.push(entry),
+                Standing::Rejected { reason } => status.rejected.push(RejectedBy { entry, reason }),
+                Standing::Waiting => status.waiting.push(WaitingEntry {
+                    entry,
+                    since_ms: now_us.since_us(since_us) / 1_000,
+                }),
+            }
+        }
+        status.state = match (status.rejected.is_empty(), status.waiting.is_empty()) {
+            (false, _) => ResourceState::Rejected,
+            (true, false) => ResourceState::Waiting,
+            (true, true) => ResourceState::InForce,
+        };
+        status
+    }
+
+    pub(crate) fn dump(&self, now_us: TimeUs) -> Vec<EntryDump> {
+        self.heard
+            .iter()
+            .map(|(entry, heard)| EntryDump {
+                entry: entry.clone(),
+                applied_index: heard.applied_index,
+                silent_ms: now_us.since_us(heard.at_us) / 1_000,
+            })
+            .collect()
+    }
+
+    /// An entry is fenced once its silence and the revision are both older than the lease: by then
+    /// a majority has either refused it the lease or handed it the revision.
+    fn standing(
+        &self,
+        entry: &EntryName,
+        declared_revision: u64,
+        revision: u64,
+        now_us: TimeUs,
+    ) -> Standing {
+        let heard = self.heard.get(entry);
+        let last_heard_us = heard.map_or_else(|| self.applied_us(declared_revision), |it| it.at_us);
+        let silent_since_us = last_heard_us.max(self.listening_since_us);
+        let silent = lease_over_us(silent_since_us).reached(now_us);
+        if silent && lease_over_us(self.applied_us(revision)).reached(now_us) {
+            return Standing::Fenced;
+        }
+        let Some(heard) = heard else {
+            return Standing::Waiting;
+        };
+        match &heard.rejected {
+            Some(rejected) if rejected.revision == revision => Standing::Rejected {
+                reason: rejected.reason.clone(),
+            },
+            _ if heard.applied_index >= revision => Standing::Confirmed,
+            _ => Standing::Waiting,
+        }
+    }
+
+    /// When a revision was applied here, or a later time.
+    fn applied_us(&self, revision: u64) -> TimeUs {
+        let at = self
+            .applied_times
+            .partition_point(|(applied, _)| *applied < revision);
+        match self.applied_times.get(at) {
+            Some((applied, at_us)) if at > 0 || *applied == revision => *at_us,
+            _ => self.earlier_applied_us,
+        }
+    }
+}
+
+fn is_declared(state: &State, entry: &EntryName) -> bool {
+    let Ok(name) = ResourceName::new(entry.as_str()) else {
+        return false;
+    };
+    let key = Key {
+        kind: Kind::Entry,
+        name,
+    };
+    state.get(&key).is_some()
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,8 +3,11 @@
 //! [`Control`] owns the log and the state, answers operators' requests and entries' polls, and
 //! follows how far the entries have come. The shell holds the sockets, the files and the timer.
 
+mod answers;
 mod api;
+mod clock;
 mod core;
+mod dump;
 mod entries;
 mod pending;
 mod watches;
@@ -15,5 +18,6 @@
         Replicas, Request,
     },
     core::Control,
-    entries::{CONFIG_LEASE_MARGIN_MS, CONFIG_LEASE_MS},
+    dump::ControlDump,
+    entries::{CONFIG_LEASE_MARGIN_MS, CONFIG_LEASE_MS, EntryDump},
 };
--- /dev/null
+++ b/crates/control/tests/cluster/mod.rs
@@ -0,0 +1,350 @@
+//! Control replicas over an in-memory queue, with disks that keep only what was synced.
+
+#![allow(dead_code)]
+
+use control::{
+    Answer, Control, ControlConfig, Input, Output, Poll, PollAnswer, PollRejection, Request,
+};
+use raft::{
+    Entry, HardState, Membership, Message, Persist, RaftConfig, ReplicaId, Restored, Role, Snapshot,
+};
+use state::{Command, Declaration, Item, Operation};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use types::{ApiError, Key, ResourceName, Spec, TimeUs};
+
+const TICK_US: u64 = 10_000;
+const MESSAGE_DELAY_US: u64 = 1_000;
+pub const SNAPSHOT_ENTRIES: u64 = 100;
+pub const REQUEST_TIMEOUT_US: u64 = 2_000_000;
+
+/// What was synced.
+#[derive(Clone, Debug, Default)]
+pub struct Disk {
+    hard_state: HardState,
+    pub snapshot: Option<Snapshot>,
+    pub entries: Vec<Entry>,
+}
+
+impl Disk {
+    fn write(&mut self, persist: &Persist) {
+        if let Some(snapshot) = &persist.snapshot {
+            self.entries.retain(|entry| entry.index > snapshot.index);
+            self.snapshot = Some(snapshot.clone());
+        }
+        if let Some(from) = persist.truncate_from {
+            self.entries.retain(|entry| entry.index < from);
+        }
+        self.entries.extend(persist.entries.iter().cloned());
+        if let Some(hard_state) = &persist.hard_state {
+            self.hard_state = hard_state.clone();
+        }
+    }
+
+    /// What a restart reads back, in bytes.
+    pub fn restart_bytes(&self) -> (usize, usize) {
+        let tail = self.entries.iter().map(|entry| match &entry.payload {
+            raft::Payload::Command(data) => data.len(),
+            raft::Payload::Noop | raft::Payload::Membership(_) => 0,
+        });
+        let snapshot = self.snapshot.as_ref().map_or(0, |it| it.data.len());
+        (snapshot, tail.sum())
+    }
+}
+
+struct InFlight {
+    at_us: u64,
+    from: ReplicaId,
+    to: ReplicaId,
+    message: Message,
+}
+
+pub type Answered = Result<Answer, ApiError>;
+
+/// The replicas, their disks and what is under way between them.
+pub struct Cluster {
+    pub now_us: u64,
+    pub replicas: BTreeMap<ReplicaId, Control>,
+    pub disks: BTreeMap<ReplicaId, Disk>,
+    pub answers: BTreeMap<u64, Answered>,
+    pub poll_answers: BTreeMap<u64, PollAnswer>,
+    pub sent: Vec<(ReplicaId, Message)>,
+    pub cut: BTreeSet<ReplicaId>,
+    founders: Membership,
+    in_flight: VecDeque<InFlight>,
+    next_request: u64,
+}
+
+pub fn id(name: &str, incarnation: u64) -> ReplicaId {
+    ReplicaId {
+        name: name.to_owned(),
+        incarnation,
+    }
+}
+
+impl Cluster {
+    pub fn new(size: u32) -> Self {
+        let voters = (1..=size).map(|n| id(&format!("control-{n}"), 1)).collect();
+        let mut cluster = Self {
+            now_us: 0,
+            replicas: BTreeMap::new(),
+            disks: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            poll_answers: BTreeMap::new(),
+            sent: Vec::new(),
+            cut: BTreeSet::new(),
+            founders: Membership {
+                voters,
+                learners: BTreeSet::new(),
+            },
+            in_flight: VecDeque::new(),
+            next_request: 0,
+        };
+        for replica in cluster.founders.voters.clone() {
+            cluster.start(&replica);
+        }
+        cluster
+    }
+
+    /// Starts a replica with what its disk holds.
+    pub fn start(&mut self, replica: &ReplicaId) {
+        let disk = self.disks.entry(replica.clone()).or_default().clone();
+        let founder = self.founders.voters.contains(replica);
+        let restored = Restored {
+            hard_state: disk.hard_state,
+            snapshot: disk.snapshot,
+            entries: disk.entries,
+            founders: founder.then(|| self.founders.clone()),
+        };
+        let seed = self.disks.len() as u64 + self.now_us + 7 * replica.name.len() as u64;
+        let config = ControlConfig {
+            raft: RaftConfig {
+                id: replica.clone(),
+                heartbeat_us: 50_000,
+                election_us: 300_000,
+                append_max_bytes: 64 * 1024,
+                snapshot_part_bytes: 64 * 1024,
+                seed: seed * 31 + replica.name.bytes().map(u64::from).sum::<u64>(),
+            },
+            http_addresses: self
+                .founders
+                .voters
+                .iter()
+                .map(|it| (it.name.clone(), format!("http-of-{}", it.name)))
+                .collect(),
+            snapshot_entries: SNAPSHOT_ENTRIES,
+            request_timeout_us: REQUEST_TIMEOUT_US,
+        };
+        let control = Control::new(config, restored, TimeUs(self.now_us));
+        self.replicas.insert(replica.clone(), control);
+    }
+
+    pub fn kill(&mut self, replica: &ReplicaId) {
+        self.replicas.remove(replica);
+    }
+
+    pub fn step(&mut self, replica: &ReplicaId, input: Input) {
+        let Some(control) = self.replicas.get_mut(replica) else {
+            return;
+        };
+        let mut outputs = Vec::new();
+        control.step(TimeUs(self.now_us), input, &mut outputs);
+        for output in outputs {
+            self.carry_out(replica, output);
+        }
+    }
+
+    fn carry_out(&mut self, replica: &ReplicaId, output: Output) {
+        match output {
+            Output::Send { to, message } => {
+                self.sent.push((to.clone(), message.clone()));
+                self.in_flight.push_back(InFlight {
+                    at_us: self.now_us + MESSAGE_DELAY_US,
+                    from: replica.clone(),
+                    to,
+                    message,
+                });
+            }
+            Output::Persist(persist) => {
+                self.disks
+                    .entry(replica.clone())
+                    .or_default()
+                    .write(&persist);
+                let ticket = persist.ticket;
+                self.step(replica, Input::Persisted { ticket });
+            }
+            Output::Answer { request, answer } => {
+                let earlier = self.answers.insert(request, answer);
+                assert!(earlier.is_none(), "request {request} was answered twice");
+            }
+            Output::PollAnswer { poll, answer } => {
+                self.poll_answers.insert(poll, answer);
+            }
+            Output::Changed(_) => {}
+            Output::Broken(error) => panic!("{replica} broke off: {error}"),
+        }
+    }
+
+    /// Lets one tick pass.
+    pub fn tick(&mut self) {
+        self.now_us += TICK_US;
+        while let Some(at) = self
+            .in_flight
+            .iter()
+            .position(|message| message.at_us <= self.now_us)
+        {
+            let Some(message) = self.in_flight.remove(at) else {
+                break;
+            };
+            if !self.cut.contains(&message.from) && !self.cut.contains(&message.to) {
+                let InFlight {
+                    from, to, message, ..
+                } = message;
+                self.step(&to, Input::Receive { from, message });
+            }
+        }
+        let replicas: Vec<ReplicaId> = self.replicas.keys().cloned().collect();
+        for replica in replicas {
+            self.step(&replica, Input::Tick);
+        }
+    }
+
+    pub fn run_ms(&mut self, ms: u64) {
+        for _ in 0..ms * 1_000 / TICK_US {
+            self.tick();
+        }
+    }
+
+    /// Ticks until the condition holds, at most for ten seconds of the cluster's clock.
+    pub fn run_until(&mut self, what: &str, mut condition: impl FnMut(&Self) -> bool) {
+        for _ in 0..1_000 {
+            if condition(self) {
+                return;
+            }
+            self.tick();
+        }
+        panic!("waited in vain for {what}");
+    }
+
+    pub fn leader(&self) -> Option<ReplicaId> {
+        self.replicas
+            .iter()
+            .filter(|(replica, _)| !self.cut.contains(replica))
+            .filter(|(_, control)| control.status().role == Role::Leader)
+            .max_by_key(|(_, control)| control.status().term)
+            .map(|(replica, _)| replica.clone())
+    }
+
+    pub fn wait_for_leader(&mut self) -> ReplicaId {
+        self.run_until("a leader", |cluster| cluster.leader().is_some());
+        self.leader().expect("the wait has seen a leader")
+    }
+
+    /// Sends a request to a replica; its number is the key of the answer.
+    pub fn ask(&mut self, replica: &ReplicaId, body: Request) -> u64 {
+        self.next_request += 1;
+        let request = self.next_request;
+        self.step(replica, Input::Request { request, body });
+        request
+    }
+
+    /// Sends a request to a replica and waits for the answer.
+    pub fn answer_of(&mut self, replica: &ReplicaId, body: Request) -> Answered {
+        let request = self.ask(replica, body);
+        self.run_until("an answer", |cluster| {
+            cluster.answers.contains_key(&request)
+        });
+        self.answers.remove(&request).expect("the wait has seen it")
+    }
+
+    /// Sends a request to whoever leads, again until it is answered for good.
+    pub fn settle(&mut self, body: &Request) -> Answered {
+        for _ in 0..20 {
+            let leader = self.wait_for_leader();
+            match self.answer_of(&leader, body.clone()) {
+                Err(ApiError::NotLeader { .. } | ApiError::Unavailable) => self.run_ms(50),
+                answer => return answer,
+            }
+        }
+        panic!("no replica settled {body:?}");
+    }
+
+    pub fn poll(&mut self, replica: &ReplicaId, entry: &str, applied_index: u64) -> PollAnswer {
+        self.poll_with(replica, entry, applied_index, None)
+    }
+
+    pub fn poll_with(
+        &mut self,
+        replica: &ReplicaId,
+        entry: &str,
+        applied_index: u64,
+        rejected: Option<PollRejection>,
+    ) -> PollAnswer {
+        self.next_request += 1;
+        let poll = self.next_request;
+        let body = Poll {
+            entry: entry.parse().expect("a valid name"),
+            applied_index,
+            rejected,
+        };
+        self.step(replica, Input::Poll { poll, body });
+        self.poll_answers
+            .remove(&poll)
+            .expect("polls are answered at once")
+    }
+}
+
+pub fn name(text: &str) -> ResourceName {
+    text.parse().expect("a valid name")
+}
+
+pub fn key(text: &str) -> Key {
+    text.parse().expect("a valid key")
+}
+
+pub fn spec(kind: &str, spec: serde_json::Value) -> Spec {
+    serde_json::from_value(serde_json::json!({"kind": kind, "spec": spec})).expect("a valid spec")
+}
+
+pub fn region(capacity_slots: u32, domain: &str) -> Spec {
+    let domains = serde_json::json!([domain]);
+    spec(
+        "region",
+        serde_json::json!({"capacity_slots": capacity_slots, "failure_domains": domains}),
+    )
+}
+
+pub fn entry_spec(number: u32) -> Spec {
+    spec(
+        "entry",
+        serde_json::json!({
+            "region": "gauteng", "failure_domain": "gauteng-a",
+            "address": format!("127.0.1.{number}:8080"),
+            "peer_address": format!("127.0.1.{number}:8081"),
+        }),
+    )
+}
+
+pub fn put(request_id: &str, resource: &str, spec: Spec, based_on: u64) -> Request {
+    Request::Change {
+        request_id: request_id.to_owned(),
+        operation: Operation::Put(Declaration {
+            name: name(resource),
+            spec,
+            based_on: Some(based_on),
+        }),
+    }
+}
+
+pub fn item(answer: Answered) -> Item {
+    match answer {
+        Ok(Answer::Item(item)) => *item,
+        other => panic!("no item: {other:?}"),
+    }
+}
+
+pub fn command_of(entry: &Entry) -> Option<Command> {
+    match &entry.payload {
+        raft::Payload::Command(data) => Command::decode(data).ok(),
+        raft::Payload::Noop | raft::Payload::Membership(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/control/tests/leader_change.rs
@@ -0,0 +1,149 @@
+//! Changes of the leader, races and resends.
+
+mod cluster;
+
+use cluster::{Cluster, item, key, put, region};
+use control::{Answer, Request};
+use types::ApiError;
+
+#[test]
+fn every_accepted_change_outlives_killed_leaders() {
+    let mut cluster = Cluster::new(3);
+    let mut accepted = Vec::new();
+    for number in 0..60 {
+        let name = format!("region-{number}");
+        let change = put(
+            &name,
+            &name,
+            region(number + 1, &format!("domain-{number}")),
+            0,
+        );
+        if number % 20 == 10 {
+            let leader = cluster.wait_for_leader();
+            cluster.ask(&leader, change.clone());
+            cluster.kill(&leader);
+            accepted.push(item(cluster.settle(&change)).resource);
+            cluster.start(&leader);
+        } else {
+            accepted.push(item(cluster.settle(&change)).resource);
+        }
+    }
+    for resource in accepted {
+        let found = item(cluster.settle(&Request::Get {
+            key: resource.key(),
+        }));
+        assert_eq!(found.resource, resource);
+    }
+}
+
+#[test]
+fn a_resend_after_a_leader_change_gets_the_first_answer() {
+    let mut cluster = Cluster::new(3);
+    let first = put("once", "gauteng", region(10, "gauteng-a"), 0);
+    let answer = item(cluster.settle(&first)).resource;
+    let later = put("later", "gauteng", region(20, "gauteng-a"), 1);
+    assert_eq!(item(cluster.settle(&later)).resource.version, 2);
+    let leader = cluster.wait_for_leader();
+    cluster.kill(&leader);
+    assert_eq!(item(cluster.settle(&first)).resource, answer);
+    let now = item(cluster.settle(&Request::Get {
+        key: key("region/gauteng"),
+    }));
+    assert_eq!(now.resource.version, 2);
+}
+
+#[test]
+fn a_resend_with_another_body_is_an_error() {
+    let mut cluster = Cluster::new(3);
+    let first = put("once", "gauteng", region(10, "gauteng-a"), 0);
+    item(cluster.settle(&first));
+    let other = put("once", "gauteng", region(11, "gauteng-a"), 1);
+    assert_eq!(
+        cluster.settle(&other),
+        Err(ApiError::RequestIdReused {
+            request_id: "once".to_owned()
+        })
+    );
+}
+
+#[test]
+fn of_changes_with_equal_versions_one_wins() {
+    let mut cluster = Cluster::new(3);
+    item(cluster.settle(&put("base", "gauteng", region(1, "gauteng-a"), 0)));
+    let leader = cluster.wait_for_leader();
+    let racers: Vec<u64> = (0..8)
+        .map(|number| {
+            let change = put(
+                &format!("racer-{number}"),
+                "gauteng",
+                region(10 + number, "gauteng-a"),
+                1,
+            );
+            cluster.ask(&leader, change)
+        })
+        .collect();
+    cluster.run_until("all answers", |cluster| {
+        racers.iter().all(|it| cluster.answers.contains_key(it))
+    });
+    let won = racers
+        .iter()
+        .filter(|it| matches!(cluster.answers[*it], Ok(Answer::Item(_))))
+        .count();
+    let conflict = Err(ApiError::Conflict {
+        key: key("region/gauteng"),
+        current_version: 2,
+    });
+    let lost = racers
+        .iter()
+        .filter(|it| cluster.answers[*it] == conflict)
+        .count();
+    assert_eq!((won, lost), (1, 7));
+}
+
+#[test]
+fn a_replica_that_is_cut_off_answers_no_read_and_accepts_nothing() {
+    let mut cluster = Cluster::new(3);
+    item(cluster.settle(&put("base", "gauteng", region(1, "gauteng-a"), 0)));
+    let old = cluster.wait_for_leader();
+    cluster.cut.insert(old.clone());
+    let get = Request::Get {
+        key: key("region/gauteng"),
+    };
+    let read = cluster.ask(&old, get.clone());
+    let write = cluster.ask(&old, put("lost", "gauteng", region(5, "gauteng-a"), 1));
+    let change = put("kept", "gauteng", region(7, "gauteng-a"), 1);
+    assert_eq!(item(cluster.settle(&change)).resource.version, 2);
+    cluster.run_until("both answers", |cluster| {
+        cluster.answers.contains_key(&read) && cluster.answers.contains_key(&write)
+    });
+    for request in [read, write] {
+        assert!(matches!(
+            cluster.answers[&request],
+            Err(ApiError::Unavailable | ApiError::NotLeader { .. })
+        ));
+    }
+    cluster.cut.clear();
+    let found = item(cluster.settle(&get)).resource;
+    assert_eq!(found.version, 2);
+    assert_eq!(found.spec, region(7, "gauteng-a"));
+}
+
+#[test]
+fn a_follower_names_the_leader() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.wait_for_leader();
+    cluster.run_ms(200);
+    let follower = cluster
+        .replicas
+        .keys()
+        .find(|it| **it != leader)
+        .cloned()
+        .expect("two replicas follow");
+    let answer = cluster.answer_of(&follower, Request::List { kind: None });
+    assert_eq!(
+        answer,
+        Err(ApiError::NotLeader {
+            leader: Some(format!("http-of-{}", leader.name))
+        })
+    );
+}
--- /dev/null
+++ b/crates/ctl/src/declarations.rs
@@ -0,0 +1,181 @@
+//! Declarations in TOML files.
+
+use api::ChangeBody;
+use serde_json::json;
+use std::{
+    collections::BTreeMap,
+    fs, io,
+    path::{Path, PathBuf},
+};
+use thiserror::Error;
+use toml::{Table, Value};
+use types::{Kind, ResourceName, Spec};
+
+/// A file that holds no valid declarations.
+#[derive(Debug, Error)]
+pub enum DeclarationsError {
+    /// The file can't be read.
+    #[error("{}: {error}", path.display())]
+    Read {
+        /// The file or folder.
+        path: PathBuf,
+        /// What went wrong.
+        error: io::Error,
+    },
+    /// The file is no TOML.
+    #[error("{}: {error}", path.display())]
+    Toml {
+        /// The file.
+        path: PathBuf,
+        /// What the parser said.
+        error: Box<toml::de::Error>,
+    },
+    /// A table stands where none is expected.
+    #[error("{}: [{table}] {fault}", path.display())]
+    Table {
+        /// The file.
+        path: PathBuf,
+        /// The table.
+        table: String,
+        /// What is wrong with it.
+        fault: TableFault,
+    },
+    /// No file with declarations was found.
+    #[error("{}: no *.toml file", path.display())]
+    Empty {
+        /// The folder.
+        path: PathBuf,
+    },
+}
+
+/// What is wrong with a table.
+#[derive(Debug, Error)]
+pub enum TableFault {
+    /// Its first word is no kind.
+    #[error("is no kind of resource")]
+    UnknownKind,
+    /// It is no table of the form `[kind.name]`.
+    #[error("is no table of the form [kind.name]")]
+    NoTable,
+    /// Its name breaks the rules of names.
+    #[error("has an invalid name")]
+    Name,
+    /// Its fields don't fit the kind.
+    #[error("is invalid: {0}")]
+    Fields(serde_json::Error),
+    /// Another file declares the same.
+    #[error("is declared in {} too", .0.display())]
+    Twice(PathBuf),
+}
+
+/// Reads every declaration of the files and folders, in the order of their names.
+///
+/// # Errors
+///
+/// [`DeclarationsError`] with the first file that is wrong.
+pub fn read_declarations(paths: &[PathBuf]) -> Result<Vec<ChangeBody>, DeclarationsError> {
+    let mut changes = Vec::new();
+    let mut seen: BTreeMap<(String, String), PathBuf> = BTreeMap::new();
+    for path in files(paths)? {
+        let text = fs::read_to_string(&path).map_err(|error| DeclarationsError::Read {
+            path: path.clone(),
+            error,
+        })?;
+        for change in parse_declarations(&path, &text)? {
+            let key = (change.kind.clone(), change.name.clone());
+            if let Some(other) = seen.insert(key, path.clone()) {
+                return Err(DeclarationsError::Table {
+                    path,
+                    table: format!("{}.{}", change.kind, change.name),
+                    fault: TableFault::Twice(other),
+                });
+            }
+            changes.push(change);
+        }
+    }
+    Ok(changes)
+}
+
+/// Reads the declarations of one file's text.
+///
+/// # Errors
+///
+/// [`DeclarationsError`] with the first table that is wrong.
+pub fn parse_declarations(path: &Path, text: &str) -> Result<Vec<ChangeBody>, DeclarationsError> {
+    let kinds: Table = text.parse().map_err(|error| DeclarationsError::Toml {
+        path: path.to_owned(),
+        error: Box::new(error),
+    })?;
+    let mut changes = Vec::new();
+    for (kind, names) in &kinds {
+        let in_table = |table: &str, fault| DeclarationsError::Table {
+            path: path.to_owned(),
+            table: table.to_owned(),
+            fault,
+        };
+        let parsed_kind: Kind = kind
+            .parse()
+            .map_err(|_| in_table(kind, TableFault::UnknownKind))?;
+        let names = names
+            .as_table()
+            .ok_or_else(|| in_table(kind, TableFault::NoTable))?;
+        for (name, fields) in names {
+            let change = parse_table(parsed_kind, name, fields)
+                .map_err(|fault| in_table(&format!("{kind}.{name}"), fault))?;
+            changes.push(change);
+        }
+    }
+    Ok(changes)
+}
+
+fn parse_table(kind: Kind, name: &str, fields: &Value) -> Result<ChangeBody, TableFault> {
+    if !fields.is_table() {
+        return Err(TableFault::NoTable);
+    }
+    ResourceName::new(name).map_err(|_| TableFault::Name)?;
+    let spec = serde_json::to_value(fields).map_err(TableFault::Fields)?;
+    serde_json::from_value::<Spec>(json!({"kind": kind, "spec": spec}))
+        .map_err(TableFault::Fields)?;
+    Ok(ChangeBody {
+        kind: kind.to_string(),
+        name: name.to_owned(),
+        spec,
+        based_on: None,
+    })
+}
+
+fn files(paths: &[PathBuf]) -> Result<Vec<PathBuf>, DeclarationsError> {
+    let mut files = Vec::new();
+    for path in paths {
+        if path.is_dir() {
+            files.extend(folder_files(path)?);
+        } else {
+            files.push(path.clone());
+        }
+    }
+    Ok(files)
+}
+
+fn folder_files(folder: &Path) -> Result<Vec<PathBuf>, DeclarationsError> {
+    let read_error = |error| DeclarationsError::Read {
+        path: folder.to_owned(),
+        error,
+    };
+    let mut files = Vec::new();
+    for found in fs::read_dir(folder).map_err(read_error)? {
+        let path = found.map_err(read_error)?.path();
+        if path
+            .extension()
+            .is_some_and(|extension| extension == "toml")
+        {
+            files.push(path);
+        }
+    }
+    files.sort();
+    if files.is_empty() {
+        return Err(DeclarationsError::Empty {
+            path: folder.to_owned(),
+        });
+    }
+    Ok(files)
+}
--- /dev/null
+++ b/crates/ctl/src/help.rs
@@ -0,0 +1,40 @@
+//! The text of `--help`.
+
+/// What `--help` prints.
+pub const HELP: &str = "\
+oleanderctl: drives oleanderwell through its control replicas
+
+usage: oleanderctl --servers A,B,C [OPTIONS] COMMAND
+
+commands:
+  apply -f PATH... [--prune] [--dry-run]  declare what the files say, all or nothing
+  diff -f PATH...                         show how the declarations differ from the files
+  get [KIND [NAME]]                       show resources and how far they are in force
+  watch [--until-in-force]                print changes, or wait until all is in force
+  drain TYPE NAME                         empty an upstream, entry, failure_domain or region
+  undrain TYPE NAME                       end a drain
+  replicas                                show each control replica's view of the replicas
+  admit NAME                              admit a replica that came back without its disk
+  dump ADDRESS                            print the state of the process at ADDRESS
+
+options:
+  --servers A,B,C     HTTP addresses of the control replicas
+  --token-file FILE   holds the operators' token
+  --json              print JSON instead of tables
+  --timeout SECONDS   give up after this time; 15, and 60 for watch --until-in-force
+  --request-id ID     id of the change; a resend with the same id gets the first answer again
+  -f, --file PATH     a TOML file or a folder of *.toml files; may be repeated
+  --prune             withdraw resources that the files don't declare
+  --dry-run           answer what would change, and change nothing
+  -h, --help          print this text
+  -V, --version       print the version
+
+exit codes:
+  0  done
+  1  failed
+  2  wrong usage or invalid declarations
+  3  conflict: the version that the change is based on is not the current one
+  4  not in force in time
+  5  no control replica reachable
+  6  diff found differences
+";
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,1 +1,26 @@
 //! The operators' command line.
+
+mod args;
+mod call;
+mod client;
+mod commands;
+mod declarations;
+mod diff;
+mod error;
+mod help;
+mod replicas;
+mod table;
+mod watch;
+
+pub use crate::{
+    args::{Args, ArgsError, Command, DrainKind, Parsed, parse},
+    call::{Caller, request_id},
+    client::{Client, ClientError},
+    commands::run,
+    declarations::{DeclarationsError, parse_declarations, read_declarations},
+    diff::{Difference, differences},
+    error::{CtlError, ExitCode},
+    help::HELP,
+    table::Table,
+    watch::{Progress, progress},
+};
--- /dev/null
+++ b/crates/ctl/src/replicas.rs
@@ -0,0 +1,142 @@
+//! Control replicas and their replacement.
+
+use crate::{
+    call::Caller,
+    client::{ClientAnswer, ClientError},
+    error::CtlError,
+    table::Table,
+};
+use api::AdmitBody;
+use bytes::Bytes;
+use control::Replicas;
+use hyper::Method;
+use raft::ReplicaId;
+use serde::Serialize;
+use std::{io::Write, time::Duration};
+use types::ResourceName;
+
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What one server says of the replicas.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+struct View {
+    server: String,
+    replicas: Option<Replicas>,
+}
+
+async fn ask(caller: &Caller, server: &str) -> Result<ClientAnswer, ClientError> {
+    caller
+        .client()
+        .send(
+            server,
+            Method::GET,
+            "/v1/replicas",
+            Bytes::new(),
+            ANSWER_TIMEOUT,
+        )
+        .await
+}
+
+async fn views(caller: &Caller) -> Result<Vec<View>, CtlError> {
+    let mut views = Vec::new();
+    let mut failure = None;
+    for server in caller.servers() {
+        let replicas = match ask(caller, server).await {
+            Ok(answer) => serde_json::from_slice(&answer.body).ok(),
+            Err(error) => {
+                failure = Some(error);
+                None
+            }
+        };
+        views.push(View {
+            server: server.clone(),
+            replicas,
+        });
+    }
+    match failure {
+        Some(error) if views.iter().all(|view| view.replicas.is_none()) => {
+            Err(CtlError::Unreachable(error))
+        }
+        _ => Ok(views),
+    }
+}
+
+/// Prints each server's view of the replicas.
+pub(crate) async fn show(caller: &Caller, json: bool, out: &mut dyn Write) -> Result<(), CtlError> {
+    let views = views(caller).await?;
+    if json {
+        writeln!(out, "{}", serde_json::to_string(&views)?)?;
+        return Ok(());
+    }
+    let mut table = Table::new(&[
+        "SERVER", "REPLICA", "ROLE", "TERM", "LEADER", "LAST", "APPLIED", "VOTERS", "LEARNERS",
+    ]);
+    for View { server, replicas } in views {
+        match replicas {
+            None => table.push([server, "unreachable".to_owned()]),
+            Some(view) => table.push([
+                server,
+                view.replica.to_string(),
+                format!("{:?}", view.role).to_lowercase(),
+                view.term.to_string(),
+                view.leader.map_or("-".to_owned(), |it| it.to_string()),
+                view.last_index.to_string(),
+                view.applied_index.to_string(),
+                ids(view.membership.voters.iter()),
+                ids(view.membership.learners.iter()),
+            ]),
+        }
+    }
+    write!(out, "{table}")?;
+    Ok(())
+}
+
+fn ids<'a>(ids: impl Iterator<Item = &'a ReplicaId>) -> String {
+    ids.map(ReplicaId::to_string).collect::<Vec<_>>().join(",")
+}
+
+/// Admits the replica with this name that is not a member yet.
+pub(crate) async fn admit(
+    caller: &mut Caller,
+    name: &str,
+    json: bool,
+    out: &mut dyn Write,
+) -> Result<(), CtlError> {
+    let views = views(caller).await?;
+    let views: Vec<&Replicas> = views.iter().filter_map(|it| it.replicas.as_ref()).collect();
+    let latest = views.iter().max_by_key(|view| view.membership_index);
+    let voters = latest.map(|view| &view.membership.voters);
+    let waiting = views.iter().map(|view| &view.replica).find(|replica| {
+        replica.name == name && voters.is_some_and(|voters| !voters.contains(replica))
+    });
+    let Some(id) = waiting else {
+        return Err(CtlError::NoLearner {
+            name: name.to_owned(),
+        });
+    };
+    let replaces = voters.and_then(|voters| voters.iter().find(|it| it.name == name));
+    let body = AdmitBody {
+        name: ResourceName::new(name)?,
+        incarnation: id.incarnation,
+        replaces: replaces.cloned(),
+    };
+    let admitted: Replicas = caller
+        .call(
+            Method::POST,
+            "/v1/replicas",
+            serde_json::to_vec(&body)?.into(),
+        )
+        .await?;
+    if json {
+        writeln!(out, "{}", serde_json::to_string(&admitted)?)?;
+        return Ok(());
+    }
+    writeln!(
+        out,
+        "admitted {id}; voters {}, learners {}",
+        ids(admitted.membership.voters.iter()),
+        ids(admitted.membership.learners.iter())
+    )?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/watch.rs
@@ -0,0 +1,154 @@
+//! Watching until everything is in force.
+
+use crate::{call::Caller, error::CtlError, table::Table};
+use bytes::Bytes;
+use hyper::Method;
+use state::{Change, Item, List, ResourceState, ResourceStatus, Watched};
+use std::{collections::BTreeMap, io::Write, time::Duration};
+use tokio::time::{Instant, sleep};
+use types::Key;
+
+/// How often a watch for what is in force asks again.
+const ASK_PERIOD: Duration = Duration::from_millis(250);
+
+/// How long a replica holds a watch that sees nothing, in milliseconds.
+const WATCH_WAIT_MS: u64 = 20_000;
+
+/// How long an answer to a watch may take beyond that.
+const WATCH_MARGIN: Duration = Duration::from_secs(5);
+
+/// How many resources are in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// How many are in force.
+    pub in_force: usize,
+    /// How many there are.
+    pub total: usize,
+}
+
+/// Counts the resources that are in force.
+#[must_use]
+pub fn progress(list: &List) -> Progress {
+    let in_force = |item: &&Item| item.status.state == ResourceState::InForce;
+    Progress {
+        in_force: list.items.iter().filter(in_force).count(),
+        total: list.items.len(),
+    }
+}
+
+/// One line on how far a resource has come.
+pub(crate) fn status_line(status: &ResourceStatus) -> String {
+    let mut parts = Vec::new();
+    for waiting in &status.waiting {
+        let seconds = waiting.since_ms as f64 / 1_000.0;
+        parts.push(format!("{} for {seconds:.1} s", waiting.entry));
+    }
+    for rejected in &status.rejected {
+        parts.push(format!("{}: {}", rejected.entry, rejected.reason));
+    }
+    for fenced in &status.fenced {
+        parts.push(format!("{fenced} fenced"));
+    }
+    parts.join(", ")
+}
+
+/// Prints each change of a resource's state until all are in force.
+pub(crate) async fn until_in_force(
+    caller: &mut Caller,
+    deadline: Instant,
+    json: bool,
+    out: &mut dyn Write,
+) -> Result<(), CtlError> {
+    let mut seen: BTreeMap<Key, (u64, ResourceState)> = BTreeMap::new();
+    loop {
+        let list: List = caller
+            .call(Method::GET, "/v1/resources", Bytes::new())
+            .await?;
+        for item in &list.items {
+            let now = (item.resource.version, item.status.state);
+            if seen.insert(item.resource.key(), now) != Some(now) {
+                print_item(item, json, out)?;
+            }
+        }
+        let Progress { in_force, total } = progress(&list);
+        if in_force == total {
+            return Ok(());
+        }
+        if Instant::now() + ASK_PERIOD >= deadline {
+            print_unready(&list, json, out)?;
+            return Err(CtlError::NotInForce { in_force, total });
+        }
+        sleep(ASK_PERIOD).await;
+    }
+}
+
+fn print_item(item: &Item, json: bool, out: &mut dyn Write) -> Result<(), CtlError> {
+    if json {
+        writeln!(out, "{}", serde_json::to_string(item)?)?;
+        return Ok(());
+    }
+    let key = item.resource.key();
+    let state = item.status.state;
+    let detail = status_line(&item.status);
+    let line = format!("{key} version {} {state} {detail}", item.resource.version);
+    writeln!(out, "{}", line.trim_end())?;
+    Ok(())
+}
+
+fn print_unready(list: &List, json: bool, out: &mut dyn Write) -> Result<(), CtlError> {
+    if json {
+        return Ok(());
+    }
+    let mut table = Table::new(&["RESOURCE", "STATE", "WAITS FOR"]);
+    for item in &list.items {
+        if item.status.state != ResourceState::InForce {
+            table.push([
+                item.resource.key().to_string(),
+                item.status.state.to_string(),
+                status_line(&item.status),
+            ]);
+        }
+    }
+    write!(out, "{table}")?;
+    Ok(())
+}
+
+/// Prints each change as it comes, until the deadline.
+pub(crate) async fn changes(
+    caller: &mut Caller,
+    deadline: Instant,
+    json: bool,
+    out: &mut dyn Write,
+) -> Result<(), CtlError> {
+    let list: List = caller
+        .call(Method::GET, "/v1/resources", Bytes::new())
+        .await?;
+    let mut from = list.revision;
+    while let Some(left) = deadline.checked_duration_since(Instant::now()) {
+        let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        let wait_ms = WATCH_WAIT_MS.min(left_ms);
+        let path = format!("/v1/watch?from={from}&wait_ms={wait_ms}");
+        let wait = Duration::from_millis(wait_ms) + WATCH_MARGIN;
+        let watched: Watched = caller
+            .call_waiting(Method::GET, &path, Bytes::new(), wait)
+            .await?;
+        for change in &watched.events {
+            print_change(change, json, out)?;
+        }
+        from = watched.revision;
+    }
+    Ok(())
+}
+
+fn print_change(change: &Change, json: bool, out: &mut dyn Write) -> Result<(), CtlError> {
+    if json {
+        writeln!(out, "{}", serde_json::to_string(change)?)?;
+        return Ok(());
+    }
+    let Change { revision, key, .. } = change;
+    match &change.resource {
+        Some(resource) => writeln!(out, "{revision} {key} version {}", resource.version)?,
+        None => writeln!(out, "{revision} {key} withdrawn")?,
+    }
+    Ok(())
+}
