Test the state machine and the control core; bound what entries are sent

Cause: a list of resources named every entry of every resource, which at 720 entries and some hundred resources would be megabytes an answer; the answer to a poll could outgrow a frame. Lists now name at most 16 entries of each sort beside the counts, all resources together may take 512 KiB, and an entry gets the shorter of the changes and the whole.

--- a/crates/control/src/answers.rs
+++ b/crates/control/src/answers.rs
@@ -6,9 +6,13 @@
     pending::Wait,
 };
 use raft::ReplicaId;
-use state::{Accepted, Item, List, Rejection};
+use state::{Accepted, Item, List, Rejection, ResourceStatus};
+use std::collections::BTreeMap;
 use types::{ApiError, Kind, Resource};
 
+/// How many entries of each sort a list of resources names.
+const LIST_NAMES_MAX: usize = 16;
+
 type Result<T> = std::result::Result<T, ApiError>;
 
 impl Control {
@@ -107,22 +111,29 @@
     }
 
     fn list(&self, kind: Option<Kind>) -> List {
+        let mut statuses: BTreeMap<u64, ResourceStatus> = BTreeMap::new();
+        let items = self.state.resources(kind).map(|resource| Item {
+            resource: resource.clone(),
+            status: statuses
+                .entry(resource.revision)
+                .or_insert_with(|| self.resource_status(resource, LIST_NAMES_MAX))
+                .clone(),
+        });
         List {
+            items: items.collect(),
             revision: self.state.revision(),
-            items: self
-                .state
-                .resources(kind)
-                .map(|resource| self.item(resource))
-                .collect(),
         }
     }
 
     fn item(&self, resource: &Resource) -> Item {
         Item {
             resource: resource.clone(),
-            status: self
-                .entries
-                .status(&self.state, resource.revision, self.now_us),
+            status: self.resource_status(resource, usize::MAX),
         }
     }
+
+    fn resource_status(&self, resource: &Resource, names_max: usize) -> ResourceStatus {
+        self.entries
+            .status(&self.state, resource.revision, names_max, self.now_us)
+    }
 }
--- a/crates/control/src/entries.rs
+++ b/crates/control/src/entries.rs
@@ -12,6 +12,23 @@
 /// What is added to the lease before an entry counts as fenced, in milliseconds.
 pub const CONFIG_LEASE_MARGIN_MS: u64 = 1_000;
 
+/// The shortest period of an entry's polls, in milliseconds.
+const POLL_MIN_MS: u64 = 250;
+
+/// The longest period of an entry's polls, in milliseconds; one may be lost within a lease.
+const POLL_MAX_MS: u64 = 1_450;
+
+/// By how much each declared entry lengthens the period, in milliseconds.
+const POLL_STEP_MS: u64 = 2;
+
+/// The period of an entry's polls of each replica, so that all entries together cost a replica
+/// about the same at any size.
+#[must_use]
+pub fn poll_interval_ms(declared_entries: usize) -> u64 {
+    let step_ms = POLL_STEP_MS.saturating_mul(declared_entries as u64);
+    step_ms.clamp(POLL_MIN_MS, POLL_MAX_MS)
+}
+
 /// After a pause between two events as long as this, silence before it says nothing.
 const PAUSE_MAX_US: u64 = 1_000_000;
 
@@ -44,11 +61,11 @@
 }
 
 /// How an entry stands to a revision.
-enum Standing {
+enum Standing<'a> {
     Confirmed,
     Waiting,
     Fenced,
-    Rejected { reason: String },
+    Rejected { reason: &'a str },
 }
 
 /// The polls of the declared entries.
@@ -60,8 +77,6 @@
     last_event_us: TimeUs,
     /// When the latest revisions were applied here.
     applied_times: VecDeque<(u64, TimeUs)>,
-    /// No revision before `applied_times` was applied later than this.
-    earlier_applied_us: TimeUs,
 }
 
 impl Entries {
@@ -71,7 +86,6 @@
             listening_since_us: now_us,
             last_event_us: now_us,
             applied_times: VecDeque::new(),
-            earlier_applied_us: now_us,
         }
     }
 
@@ -91,10 +105,8 @@
     /// Notes that a revision was applied.
     pub(crate) fn revision_applied(&mut self, state: &State, now_us: TimeUs) {
         self.applied_times.push_back((state.revision(), now_us));
-        if self.applied_times.len() > APPLIED_TIMES_MAX
-            && let Some((_, at_us)) = self.applied_times.pop_front()
-        {
-            self.earlier_applied_us = at_us;
+        if self.applied_times.len() > APPLIED_TIMES_MAX {
+            self.applied_times.pop_front();
         }
         self.heard.retain(|entry, _| is_declared(state, entry));
     }
@@ -112,34 +124,47 @@
         self.heard.insert(poll.entry.clone(), heard);
     }
 
-    /// What the declared entries say of a revision.
-    pub(crate) fn status(&self, state: &State, revision: u64, now_us: TimeUs) -> ResourceStatus {
-        let mut status = ResourceStatus {
-            state: ResourceState::InForce,
-            confirmed: Vec::new(),
-            waiting: Vec::new(),
-            fenced: Vec::new(),
-            rejected: Vec::new(),
-        };
-        let since_us = self.applied_us(revision);
+    /// What the declared entries say of a revision, with no more than `names_max` names of each
+    /// sort.
+    pub(crate) fn status(
+        &self,
+        state: &State,
+        revision: u64,
+        names_max: usize,
+        now_us: TimeUs,
+    ) -> ResourceStatus {
+        let mut status = ResourceStatus::default();
+        let since_ms = now_us.since_us(self.applied_us(revision)) / 1_000;
         for declared in state.resources(Some(Kind::Entry)) {
-            let Ok(entry) = EntryName::new(declared.name.as_str()) else {
-                continue;
-            };
-            match self.standing(&entry, declared.revision, revision, now_us) {
-                Standing::Confirmed => status.confirmed.push(entry),
-                Standing::Fenced => status.fenced.push(entry),
-                Standing::Rejected { reason } => status.rejected.push(RejectedBy { entry, reason }),
-                Standing::Waiting => status.waiting.push(WaitingEntry {
-                    entry,
-                    since_ms: now_us.since_us(since_us) / 1_000,
-                }),
+            let name = declared.name.as_str();
+            match self.standing(name, declared.revision, revision, now_us) {
+                Standing::Confirmed => {
+                    status.confirmed_count += 1;
+                    push_name(&mut status.confirmed, name, names_max);
+                }
+                Standing::Fenced => {
+                    status.fenced_count += 1;
+                    push_name(&mut status.fenced, name, names_max);
+                }
+                Standing::Rejected { reason } => {
+                    push_with(&mut status.rejected, name, names_max, |entry| RejectedBy {
+                        entry,
+                        reason: reason.to_owned(),
+                    });
+                }
+                Standing::Waiting => {
+                    status.waiting_count += 1;
+                    push_with(&mut status.waiting, name, names_max, |entry| WaitingEntry {
+                        entry,
+                        since_ms,
+                    });
+                }
             }
         }
-        status.state = match (status.rejected.is_empty(), status.waiting.is_empty()) {
+        status.state = match (status.rejected.is_empty(), status.waiting_count) {
             (false, _) => ResourceState::Rejected,
-            (true, false) => ResourceState::Waiting,
-            (true, true) => ResourceState::InForce,
+            (true, 0) => ResourceState::InForce,
+            (true, _) => ResourceState::Waiting,
         };
         status
     }
@@ -159,11 +184,11 @@
     /// a majority has either refused it the lease or handed it the revision.
     fn standing(
         &self,
-        entry: &EntryName,
+        entry: &str,
         declared_revision: u64,
         revision: u64,
         now_us: TimeUs,
-    ) -> Standing {
+    ) -> Standing<'_> {
         let heard = self.heard.get(entry);
         let last_heard_us = heard.map_or_else(|| self.applied_us(declared_revision), |it| it.at_us);
         let silent_since_us = last_heard_us.max(self.listening_since_us);
@@ -176,7 +201,7 @@
         };
         match &heard.rejected {
             Some(rejected) if rejected.revision == revision => Standing::Rejected {
-                reason: rejected.reason.clone(),
+                reason: &rejected.reason,
             },
             _ if heard.applied_index >= revision => Standing::Confirmed,
             _ => Standing::Waiting,
@@ -188,10 +213,26 @@
         let at = self
             .applied_times
             .partition_point(|(applied, _)| *applied < revision);
-        match self.applied_times.get(at) {
-            Some((applied, at_us)) if at > 0 || *applied == revision => *at_us,
-            _ => self.earlier_applied_us,
-        }
+        self.applied_times
+            .get(at)
+            .map_or(self.listening_since_us, |(_, at_us)| *at_us)
+    }
+}
+
+fn push_name(names: &mut Vec<EntryName>, name: &str, names_max: usize) {
+    push_with(names, name, names_max, |entry| entry);
+}
+
+fn push_with<T>(
+    list: &mut Vec<T>,
+    name: &str,
+    names_max: usize,
+    element: impl FnOnce(EntryName) -> T,
+) {
+    if list.len() < names_max
+        && let Ok(entry) = EntryName::new(name)
+    {
+        list.push(element(entry));
     }
 }
 
--- /dev/null
+++ b/crates/control/tests/restart.rs
@@ -0,0 +1,225 @@
+//! Restarts, lost disks and watches that go on.
+
+mod cluster;
+
+use cluster::{Cluster, SNAPSHOT_ENTRIES, id, item, put, region};
+use control::{Answer, Request};
+use raft::{Message, ReplicaId};
+use state::{Change, Watched};
+use types::ApiError;
+
+const CHANGES: u64 = 550;
+
+/// Bounds of what a restart after [`CHANGES`] changes reads or receives, in bytes.
+const SNAPSHOT_MAX_BYTES: usize = 400 * CHANGES as usize;
+const TAIL_MAX_BYTES: usize = 320 * SNAPSHOT_ENTRIES as usize;
+
+fn change(cluster: &mut Cluster, number: u64) -> u64 {
+    let change = put(
+        &format!("change-{number}"),
+        "gauteng",
+        region(number as u32 + 1, "gauteng-a"),
+        number,
+    );
+    item(cluster.settle(&change)).resource.revision
+}
+
+fn run_changes(cluster: &mut Cluster, numbers: std::ops::Range<u64>) {
+    for number in numbers {
+        change(cluster, number);
+    }
+}
+
+fn follower(cluster: &mut Cluster) -> ReplicaId {
+    let leader = cluster.wait_for_leader();
+    let mut replicas = cluster.replicas.keys();
+    replicas
+        .find(|it| **it != leader)
+        .cloned()
+        .expect("two replicas follow")
+}
+
+fn caught_up(cluster: &Cluster, replica: &ReplicaId) -> bool {
+    let states: Vec<_> = cluster.replicas.values().map(|it| it.state()).collect();
+    let most = states.iter().map(|state| state.applied_index()).max();
+    Some(cluster.replicas[replica].state().applied_index()) == most
+}
+
+fn received_bytes(cluster: &Cluster, replica: &ReplicaId) -> usize {
+    let bytes = |message: &Message| match message {
+        Message::Append { entries, .. } => entries
+            .iter()
+            .map(|entry| match &entry.payload {
+                raft::Payload::Command(data) => data.len(),
+                raft::Payload::Noop | raft::Payload::Membership(_) => 0,
+            })
+            .sum(),
+        Message::InstallSnapshot { data, .. } => data.len(),
+        _ => 0,
+    };
+    let to_replica = cluster.sent.iter().filter(|(to, _)| to == replica);
+    to_replica.map(|(_, message)| bytes(message)).sum()
+}
+
+#[test]
+fn a_replica_that_missed_550_changes_catches_up_by_snapshot_and_tail() {
+    let mut cluster = Cluster::new(3);
+    let stopped = follower(&mut cluster);
+    cluster.kill(&stopped);
+    run_changes(&mut cluster, 0..CHANGES);
+    cluster.sent.clear();
+    cluster.start(&stopped);
+    cluster.run_until("the replica", |cluster| caught_up(cluster, &stopped));
+    let leader = cluster.wait_for_leader();
+    assert_eq!(
+        cluster.replicas[&stopped].state(),
+        cluster.replicas[&leader].state()
+    );
+    let received = received_bytes(&cluster, &stopped);
+    println!("{CHANGES} missed changes: {received} bytes received");
+    assert!(received <= SNAPSHOT_MAX_BYTES + TAIL_MAX_BYTES);
+    let snapshots = cluster
+        .sent
+        .iter()
+        .filter(|(to, message)| {
+            *to == stopped && matches!(message, Message::InstallSnapshot { .. })
+        })
+        .count();
+    assert!(snapshots > 0, "the log before the snapshot is gone");
+}
+
+#[test]
+fn all_replicas_restart_from_snapshot_and_tail_with_the_answers() {
+    let mut cluster = Cluster::new(3);
+    run_changes(&mut cluster, 0..CHANGES);
+    let first = put("change-0", "gauteng", region(1, "gauteng-a"), 0);
+    let replicas: Vec<ReplicaId> = cluster.replicas.keys().cloned().collect();
+    for replica in &replicas {
+        let (snapshot, tail) = cluster.disks[replica].restart_bytes();
+        println!("restart of {replica}: snapshot {snapshot} bytes, tail {tail} bytes");
+        assert!(snapshot > 0 && snapshot <= SNAPSHOT_MAX_BYTES);
+        assert!(tail <= TAIL_MAX_BYTES);
+        cluster.kill(replica);
+    }
+    for replica in &replicas {
+        cluster.start(replica);
+    }
+    assert_eq!(item(cluster.settle(&first)).resource.version, 1);
+    let get = Request::List { kind: None };
+    let Ok(Answer::List(list)) = cluster.settle(&get) else {
+        panic!("no list");
+    };
+    assert_eq!(list.items[0].resource.version, CHANGES);
+}
+
+#[test]
+fn a_watch_goes_on_without_gaps_over_a_leader_change_and_a_restart() {
+    let mut cluster = Cluster::new(3);
+    let mut events: Vec<Change> = Vec::new();
+    let mut from = 0;
+    for number in 0..30 {
+        let revision = change(&mut cluster, number);
+        if number % 10 == 5 {
+            let leader = cluster.wait_for_leader();
+            cluster.kill(&leader);
+            cluster.wait_for_leader();
+            cluster.start(&leader);
+        }
+        let watcher = follower(&mut cluster);
+        while from < revision {
+            let watch = Request::Watch {
+                from,
+                wait_ms: 1_000,
+            };
+            let Ok(Answer::Watched(Watched {
+                revision,
+                events: seen,
+            })) = cluster.answer_of(&watcher, watch)
+            else {
+                panic!("the watch did not go on");
+            };
+            from = revision;
+            events.extend(seen);
+        }
+    }
+    let versions: Vec<u64> = events
+        .iter()
+        .filter_map(|change| change.resource.as_ref().map(|it| it.version))
+        .collect();
+    assert_eq!(versions, (1..=30).collect::<Vec<u64>>());
+}
+
+#[test]
+fn a_watch_that_sees_nothing_ends_at_its_deadline() {
+    let mut cluster = Cluster::new(3);
+    let from = change(&mut cluster, 0);
+    let leader = cluster.wait_for_leader();
+    let started_us = cluster.now_us;
+    let watch = Request::Watch { from, wait_ms: 400 };
+    let answer = cluster.answer_of(&leader, watch);
+    assert_eq!(
+        answer,
+        Ok(Answer::Watched(Watched {
+            revision: from,
+            events: Vec::new()
+        }))
+    );
+    assert_eq!(cluster.now_us - started_us, 400_000);
+}
+
+#[test]
+fn a_replica_that_lost_its_disk_is_admitted_and_a_second_loss_loses_nothing() {
+    let mut cluster = Cluster::new(3);
+    run_changes(&mut cluster, 0..150);
+    let lost = follower(&mut cluster);
+    let mut next = id(&lost.name, 2);
+    cluster.kill(&lost);
+    cluster.disks.remove(&lost);
+    for (round, replaced) in [(0, lost.clone()), (1, id("control-x", 0))] {
+        let replaced = match round {
+            0 => replaced,
+            _ => {
+                let second = follower(&mut cluster);
+                cluster.kill(&second);
+                cluster.disks.remove(&second);
+                next = id(&second.name, 3);
+                second
+            }
+        };
+        cluster.start(&next);
+        cluster.run_ms(500);
+        assert_eq!(cluster.replicas[&next].status().commit_index, 0);
+        let admit = Request::Admit {
+            id: next.clone(),
+            replaces: Some(replaced.clone()),
+        };
+        let Ok(Answer::Replicas(_)) = cluster.settle(&admit) else {
+            panic!("not admitted");
+        };
+        cluster.run_until("the vote", |cluster| {
+            let leader = cluster.leader();
+            leader.is_some_and(|leader| {
+                let membership = cluster.replicas[&leader].status().membership;
+                membership.voters.contains(&next) && !membership.voters.contains(&replaced)
+            })
+        });
+        run_changes(&mut cluster, 150 + 10 * round..160 + 10 * round);
+    }
+    let Ok(Answer::List(list)) = cluster.settle(&Request::List { kind: None }) else {
+        panic!("no list");
+    };
+    assert_eq!(list.items[0].resource.version, 170);
+}
+
+#[test]
+fn without_a_majority_requests_end_as_unavailable() {
+    let mut cluster = Cluster::new(3);
+    change(&mut cluster, 0);
+    let leader = cluster.wait_for_leader();
+    let others: Vec<ReplicaId> = cluster.replicas.keys().cloned().collect();
+    for replica in others.iter().filter(|it| **it != leader) {
+        cluster.kill(replica);
+    }
+    let answer = cluster.answer_of(&leader, put("x", "gauteng", region(2, "gauteng-a"), 1));
+    assert_eq!(answer, Err(ApiError::Unavailable));
+}
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -113,6 +113,7 @@
         ApiError::InvalidResource { .. }
         | ApiError::MalformedJson { .. }
         | ApiError::InvalidName { .. }
+        | ApiError::ResourcesTooLarge { .. }
         | ApiError::UnknownKind { .. } => ExitCode::Usage,
         _ => ExitCode::Failed,
     }
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -187,15 +187,17 @@
         self.answers.find(request_id, digest, operation)
     }
 
-    /// What leads from the contents at `index` to the present ones.
+    /// What leads from the contents at `index` to the present ones, in the shorter form.
     #[must_use]
     pub fn changes_since(&self, index: u64) -> Changes {
         match self.history.latest_after(index) {
-            Some(changes) => Changes {
-                complete: false,
-                changes,
-            },
-            None => Changes {
+            Some(changes) if changes.len() <= self.resources.len() || changes.is_empty() => {
+                Changes {
+                    complete: false,
+                    changes,
+                }
+            }
+            Some(_) | None => Changes {
                 complete: true,
                 changes: self.resources.iter().map(present).collect(),
             },
--- a/crates/state/src/rejection.rs
+++ b/crates/state/src/rejection.rs
@@ -1,5 +1,6 @@
 //! Why a change was not accepted.
 
+use crate::validate::RESOURCES_MAX_BYTES;
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumIter, EnumString};
 use thiserror::Error;
@@ -30,6 +31,9 @@
         /// The field or other resource that the reason names.
         subject: String,
     },
+    /// The resources would not fit into the answer to an entry.
+    #[error("all resources together may take {RESOURCES_MAX_BYTES} bytes")]
+    TooLarge,
     /// Another change came under this request id.
     #[error("request id {request_id:?} belongs to another change")]
     RequestIdReused {
@@ -112,6 +116,9 @@
                 reason: reason.to_string(),
                 subject,
             },
+            Rejection::TooLarge => Self::ResourcesTooLarge {
+                limit_bytes: RESOURCES_MAX_BYTES as u64,
+            },
             Rejection::RequestIdReused { request_id } => Self::RequestIdReused { request_id },
             Rejection::AnswersFull => Self::TooBusy,
         }
--- a/crates/state/src/status.rs
+++ b/crates/state/src/status.rs
@@ -6,11 +6,14 @@
 use types::{EntryName, Resource};
 
 /// How far a resource has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display, EnumString)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, Display, EnumString,
+)]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum ResourceState {
     /// Every declared entry runs it or is fenced.
+    #[default]
     InForce,
     /// An entry has yet to confirm it.
     Waiting,
@@ -39,17 +42,25 @@
 }
 
 /// What the entries say of a resource's revision.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// A list of resources names only some of the entries of each sort; the counts count all.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct ResourceStatus {
     /// How far it has come.
     pub state: ResourceState,
     /// Entries that run the revision.
     pub confirmed: Vec<EntryName>,
+    /// How many do.
+    pub confirmed_count: u32,
     /// Entries that don't yet.
     pub waiting: Vec<WaitingEntry>,
+    /// How many don't yet.
+    pub waiting_count: u32,
     /// Entries whose configuration lease ran out; they take no work.
     pub fenced: Vec<EntryName>,
+    /// How many are fenced.
+    pub fenced_count: u32,
     /// Entries that can't run it.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rejected: Vec<RejectedBy>,
--- a/crates/state/src/validate.rs
+++ b/crates/state/src/validate.rs
@@ -79,8 +79,15 @@
     Err(fault(reason, subject))
 }
 
+/// The most that all resources take in the answer to an entry, in bytes.
+pub const RESOURCES_MAX_BYTES: usize = 512 * 1024;
+
+/// What a resource takes besides its name and spec, in bytes.
+const RESOURCE_BASE_BYTES: usize = 128;
+
 /// Checks each resource by itself and against the others.
 pub(crate) fn validate(resources: &BTreeMap<&Key, &Spec>) -> Result<(), Rejection> {
+    check_size(resources)?;
     let index = Index::new(resources);
     let mut seen = Seen::default();
     for (key, spec) in resources {
@@ -93,6 +100,21 @@
     Ok(())
 }
 
+fn check_size(resources: &BTreeMap<&Key, &Spec>) -> Result<(), Rejection> {
+    let size_bytes: usize = resources
+        .iter()
+        .map(|(key, spec)| RESOURCE_BASE_BYTES + 2 * key.name.as_str().len() + spec_bytes(spec))
+        .sum();
+    if size_bytes <= RESOURCES_MAX_BYTES {
+        return Ok(());
+    }
+    Err(Rejection::TooLarge)
+}
+
+fn spec_bytes(spec: &Spec) -> usize {
+    serde_json::to_vec(spec).map_or(RESOURCES_MAX_BYTES, |json| json.len())
+}
+
 fn check<'a>(spec: &'a Spec, index: &Index<'a>, seen: &mut Seen<'a>) -> Result<(), Fault> {
     match spec {
         Spec::Region(region) => check_region(region, seen),
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -76,6 +76,12 @@
         /// The field or other resource that it names.
         subject: String,
     },
+    /// All resources together would be too large.
+    #[error("all resources together may take {limit_bytes} bytes")]
+    ResourcesTooLarge {
+        /// The limit.
+        limit_bytes: u64,
+    },
     /// A request id is empty, too long or not visible ASCII.
     #[error("a request id is 1 to {limit_bytes} visible ASCII characters")]
     InvalidRequestId {
@@ -133,7 +139,9 @@
             Self::Conflict { .. } => 409,
             Self::Compacted { .. } => 410,
             Self::BodyTooLarge { .. } => 413,
-            Self::InvalidResource { .. } | Self::RequestIdReused { .. } => 422,
+            Self::InvalidResource { .. }
+            | Self::ResourcesTooLarge { .. }
+            | Self::RequestIdReused { .. } => 422,
             Self::NotLeader { .. } | Self::Unavailable | Self::TooBusy => 503,
             Self::RequestRefused {
                 outcome: Outcome::Unknown,
