Add the table of upstreams and the leased shares of capacities and links

Cause: an entry must forget a leaving or silent upstream within 2 s also when it is cut off from the entry that heard it, and many entries must share a region's slots and a link's rate without ever passing the operators' figure.

Shares: the leader counts a grant until the holder confirms a later one, or the lease, the longest deadline of admitted work and the clock bound have passed. A new leader first confirms what holders report and grants nothing else. Ruled out: replicating each grant through the log (four polls a second of 720 entries would each be a log entry), and a guaranteed floor that comes with the configuration (entries on the older revision would still use the older floor).

The tests were seen to fail with each rule removed: counting only the lease, not reporting work in flight, forgetting unconfirmed grants, applying grants out of order, a new leader that offers at once (never_over), and a lease that starts with the answer (policy).

--- /dev/null
+++ b/crates/share/src/allocator.rs
@@ -0,0 +1,218 @@
+//! The leader's side: who may use how much.
+
+use crate::{
+    counted_ms,
+    fair::{Claim, fair_shares},
+    pool::{Grant, GrantId, Pool, Want},
+};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use types::{EntryName, TimeUs};
+
+/// An amount that a holder may be using.
+#[derive(Clone, Copy, Debug)]
+struct Counted {
+    id: GrantId,
+    amount: u64,
+    until_us: TimeUs,
+}
+
+/// One entry's part in a pool.
+#[derive(Debug, Default)]
+struct Party {
+    demand: u64,
+    held: u64,
+    held_until_us: TimeUs,
+    grants: Vec<Counted>,
+}
+
+impl Party {
+    /// The most that the holder may be using.
+    fn counted(&self) -> u64 {
+        let granted = self
+            .grants
+            .iter()
+            .map(|grant| grant.amount)
+            .max()
+            .unwrap_or(0);
+        granted.max(self.held)
+    }
+
+    fn expire(&mut self, now_us: TimeUs) {
+        self.grants.retain(|grant| !grant.until_us.reached(now_us));
+        if self.held_until_us.reached(now_us) {
+            self.held = 0;
+        }
+    }
+
+    fn is_gone(&self) -> bool {
+        self.grants.is_empty() && self.held == 0
+    }
+}
+
+#[derive(Debug, Default)]
+struct PoolState {
+    limit: u64,
+    parties: BTreeMap<EntryName, Party>,
+}
+
+impl PoolState {
+    fn counted(&self) -> u64 {
+        self.parties.values().map(Party::counted).sum()
+    }
+
+    fn expire(&mut self, now_us: TimeUs) {
+        self.parties
+            .values_mut()
+            .for_each(|party| party.expire(now_us));
+        self.parties.retain(|_, party| !party.is_gone());
+    }
+
+    /// What `entry` should have, by every party's demand.
+    fn entitlement(&self, entry: &EntryName) -> u64 {
+        let claims: Vec<Claim> = self
+            .parties
+            .values()
+            .map(|party| Claim {
+                demand: party.demand,
+            })
+            .collect();
+        let shares = fair_shares(self.limit, &claims);
+        let rank = self.parties.keys().position(|name| name == entry);
+        rank.and_then(|rank| shares.get(rank).copied()).unwrap_or(0)
+    }
+}
+
+/// One pool as the process dump shows it.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct PoolRow<'a> {
+    pool: &'a Pool,
+    limit: u64,
+    counted: u64,
+    holders: Vec<(&'a EntryName, u64, u64)>,
+}
+
+/// Divides the operators' figures among entries, for one term of leadership.
+#[derive(Debug)]
+pub struct Allocator {
+    term: u64,
+    serial: u64,
+    /// Until then grants of earlier leaders may be in use that no holder has reported here.
+    inherits_until_us: TimeUs,
+    longest_deadline_ms: u64,
+    pools: BTreeMap<Pool, PoolState>,
+}
+
+impl Allocator {
+    /// The allocator of a leader whose `term` began at `now_us`.
+    ///
+    /// Until every grant of earlier leaders is void it only confirms what holders report to hold.
+    #[must_use]
+    pub fn new(term: u64, now_us: TimeUs, longest_deadline_ms: u64) -> Self {
+        Self {
+            term,
+            serial: 0,
+            inherits_until_us: now_us.after_ms(counted_ms(longest_deadline_ms)),
+            longest_deadline_ms,
+            pools: BTreeMap::new(),
+        }
+    }
+
+    /// An allocator of a deployment in which no earlier leader granted anything.
+    #[must_use]
+    pub fn with_no_predecessor(mut self, now_us: TimeUs) -> Self {
+        self.inherits_until_us = now_us;
+        self
+    }
+
+    /// Notes the longest deadline of any declared service; it never shortens what counts already.
+    pub fn set_longest_deadline_ms(&mut self, longest_deadline_ms: u64) {
+        self.longest_deadline_ms = longest_deadline_ms;
+    }
+
+    /// Sets the operators' figure of a pool. Grants beyond a lowered figure run out by themselves.
+    pub fn set_limit(&mut self, pool: &Pool, limit: u64) {
+        self.pools.entry(pool.clone()).or_default().limit = limit;
+    }
+
+    /// Forgets the figure of a withdrawn pool: nothing more is granted.
+    pub fn clear_limit(&mut self, pool: &Pool) {
+        if let Some(state) = self.pools.get_mut(pool) {
+            state.limit = 0;
+        }
+    }
+
+    /// Answers one want of an entry.
+    pub fn ask(&mut self, now_us: TimeUs, entry: &EntryName, want: &Want) -> Grant {
+        let counted_until_us = now_us.after_ms(counted_ms(self.longest_deadline_ms));
+        let inherits = !self.inherits_until_us.reached(now_us);
+        let id = self.next_id();
+        let state = self.pools.entry(want.pool.clone()).or_default();
+        state.expire(now_us);
+        let party = state.parties.entry(entry.clone()).or_default();
+        party.demand = want.demand;
+        party.held = want.held;
+        party.held_until_us = counted_until_us;
+        party.grants.retain(|grant| grant.id >= want.applied);
+        let amount = if inherits {
+            want.held.min(state.limit)
+        } else {
+            state.offer(entry)
+        };
+        if let Some(party) = state.parties.get_mut(entry) {
+            party.grants.push(Counted {
+                id,
+                amount,
+                until_us: counted_until_us,
+            });
+        }
+        Grant {
+            pool: want.pool.clone(),
+            id,
+            amount,
+        }
+    }
+
+    /// The sum of what holders may be using of a pool.
+    #[must_use]
+    pub fn counted(&self, pool: &Pool) -> u64 {
+        self.pools.get(pool).map_or(0, PoolState::counted)
+    }
+
+    /// Every pool, for the process dump.
+    pub fn rows(&self) -> impl Iterator<Item = PoolRow<'_>> {
+        self.pools.iter().map(|(pool, state)| PoolRow {
+            pool,
+            limit: state.limit,
+            counted: state.counted(),
+            holders: state
+                .parties
+                .iter()
+                .map(|(name, party)| (name, party.counted(), party.demand))
+                .collect(),
+        })
+    }
+
+    const fn next_id(&mut self) -> GrantId {
+        self.serial += 1;
+        GrantId {
+            term: self.term,
+            serial: self.serial,
+        }
+    }
+}
+
+impl PoolState {
+    /// What can be granted to `entry` now: its entitlement, as far as others leave room.
+    fn offer(&self, entry: &EntryName) -> u64 {
+        let others: u64 = self
+            .parties
+            .iter()
+            .filter(|(name, _)| *name != entry)
+            .map(|(_, party)| party.counted())
+            .sum();
+        self.entitlement(entry)
+            .min(self.limit.saturating_sub(others))
+    }
+}
--- /dev/null
+++ b/crates/share/tests/never_over.rs
@@ -0,0 +1,296 @@
+//! Shares under loss, delay, freezes, leader changes and clocks of different rates: the sum of what
+//! entries may use and do use never passes the operators' figure.
+
+use proptest::prelude::{ProptestConfig, Strategy, any, prop, prop_assert, proptest};
+use share::{Allocator, Grant, Holder, Pool, Want};
+use types::{EntryName, TimeUs};
+
+const LIMIT: u64 = 40;
+const ENTRIES: usize = 5;
+const DEADLINE_MS: u64 = 4_000;
+const STEP_MS: u64 = 50;
+
+#[derive(Clone, Debug)]
+enum Action {
+    /// The entry asks; the question and the answer each take this long.
+    Ask {
+        entry: usize,
+        demand: u64,
+        there_ms: u64,
+        back_ms: u64,
+    },
+    /// The entry starts as much of this work as it may.
+    Admit {
+        entry: usize,
+        work: u64,
+        runs_ms: u64,
+    },
+    /// The entry does nothing for a while; its work goes on.
+    Freeze { entry: usize, for_ms: u64 },
+    /// Another replica leads.
+    ChangeLeader,
+    /// Time passes.
+    Wait { for_ms: u64 },
+}
+
+fn delay_ms() -> impl Strategy<Value = u64> {
+    prop::strategy::Union::new_weighted(vec![(4, 0_u64..50), (1, 0_u64..3_500)])
+}
+
+fn demand() -> impl Strategy<Value = u64> {
+    prop::strategy::Union::new(vec![0_u64..3, 20..60])
+}
+
+fn wait_ms() -> impl Strategy<Value = u64> {
+    prop::strategy::Union::new_weighted(vec![(4, 0_u64..400), (1, 1_000..4_000)])
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    let entry = 0..ENTRIES;
+    prop::strategy::Union::new_weighted(vec![
+        (
+            8,
+            (entry.clone(), demand(), delay_ms(), delay_ms())
+                .prop_map(|(entry, demand, there_ms, back_ms)| Action::Ask {
+                    entry,
+                    demand,
+                    there_ms,
+                    back_ms,
+                })
+                .boxed(),
+        ),
+        (
+            4,
+            (entry.clone(), 1_u64..60, DEADLINE_MS / 2..=DEADLINE_MS)
+                .prop_map(|(entry, work, runs_ms)| Action::Admit {
+                    entry,
+                    work,
+                    runs_ms,
+                })
+                .boxed(),
+        ),
+        (
+            1,
+            (entry, 0_u64..6_000)
+                .prop_map(|(entry, for_ms)| Action::Freeze { entry, for_ms })
+                .boxed(),
+        ),
+        (1, any::<()>().prop_map(|()| Action::ChangeLeader).boxed()),
+        (
+            6,
+            (0_u64..800)
+                .prop_map(|for_ms| Action::Wait { for_ms })
+                .boxed(),
+        ),
+    ])
+}
+
+struct Entry {
+    name: EntryName,
+    holder: Holder,
+    /// Ends of the work in flight, in true time.
+    work_until_ms: Vec<u64>,
+    frozen_until_ms: u64,
+    clock_percent: u64,
+}
+
+enum Message {
+    Question {
+        entry: usize,
+        want: Want,
+        asked_us: TimeUs,
+        back_ms: u64,
+    },
+    Answer {
+        entry: usize,
+        grant: Grant,
+        asked_us: TimeUs,
+    },
+}
+
+struct World {
+    now_ms: u64,
+    pool: Pool,
+    entries: Vec<Entry>,
+    leader: Allocator,
+    leader_clock_percent: u64,
+    term: u64,
+    under_way: Vec<(u64, Message)>,
+}
+
+fn clock_us(now_ms: u64, percent: u64) -> TimeUs {
+    TimeUs((now_ms + 100_000) * 10 * percent)
+}
+
+impl World {
+    fn new(clocks: &[u64]) -> Self {
+        let pool = Pool::Region {
+            region: "gauteng".parse().expect("valid name"),
+        };
+        let entries = (0..ENTRIES).map(|index| Entry {
+            name: format!("entry-{index}").parse().expect("valid name"),
+            holder: Holder::new(),
+            work_until_ms: Vec::new(),
+            frozen_until_ms: 0,
+            clock_percent: clocks[index],
+        });
+        let start_us = clock_us(0, clocks[ENTRIES]);
+        let mut leader = Allocator::new(1, start_us, DEADLINE_MS).with_no_predecessor(start_us);
+        leader.set_limit(&pool, LIMIT);
+        Self {
+            now_ms: 0,
+            pool,
+            entries: entries.collect(),
+            leader,
+            leader_clock_percent: clocks[ENTRIES],
+            term: 1,
+            under_way: Vec::new(),
+        }
+    }
+
+    fn act(&mut self, action: &Action) {
+        match *action {
+            Action::Ask {
+                entry,
+                demand,
+                there_ms,
+                back_ms,
+            } => {
+                self.ask(entry, demand, there_ms, back_ms);
+            }
+            Action::Admit {
+                entry,
+                work,
+                runs_ms,
+            } => self.admit(entry, work, runs_ms),
+            Action::Freeze { entry, for_ms } => {
+                self.entries[entry].frozen_until_ms = self.now_ms + for_ms;
+            }
+            Action::ChangeLeader => {
+                self.term += 1;
+                let now_us = clock_us(self.now_ms, self.leader_clock_percent);
+                self.leader = Allocator::new(self.term, now_us, DEADLINE_MS);
+                self.leader.set_limit(&self.pool, LIMIT);
+            }
+            Action::Wait { for_ms } => {
+                let until_ms = self.now_ms + for_ms;
+                while self.now_ms < until_ms {
+                    self.now_ms += STEP_MS;
+                    self.deliver();
+                }
+            }
+        }
+    }
+
+    fn ask(&mut self, index: usize, demand: u64, there_ms: u64, back_ms: u64) {
+        let entry = &self.entries[index];
+        if entry.frozen_until_ms > self.now_ms {
+            return;
+        }
+        let asked_us = clock_us(self.now_ms, entry.clock_percent);
+        let in_use = entry.in_use(self.now_ms);
+        let want = entry.holder.want(asked_us, &self.pool, in_use, demand);
+        let question = Message::Question {
+            entry: index,
+            want,
+            asked_us,
+            back_ms,
+        };
+        self.under_way.push((self.now_ms + there_ms, question));
+        self.deliver();
+    }
+
+    fn admit(&mut self, index: usize, work: u64, runs_ms: u64) {
+        let entry = &mut self.entries[index];
+        let now_us = clock_us(self.now_ms, entry.clock_percent);
+        let (amount, until_us) = entry.holder.usable(&self.pool);
+        if entry.frozen_until_ms > self.now_ms || until_us.reached(now_us) {
+            return;
+        }
+        let room = amount.saturating_sub(entry.in_use(self.now_ms));
+        let until_ms = self.now_ms + runs_ms * 100 / 103;
+        entry
+            .work_until_ms
+            .extend((0..work.min(room)).map(|_| until_ms));
+    }
+
+    fn deliver(&mut self) {
+        self.under_way.sort_by_key(|(due_ms, _)| *due_ms);
+        while self
+            .under_way
+            .first()
+            .is_some_and(|(due_ms, _)| *due_ms <= self.now_ms)
+        {
+            let (_, message) = self.under_way.remove(0);
+            match message {
+                Message::Question {
+                    entry,
+                    want,
+                    asked_us,
+                    back_ms,
+                } => {
+                    let now_us = clock_us(self.now_ms, self.leader_clock_percent);
+                    let grant = self.leader.ask(now_us, &self.entries[entry].name, &want);
+                    let due_ms = self.now_ms + back_ms;
+                    self.under_way.push((
+                        due_ms,
+                        Message::Answer {
+                            entry,
+                            grant,
+                            asked_us,
+                        },
+                    ));
+                    self.under_way.sort_by_key(|(due_ms, _)| *due_ms);
+                }
+                Message::Answer {
+                    entry,
+                    grant,
+                    asked_us,
+                } => {
+                    let entry = &mut self.entries[entry];
+                    if entry.frozen_until_ms <= self.now_ms {
+                        let now_us = clock_us(self.now_ms, entry.clock_percent);
+                        entry.holder.apply(now_us, asked_us, &grant);
+                    }
+                }
+            }
+        }
+    }
+
+    /// What all entries together may use now or do use.
+    fn used(&self) -> u64 {
+        let used = self.entries.iter().map(|entry| {
+            let (amount, until_us) = entry.holder.usable(&self.pool);
+            let expired = until_us.reached(clock_us(self.now_ms, entry.clock_percent));
+            entry
+                .in_use(self.now_ms)
+                .max(if expired { 0 } else { amount })
+        });
+        used.sum()
+    }
+}
+
+impl Entry {
+    fn in_use(&self, now_ms: u64) -> u64 {
+        self.work_until_ms
+            .iter()
+            .filter(|until_ms| **until_ms > now_ms)
+            .count() as u64
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    #[test]
+    fn shares_never_pass_the_figure(
+        actions in prop::collection::vec(action(), 1..120),
+        clocks in prop::collection::vec(99_u64..=101, ENTRIES + 1),
+    ) {
+        let mut world = World::new(&clocks);
+        for action in &actions {
+            world.act(action);
+            prop_assert!(world.used() <= LIMIT, "{} of {LIMIT} used", world.used());
+        }
+    }
+}
--- /dev/null
+++ b/crates/share/tests/policy.rs
@@ -0,0 +1,118 @@
+//! Who gets how much, and how long unused room stays with one entry.
+
+use proptest::prelude::{prop, prop_assert, proptest};
+use share::{Allocator, Claim, Holder, LEASE_MS, Pool, counted_ms, fair_shares};
+use types::{EntryName, TimeUs};
+
+const LIMIT: u64 = 100;
+const DEADLINE_MS: u64 = 2_000;
+
+fn pool() -> Pool {
+    Pool::Region {
+        region: "gauteng".parse().expect("valid name"),
+    }
+}
+
+fn entry(index: usize) -> EntryName {
+    format!("entry-{index}").parse().expect("valid name")
+}
+
+fn at_ms(ms: u64) -> TimeUs {
+    TimeUs::default().after_ms(1_000 + ms)
+}
+
+fn allocator() -> Allocator {
+    let mut allocator = Allocator::new(1, at_ms(0), DEADLINE_MS).with_no_predecessor(at_ms(0));
+    allocator.set_limit(&pool(), LIMIT);
+    allocator
+}
+
+/// One entry asks and takes the answer at once; returns what it may use.
+fn renew(
+    allocator: &mut Allocator,
+    holder: &mut Holder,
+    index: usize,
+    now_ms: u64,
+    demand: u64,
+) -> u64 {
+    let want = holder.want(at_ms(now_ms), &pool(), 0, demand);
+    let grant = allocator.ask(at_ms(now_ms), &entry(index), &want);
+    holder.apply(at_ms(now_ms), at_ms(now_ms), &grant);
+    holder.usable(&pool()).0
+}
+
+#[test]
+fn unused_room_moves_to_demand_within_two_polls() {
+    let mut allocator = allocator();
+    let (mut idle, mut busy) = (Holder::new(), Holder::new());
+    assert!(renew(&mut allocator, &mut idle, 0, 0, 90) >= 90);
+    assert!(renew(&mut allocator, &mut busy, 1, 100, 80) <= 10);
+    renew(&mut allocator, &mut idle, 0, 250, 5);
+    renew(&mut allocator, &mut busy, 1, 350, 80);
+    renew(&mut allocator, &mut idle, 0, 500, 5);
+    assert!(renew(&mut allocator, &mut busy, 1, 600, 80) >= 80);
+}
+
+#[test]
+fn a_dead_entry_keeps_its_share_only_until_its_work_must_have_ended() {
+    let mut allocator = allocator();
+    let (mut dead, mut other) = (Holder::new(), Holder::new());
+    assert!(renew(&mut allocator, &mut dead, 0, 0, LIMIT) >= LIMIT);
+    let held_ms = counted_ms(DEADLINE_MS);
+    assert_eq!(renew(&mut allocator, &mut other, 1, held_ms - 1, LIMIT), 0);
+    assert_eq!(
+        renew(&mut allocator, &mut other, 1, held_ms + 1, LIMIT),
+        LIMIT
+    );
+}
+
+#[test]
+fn a_new_leader_confirms_what_entries_hold_and_grants_nothing_new_at_first() {
+    let mut first = allocator();
+    let (mut holding, mut other) = (Holder::new(), Holder::new());
+    let held = renew(&mut first, &mut holding, 0, 0, 60);
+    let mut second = Allocator::new(2, at_ms(1_000), DEADLINE_MS);
+    second.set_limit(&pool(), LIMIT);
+    assert_eq!(renew(&mut second, &mut holding, 0, 1_100, 60), held);
+    assert_eq!(renew(&mut second, &mut other, 1, 1_200, 40), 0);
+    let later_ms = 1_000 + counted_ms(DEADLINE_MS);
+    renew(&mut second, &mut holding, 0, later_ms, 60);
+    assert!(renew(&mut second, &mut other, 1, later_ms + 250, 40) >= 40);
+}
+
+#[test]
+fn a_lowered_figure_is_in_force_once_every_holder_asked_again() {
+    let mut allocator = allocator();
+    let (mut a, mut b) = (Holder::new(), Holder::new());
+    renew(&mut allocator, &mut a, 0, 0, 50);
+    renew(&mut allocator, &mut b, 1, 0, 50);
+    allocator.set_limit(&pool(), 20);
+    let used =
+        renew(&mut allocator, &mut a, 0, 250, 50) + renew(&mut allocator, &mut b, 1, 250, 50);
+    assert!(used <= 20, "{used} of 20");
+}
+
+#[test]
+fn a_grant_is_void_when_its_answer_comes_after_the_lease() {
+    let mut allocator = allocator();
+    let mut holder = Holder::new();
+    let want = holder.want(at_ms(0), &pool(), 0, 10);
+    let grant = allocator.ask(at_ms(10), &entry(0), &want);
+    assert!(!holder.apply(at_ms(LEASE_MS), at_ms(0), &grant));
+}
+
+proptest! {
+    #[test]
+    fn fair_shares_keep_the_limit_and_serve_small_demands_first(
+        limit in 0_u64..1_000,
+        demands in prop::collection::vec(0_u64..300, 1..12),
+    ) {
+        let claims: Vec<Claim> = demands.iter().map(|&demand| Claim { demand }).collect();
+        let shares = fair_shares(limit, &claims);
+        prop_assert!(shares.iter().sum::<u64>() <= limit);
+        let equal = limit / claims.len() as u64;
+        for (claim, share) in claims.iter().zip(&shares) {
+            prop_assert!(*share >= claim.demand.min(equal));
+        }
+    }
+}
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -16,6 +16,12 @@
         /// What the parser said.
         reason: String,
     },
+    /// A header's value breaks its rules.
+    #[error("the header {name} is not valid")]
+    MalformedHeader {
+        /// The header.
+        name: String,
+    },
     /// A name breaks the rules of names.
     #[error("invalid name {name:?}")]
     InvalidName {
@@ -103,7 +109,9 @@
     #[must_use]
     pub const fn status_code(&self) -> u16 {
         match self {
-            Self::MalformedJson { .. } | Self::InvalidName { .. } => 400,
+            Self::MalformedJson { .. }
+            | Self::MalformedHeader { .. }
+            | Self::InvalidName { .. } => 400,
             Self::Unauthorized => 401,
             Self::Forbidden { .. } => 403,
             Self::UnknownKind { .. } | Self::NotFound => 404,
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -18,4 +18,10 @@
         /// The field.
         field: &'static str,
     },
+    /// A field breaks its rules.
+    #[error("a message's field {field} is invalid")]
+    Invalid {
+        /// The field.
+        field: &'static str,
+    },
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod codec;
 mod error;
+mod member_message;
 mod raft_message;
 
 /// The messages that `proto/` describes.
@@ -15,5 +16,6 @@
 pub use crate::{
     codec::{FRAME_MAX_BYTES, FrameCodec},
     error::WireError,
+    member_message::{sync_from_wire, sync_to_wire},
     raft_message::{raft_from_wire, raft_to_wire},
 };
