Add the settings reader and the authenticated links

The daemon needs checked settings before any socket opens, and connections that refuse strangers. The handshake, the frame codes and the reading of the settings text are free of input and output; tasks own the sockets and talk by events.

Ruled out: FramedRead and FramedWrite over the two halves of the socket, which would lose bytes buffered in the handshake. Ruled out: one queue over all connections of a dialer, which would replay frames of a broken connection.

Additive on the wire: Frame.keepalive = 20.

--- /dev/null
+++ b/crates/link/src/connection.rs
@@ -0,0 +1,182 @@
+//! One connection: the handshake over its socket, then frames until it breaks.
+
+use crate::{
+    codec::SealedCodec,
+    counters::Counters,
+    error::HandshakeError,
+    event::{ConnectionId, Event, Replies},
+    handshake::{self, NONCE_BYTES, Nonce, Session},
+    identity::{Identity, Peer},
+    limits::{FRAME_WRITE_TIMEOUT, KEEPALIVE_INTERVAL, QUEUE_FRAMES, SILENCE_TIMEOUT},
+};
+use futures_util::{
+    SinkExt, StreamExt,
+    stream::{SplitSink, SplitStream},
+};
+use rand::Rng;
+use tokio::{net::TcpStream, sync::mpsc, time};
+use tokio_util::codec::Framed;
+use wire::peer::{Frame, Keepalive, frame::Body};
+
+type Frames = Framed<TcpStream, SealedCodec>;
+
+/// An authenticated connection.
+pub(crate) struct Connection {
+    frames: Frames,
+    peer: Peer,
+}
+
+const fn frame(body: Body) -> Frame {
+    Frame {
+        serial: 0,
+        body: Some(body),
+    }
+}
+
+fn nonce() -> Nonce {
+    let mut nonce = [0; NONCE_BYTES];
+    rand::rng().fill(&mut nonce);
+    nonce
+}
+
+async fn receive(frames: &mut Frames) -> Result<Option<Body>, HandshakeError> {
+    let frame = frames.next().await.ok_or(HandshakeError::Closed)??;
+    Ok(frame.body)
+}
+
+impl Connection {
+    /// Runs the dialer's side of the handshake.
+    pub(crate) async fn dial(
+        stream: TcpStream,
+        identity: &Identity,
+        expected: Option<&str>,
+    ) -> Result<Self, HandshakeError> {
+        let mut frames = Framed::new(stream, SealedCodec::plain());
+        let nonce = nonce();
+        let hello = handshake::hello(identity, &nonce);
+        frames.send(frame(Body::Hello(hello))).await?;
+        let Some(Body::Challenge(challenge)) = receive(&mut frames).await? else {
+            let expected = "challenge";
+            return Err(HandshakeError::Unexpected { expected });
+        };
+        let (proof, session) = handshake::prove(identity, expected, &nonce, &challenge)?;
+        frames.send(frame(Body::Proof(proof))).await?;
+        let mut connection = Self::authenticated(frames, session);
+        let Some(Body::Keepalive(_)) = receive(&mut connection.frames).await? else {
+            let expected = "keepalive";
+            return Err(HandshakeError::Unexpected { expected });
+        };
+        Ok(connection)
+    }
+
+    /// Runs the listener's side of the handshake.
+    pub(crate) async fn accept(
+        stream: TcpStream,
+        identity: &Identity,
+    ) -> Result<Self, HandshakeError> {
+        let mut frames = Framed::new(stream, SealedCodec::plain());
+        let Some(Body::Hello(hello)) = receive(&mut frames).await? else {
+            let expected = "hello";
+            return Err(HandshakeError::Unexpected { expected });
+        };
+        let nonce = nonce();
+        let challenge = handshake::challenge(identity, &hello, &nonce)?;
+        frames.send(frame(Body::Challenge(challenge))).await?;
+        let Some(Body::Proof(proof)) = receive(&mut frames).await? else {
+            let expected = "proof";
+            return Err(HandshakeError::Unexpected { expected });
+        };
+        let session = handshake::accept(identity, &hello, &nonce, &proof)?;
+        let mut connection = Self::authenticated(frames, session);
+        let confirmation = frame(Body::Keepalive(Keepalive {}));
+        connection.frames.send(confirmation).await?;
+        Ok(connection)
+    }
+
+    fn authenticated(mut frames: Frames, session: Session) -> Self {
+        frames
+            .codec_mut()
+            .authenticate(session.sealer, session.opener);
+        Self {
+            frames,
+            peer: session.peer,
+        }
+    }
+
+    /// Carries frames between the socket, `inbox` and the queue given to `up`, until the
+    /// connection breaks.
+    pub(crate) async fn run(
+        self,
+        inbox: &mpsc::Sender<Event>,
+        counters: &Counters,
+        up: impl FnOnce(&Replies),
+    ) {
+        let Self { frames, peer } = self;
+        let connection = ConnectionId::next();
+        let (queue, queued) = mpsc::channel(QUEUE_FRAMES);
+        let replies = Replies { queue };
+        counters.count_established();
+        up(&replies);
+        let event = Event::Up {
+            peer: peer.clone(),
+            connection,
+            replies: replies.clone(),
+        };
+        if inbox.send(event).await.is_err() {
+            return;
+        }
+        let (sink, stream) = frames.split();
+        let deliver = |frame| Event::Frame {
+            peer: peer.clone(),
+            connection,
+            frame,
+            replies: replies.clone(),
+        };
+        tokio::select! {
+            () = read(stream, inbox, counters, deliver) => {}
+            () = write(sink, queued, counters) => {}
+        }
+        counters.count_broken();
+        // A closed inbox has no one left to tell.
+        let _ = inbox.send(Event::Down { peer, connection }).await;
+    }
+}
+
+/// Delivers frames until the connection breaks or falls silent.
+async fn read(
+    mut stream: SplitStream<Frames>,
+    inbox: &mpsc::Sender<Event>,
+    counters: &Counters,
+    deliver: impl Fn(Frame) -> Event,
+) {
+    while let Ok(Some(Ok(frame))) = time::timeout(SILENCE_TIMEOUT, stream.next()).await {
+        if matches!(frame.body, Some(Body::Keepalive(_))) {
+            continue;
+        }
+        counters.count_received();
+        if inbox.send(deliver(frame)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Sends queued frames, and keepalives between them, until the connection breaks.
+async fn write(
+    mut sink: SplitSink<Frames, Frame>,
+    mut queued: mpsc::Receiver<Frame>,
+    counters: &Counters,
+) {
+    loop {
+        let next = match time::timeout(KEEPALIVE_INTERVAL, queued.recv()).await {
+            Ok(Some(frame)) => frame,
+            Ok(None) => return,
+            Err(_) => frame(Body::Keepalive(Keepalive {})),
+        };
+        let keepalive = matches!(next.body, Some(Body::Keepalive(_)));
+        match time::timeout(FRAME_WRITE_TIMEOUT, sink.send(next)).await {
+            Ok(Ok(())) if keepalive => {}
+            Ok(Ok(())) => counters.count_sent(),
+            Ok(Err(_)) | Err(_) => return,
+        }
+    }
+}
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -1,1 +1,30 @@
 //! Framed connections between the system's own processes.
+//!
+//! [`handshake`] and [`seal`] decide without input or output; [`listen`] and [`dial`] start the
+//! tasks that own the sockets and talk to the rest of the process by [`Event`]s.
+
+mod codec;
+mod connection;
+mod counters;
+mod dialer;
+mod error;
+mod event;
+pub mod handshake;
+mod identity;
+mod limits;
+mod listener;
+pub mod seal;
+
+pub use crate::{
+    codec::SealedCodec,
+    counters::Counters,
+    dialer::{Outbound, dial},
+    error::{HandshakeError, LinkError, SealError, SendError},
+    event::{ConnectionId, Event, Replies},
+    identity::{Identity, Peer},
+    limits::{
+        FRAME_WRITE_TIMEOUT, HANDSHAKE_FRAME_MAX_BYTES, HANDSHAKE_TIMEOUT, HANDSHAKES_MAX,
+        HANDSHAKES_PER_ADDRESS_MAX, KEEPALIVE_INTERVAL, QUEUE_FRAMES, SILENCE_TIMEOUT,
+    },
+    listener::{ListenerHandle, listen},
+};
--- /dev/null
+++ b/crates/link/tests/support/mod.rs
@@ -0,0 +1,154 @@
+//! Peers over loopback sockets.
+#![allow(dead_code)]
+
+use futures_util::{SinkExt, StreamExt};
+use link::{
+    ConnectionId, Event, Identity, ListenerHandle, Peer, Replies, SealedCodec,
+    handshake::{self, NONCE_BYTES},
+    listen,
+};
+use std::{net::SocketAddr, time::Duration};
+use tokio::{io::AsyncReadExt, net::TcpStream, sync::mpsc, time};
+use tokio_util::codec::Framed;
+use wire::peer::{Challenge, Frame, Hello, Poll, Proof, frame::Body};
+
+pub const OLD_KEY: &str = "the-older-of-two-keys-of-32-bytes";
+pub const NEW_KEY: &str = "the-newer-of-two-keys-of-32-bytes";
+/// Bounds a wait that should end much earlier.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+pub fn any_port() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("address")
+}
+
+pub fn identity(node: &str, keys: &[&str]) -> Identity {
+    Identity {
+        deployment: "wirecraft".to_owned(),
+        node: node.to_owned(),
+        incarnation: 1,
+        keys: keys.iter().map(|key| key.as_bytes().to_vec()).collect(),
+    }
+}
+
+/// A frame that carries `index`.
+pub fn numbered(index: u64) -> Frame {
+    frame(Body::Poll(Poll {
+        entry: String::new(),
+        applied_index: index,
+    }))
+}
+
+pub fn frame(body: Body) -> Frame {
+    Frame {
+        serial: 0,
+        body: Some(body),
+    }
+}
+
+pub async fn listener(keys: &[&str]) -> (ListenerHandle, mpsc::Receiver<Event>) {
+    let (sender, inbox) = mpsc::channel(16);
+    let handle = listen(any_port(), identity("listener", keys), sender)
+        .await
+        .expect("listening");
+    (handle, inbox)
+}
+
+pub async fn event(inbox: &mut mpsc::Receiver<Event>) -> Event {
+    time::timeout(PATIENCE, inbox.recv())
+        .await
+        .expect("an event in time")
+        .expect("an open inbox")
+}
+
+pub async fn up(inbox: &mut mpsc::Receiver<Event>) -> (Peer, ConnectionId, Replies) {
+    match event(inbox).await {
+        Event::Up {
+            peer,
+            connection,
+            replies,
+        } => (peer, connection, replies),
+        other => panic!("expected Up, got {other:?}"),
+    }
+}
+
+pub async fn down(inbox: &mut mpsc::Receiver<Event>) -> ConnectionId {
+    match event(inbox).await {
+        Event::Down { connection, .. } => connection,
+        other => panic!("expected Down, got {other:?}"),
+    }
+}
+
+pub async fn received(inbox: &mut mpsc::Receiver<Event>) -> (Frame, Replies) {
+    match event(inbox).await {
+        Event::Frame { frame, replies, .. } => (frame, replies),
+        other => panic!("expected Frame, got {other:?}"),
+    }
+}
+
+/// Waits until the other side has closed the connection.
+pub async fn closed(stream: &mut TcpStream) {
+    let mut buffer = [0; 1024];
+    let read = async {
+        while let Ok(len) = stream.read(&mut buffer).await {
+            if len == 0 {
+                return;
+            }
+        }
+    };
+    time::timeout(PATIENCE, read)
+        .await
+        .expect("a closed connection");
+}
+
+/// A dialer whose every step the test takes itself.
+pub struct ManualDialer {
+    pub frames: Framed<TcpStream, SealedCodec>,
+}
+
+impl ManualDialer {
+    pub async fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).await.expect("connected");
+        Self {
+            frames: Framed::new(stream, SealedCodec::plain()),
+        }
+    }
+
+    pub async fn receive(&mut self) -> Option<Body> {
+        let next = time::timeout(PATIENCE, self.frames.next()).await;
+        next.expect("a frame or an end in time")
+            .and_then(Result::ok)
+            .and_then(|frame| frame.body)
+    }
+
+    pub async fn challenge(&mut self, hello: &Hello) -> Option<Challenge> {
+        let hello = frame(Body::Hello(hello.clone()));
+        self.frames.send(hello).await.expect("hello sent");
+        match self.receive().await {
+            Some(Body::Challenge(challenge)) => Some(challenge),
+            _ => None,
+        }
+    }
+
+    pub async fn prove(&mut self, proof: &Proof) -> Option<Body> {
+        let proof = frame(Body::Proof(proof.clone()));
+        self.frames.send(proof).await.expect("proof sent");
+        self.receive().await
+    }
+
+    /// Runs the whole handshake; returns what an eavesdropper would have seen.
+    pub async fn authenticate(&mut self, identity: &Identity) -> (Hello, Proof) {
+        let nonce = [7; NONCE_BYTES];
+        let hello = handshake::hello(identity, &nonce);
+        let challenge = self.challenge(&hello).await.expect("a challenge");
+        let (proof, session) =
+            handshake::prove(identity, None, &nonce, &challenge).expect("a valid listener");
+        let sent = frame(Body::Proof(proof.clone()));
+        self.frames.send(sent).await.expect("proof sent");
+        self.frames
+            .codec_mut()
+            .authenticate(session.sealer, session.opener);
+        let confirmation = self.receive().await;
+        assert!(matches!(confirmation, Some(Body::Keepalive(_))));
+        (hello, proof)
+    }
+}
--- /dev/null
+++ b/crates/settings/src/model.rs
@@ -0,0 +1,161 @@
+//! The settings as the daemon uses them.
+
+use std::{net::SocketAddr, path::PathBuf};
+use strum::{Display, EnumString};
+use types::{DomainName, RegionName, ReplicaName, ServiceName};
+
+/// Everything that one settings file declares.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// This process.
+    pub node: NodeSettings,
+    /// What all processes of the deployment share.
+    pub deployment: DeploymentSettings,
+    /// The entry, when the role has one.
+    pub entry: Option<EntrySettings>,
+    /// The control replica, when the role has one.
+    pub control: Option<ControlSettings>,
+    /// Every control replica, in the order of the file.
+    pub replicas: Vec<ReplicaSettings>,
+    /// Logging.
+    pub log: LogSettings,
+}
+
+/// What a process runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Role {
+    /// An entry.
+    Entry,
+    /// A control replica.
+    Control,
+    /// Both in one process.
+    Both,
+}
+
+impl Role {
+    /// Whether the process runs an entry.
+    #[must_use]
+    pub const fn has_entry(self) -> bool {
+        matches!(self, Self::Entry | Self::Both)
+    }
+
+    /// Whether the process runs a control replica.
+    #[must_use]
+    pub const fn has_control(self) -> bool {
+        matches!(self, Self::Control | Self::Both)
+    }
+}
+
+/// `[node]`: this process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeSettings {
+    /// Its name, valid as an entry's and a replica's name.
+    pub name: String,
+    /// What it runs.
+    pub role: Role,
+    /// The region that its VM stands in.
+    pub region: RegionName,
+    /// The failure domain that its VM stands in.
+    pub failure_domain: DomainName,
+}
+
+/// `[deployment]`: what all processes share.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DeploymentSettings {
+    /// Processes of another deployment are refused.
+    pub name: String,
+    /// The declared failure domains.
+    pub failure_domains: Vec<DomainName>,
+    /// Where the link keys stand.
+    pub key_file: PathBuf,
+    /// The link keys; the first proves, all are accepted. Empty until [`Settings::read`] read them.
+    pub keys: Vec<Vec<u8>>,
+}
+
+/// `[entry]`: the entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// Address for callers and upstreams.
+    pub listen: SocketAddr,
+    /// Address for the system's own processes.
+    pub peer_listen: SocketAddr,
+    /// Where the announcement tokens stand, when announcements need one.
+    pub announce_tokens_file: Option<PathBuf>,
+    /// The announcement tokens. Empty until [`Settings::read`] read them.
+    pub announce_tokens: Vec<AnnounceToken>,
+    /// Lifetime of look-up answers.
+    pub lookup_lifetime_ms: u64,
+}
+
+/// A token and the services that it may announce.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnnounceToken {
+    /// The token.
+    pub token: String,
+    /// The services.
+    pub services: Vec<ServiceName>,
+}
+
+/// `[control]`: the control replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ControlSettings {
+    /// Address for operators.
+    pub listen: SocketAddr,
+    /// Address for the system's own processes.
+    pub peer_listen: SocketAddr,
+    /// The data folder.
+    pub data: PathBuf,
+    /// Where the operators' tokens stand, when changes need one.
+    pub operator_tokens_file: Option<PathBuf>,
+    /// The operators' tokens. Empty until [`Settings::read`] read them.
+    pub operator_tokens: Vec<String>,
+}
+
+/// A line of `[replicas]`: one control replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaSettings {
+    /// Its name.
+    pub name: ReplicaName,
+    /// Where the system's own processes reach it.
+    pub peer_address: SocketAddr,
+    /// Where operators reach it.
+    pub http_address: SocketAddr,
+}
+
+/// `[log]`: logging.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogSettings {
+    /// The least severe level that is written.
+    pub level: LogLevel,
+    /// The form of a line.
+    pub format: LogFormat,
+}
+
+/// Severity of a log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum LogLevel {
+    /// The process can't go on.
+    Critical,
+    /// An operation failed.
+    Error,
+    /// Something needs an operator's look.
+    Warning,
+    /// A change of state.
+    Info,
+    /// Details for a developer.
+    Debug,
+    /// Every step.
+    Trace,
+}
+
+/// The form of log lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum LogFormat {
+    /// Text for people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
