--- a/crates/share/src/allocator.rs
+++ b/crates/share/src/allocator.rs
@@ -3,11 +3,11 @@
 use crate::{
     counted_ms,
     fair::{Claim, fair_shares},
-    pool::{Grant, GrantId, Pool, Want},
+    pool::{Grant, GrantId, HolderId, Pool, Want},
 };
 use serde::Serialize;
 use std::collections::BTreeMap;
-use types::{EntryName, TimeUs};
+use types::TimeUs;
 
 /// An amount that a holder may be using.
 #[derive(Clone, Copy, Debug)]
@@ -17,9 +17,10 @@
     until_us: TimeUs,
 }
 
-/// One entry's part in a pool.
+/// One holder's part in a pool.
 #[derive(Debug, Default)]
 struct Party {
+    asked: u64,
     demand: u64,
     held: u64,
     held_until_us: TimeUs,
@@ -38,6 +39,14 @@
         granted.max(self.held)
     }
 
+    fn hear(&mut self, want: &Want, counted_until_us: TimeUs) {
+        self.asked = want.asked;
+        self.demand = want.demand;
+        self.held = want.held;
+        self.held_until_us = counted_until_us;
+        self.grants.retain(|grant| grant.id >= want.applied);
+    }
+
     fn expire(&mut self, now_us: TimeUs) {
         self.grants.retain(|grant| !grant.until_us.reached(now_us));
         if self.held_until_us.reached(now_us) {
@@ -45,15 +54,15 @@
         }
     }
 
-    fn is_gone(&self) -> bool {
-        self.grants.is_empty() && self.held == 0
+    fn is_gone(&self, now_us: TimeUs) -> bool {
+        self.grants.is_empty() && self.held_until_us.reached(now_us)
     }
 }
 
 #[derive(Debug, Default)]
 struct PoolState {
     limit: u64,
-    parties: BTreeMap<EntryName, Party>,
+    parties: BTreeMap<HolderId, Party>,
 }
 
 impl PoolState {
@@ -65,11 +74,11 @@
         self.parties
             .values_mut()
             .for_each(|party| party.expire(now_us));
-        self.parties.retain(|_, party| !party.is_gone());
+        self.parties.retain(|_, party| !party.is_gone(now_us));
     }
 
-    /// What `entry` should have, by every party's demand.
-    fn entitlement(&self, entry: &EntryName) -> u64 {
+    /// What `holder` should have, by every party's demand.
+    fn entitlement(&self, holder: &HolderId) -> u64 {
         let claims: Vec<Claim> = self
             .parties
             .values()
@@ -78,7 +87,7 @@
             })
             .collect();
         let shares = fair_shares(self.limit, &claims);
-        let rank = self.parties.keys().position(|name| name == entry);
+        let rank = self.parties.keys().position(|id| id == holder);
         rank.and_then(|rank| shares.get(rank).copied()).unwrap_or(0)
     }
 }
@@ -90,7 +99,7 @@
     pool: &'a Pool,
     limit: u64,
     counted: u64,
-    holders: Vec<(&'a EntryName, u64, u64)>,
+    holders: Vec<(&'a HolderId, u64, u64)>,
 }
 
 /// Divides the operators' figures among entries, for one term of leadership.
@@ -143,35 +152,36 @@
         }
     }
 
-    /// Answers one want of an entry.
-    pub fn ask(&mut self, now_us: TimeUs, entry: &EntryName, want: &Want) -> Grant {
+    /// Answers one want of a holder, unless a later one has overtaken it.
+    pub fn ask(&mut self, now_us: TimeUs, holder: &HolderId, want: &Want) -> Option<Grant> {
         let counted_until_us = now_us.after_ms(counted_ms(self.longest_deadline_ms));
         let inherits = !self.inherits_until_us.reached(now_us);
         let id = self.next_id();
         let state = self.pools.entry(want.pool.clone()).or_default();
         state.expire(now_us);
-        let party = state.parties.entry(entry.clone()).or_default();
-        party.demand = want.demand;
-        party.held = want.held;
-        party.held_until_us = counted_until_us;
-        party.grants.retain(|grant| grant.id >= want.applied);
+        let party = state.parties.entry(holder.clone()).or_default();
+        if want.asked <= party.asked {
+            return None;
+        }
+        party.hear(want, counted_until_us);
         let amount = if inherits {
             want.held.min(state.limit)
         } else {
-            state.offer(entry)
+            state.offer(holder)
         };
-        if let Some(party) = state.parties.get_mut(entry) {
+        if let Some(party) = state.parties.get_mut(holder) {
             party.grants.push(Counted {
                 id,
                 amount,
                 until_us: counted_until_us,
             });
         }
-        Grant {
+        Some(Grant {
             pool: want.pool.clone(),
             id,
             amount,
-        }
+            confirms: inherits,
+        })
     }
 
     /// The sum of what holders may be using of a pool.
@@ -189,7 +199,7 @@
             holders: state
                 .parties
                 .iter()
-                .map(|(name, party)| (name, party.counted(), party.demand))
+                .map(|(id, party)| (id, party.counted(), party.demand))
                 .collect(),
         })
     }
@@ -204,15 +214,15 @@
 }
 
 impl PoolState {
-    /// What can be granted to `entry` now: its entitlement, as far as others leave room.
-    fn offer(&self, entry: &EntryName) -> u64 {
+    /// What can be granted to `holder` now: its entitlement, as far as others leave room.
+    fn offer(&self, holder: &HolderId) -> u64 {
         let others: u64 = self
             .parties
             .iter()
-            .filter(|(name, _)| *name != entry)
+            .filter(|(id, _)| *id != holder)
             .map(|(_, party)| party.counted())
             .sum();
-        self.entitlement(entry)
+        self.entitlement(holder)
             .min(self.limit.saturating_sub(others))
     }
 }
--- a/crates/share/src/holder.rs
+++ b/crates/share/src/holder.rs
@@ -17,6 +17,7 @@
 /// What an entry holds of each pool.
 #[derive(Debug, Default)]
 pub struct Holder {
+    asked: u64,
     held: BTreeMap<Pool, Held>,
 }
 
@@ -28,8 +29,8 @@
     }
 
     /// What to ask of a pool, given the work in flight and the demand.
-    #[must_use]
-    pub fn want(&self, now_us: TimeUs, pool: &Pool, in_use: u64, demand: u64) -> Want {
+    pub fn want(&mut self, now_us: TimeUs, pool: &Pool, in_use: u64, demand: u64) -> Want {
+        self.asked += 1;
         let held = self.held.get(pool).copied().unwrap_or_default();
         let usable = if held.until_us.reached(now_us) {
             0
@@ -38,6 +39,7 @@
         };
         Want {
             pool: pool.clone(),
+            asked: self.asked,
             applied: held.id,
             held: usable.max(in_use),
             demand,
@@ -51,9 +53,19 @@
         if grant.id <= held.id || until_us.reached(now_us) {
             return false;
         }
+        let usable = if held.until_us.reached(now_us) {
+            0
+        } else {
+            held.amount
+        };
+        let amount = if grant.confirms {
+            grant.amount.min(usable)
+        } else {
+            grant.amount
+        };
         *held = Held {
             id: grant.id,
-            amount: grant.amount,
+            amount,
             until_us,
         };
         true
--- a/crates/share/src/lib.rs
+++ b/crates/share/src/lib.rs
@@ -14,7 +14,7 @@
     allocator::{Allocator, PoolRow},
     fair::{Claim, fair_shares},
     holder::Holder,
-    pool::{Grant, GrantId, Pool, Want},
+    pool::{Grant, GrantId, HolderId, Pool, Want},
 };
 
 /// How long a holder may admit work under a grant, from when it asked.
--- a/crates/share/tests/never_over.rs
+++ b/crates/share/tests/never_over.rs
@@ -2,8 +2,8 @@
 //! entries may use and do use never passes the operators' figure.
 
 use proptest::prelude::{ProptestConfig, Strategy, any, prop, prop_assert, proptest};
-use share::{Allocator, Grant, Holder, Pool, Want};
-use types::{EntryName, TimeUs};
+use share::{Allocator, Grant, Holder, HolderId, Pool, Want};
+use types::TimeUs;
 
 const LIMIT: u64 = 40;
 const ENTRIES: usize = 5;
@@ -78,15 +78,13 @@
         (1, any::<()>().prop_map(|()| Action::ChangeLeader).boxed()),
         (
             6,
-            (0_u64..800)
-                .prop_map(|for_ms| Action::Wait { for_ms })
-                .boxed(),
+            wait_ms().prop_map(|for_ms| Action::Wait { for_ms }).boxed(),
         ),
     ])
 }
 
 struct Entry {
-    name: EntryName,
+    id: HolderId,
     holder: Holder,
     /// Ends of the work in flight, in true time.
     work_until_ms: Vec<u64>,
@@ -128,7 +126,10 @@
             region: "gauteng".parse().expect("valid name"),
         };
         let entries = (0..ENTRIES).map(|index| Entry {
-            name: format!("entry-{index}").parse().expect("valid name"),
+            id: HolderId {
+                entry: format!("entry-{index}").parse().expect("valid name"),
+                incarnation: 1,
+            },
             holder: Holder::new(),
             work_until_ms: Vec::new(),
             frozen_until_ms: 0,
@@ -183,7 +184,7 @@
     }
 
     fn ask(&mut self, index: usize, demand: u64, there_ms: u64, back_ms: u64) {
-        let entry = &self.entries[index];
+        let entry = &mut self.entries[index];
         if entry.frozen_until_ms > self.now_ms {
             return;
         }
@@ -230,7 +231,10 @@
                     back_ms,
                 } => {
                     let now_us = clock_us(self.now_ms, self.leader_clock_percent);
-                    let grant = self.leader.ask(now_us, &self.entries[entry].name, &want);
+                    let id = &self.entries[entry].id;
+                    let Some(grant) = self.leader.ask(now_us, id, &want) else {
+                        continue;
+                    };
                     let due_ms = self.now_ms + back_ms;
                     self.under_way.push((
                         due_ms,
--- a/crates/share/tests/policy.rs
+++ b/crates/share/tests/policy.rs
@@ -1,8 +1,8 @@
 //! Who gets how much, and how long unused room stays with one entry.
 
 use proptest::prelude::{prop, prop_assert, proptest};
-use share::{Allocator, Claim, Holder, LEASE_MS, Pool, counted_ms, fair_shares};
-use types::{EntryName, TimeUs};
+use share::{Allocator, Claim, Holder, HolderId, LEASE_MS, Pool, counted_ms, fair_shares};
+use types::TimeUs;
 
 const LIMIT: u64 = 100;
 const DEADLINE_MS: u64 = 2_000;
@@ -13,8 +13,11 @@
     }
 }
 
-fn entry(index: usize) -> EntryName {
-    format!("entry-{index}").parse().expect("valid name")
+fn entry(index: usize) -> HolderId {
+    HolderId {
+        entry: format!("entry-{index}").parse().expect("valid name"),
+        incarnation: 1,
+    }
 }
 
 fn at_ms(ms: u64) -> TimeUs {
@@ -37,7 +40,9 @@
 ) -> u64 {
     let want = holder.want(at_ms(now_ms), &pool(), 0, demand);
     let grant = allocator.ask(at_ms(now_ms), &entry(index), &want);
-    holder.apply(at_ms(now_ms), at_ms(now_ms), &grant);
+    if let Some(grant) = grant {
+        holder.apply(at_ms(now_ms), at_ms(now_ms), &grant);
+    }
     holder.usable(&pool()).0
 }
 
@@ -97,7 +102,7 @@
     let mut allocator = allocator();
     let mut holder = Holder::new();
     let want = holder.want(at_ms(0), &pool(), 0, 10);
-    let grant = allocator.ask(at_ms(10), &entry(0), &want);
+    let grant = allocator.ask(at_ms(10), &entry(0), &want).expect("granted");
     assert!(!holder.apply(at_ms(LEASE_MS), at_ms(0), &grant));
 }
 
