Add the router: tracking, choice by cost, queues, retries and shares

Cause: the entry's shell needs a pure core that decides for each request.

One step for each event. Upstreams are listed per service in groups of equal cost, each with a list of those that have room, so that a choice looks at the groups and a few draws and never at all upstreams. Scanning all upstreams per arrival was ruled out: 2,000 upstreams a service would cost that much a request. A request that broke once never ends as 'did not run'.

Shares of regions and links are looked at before each forwarding; an expired share allows nothing.

--- a/crates/route/src/api.rs
+++ b/crates/route/src/api.rs
@@ -52,6 +52,26 @@
         /// How.
         ending: Ending,
     },
+    /// The part of a region's capacity that this entry may use until a deadline.
+    Share {
+        /// The region.
+        region: &'a RegionName,
+        /// Requests that this entry may have in flight there.
+        slots: u32,
+        /// From then on nothing may start there.
+        expires_us: TimeUs,
+    },
+    /// The part of a link's rate, one way, that this entry may use until a deadline.
+    LinkShare {
+        /// The region that sends.
+        from: &'a RegionName,
+        /// The region that receives.
+        to: &'a RegionName,
+        /// The rate.
+        kbps: u64,
+        /// From then on nothing may start over it.
+        expires_us: TimeUs,
+    },
     /// Time has passed.
     Tick,
 }
--- /dev/null
+++ b/crates/route/src/attempt.rs
@@ -0,0 +1,239 @@
+//! Attempts of a request: arrival, forwarding, the end of an attempt and what follows.
+
+use crate::{
+    Ending, Output, RequestId, Settled,
+    request::{Request, Stage},
+    router::Router,
+    table::OWN_REGION,
+};
+use types::{Outcome, Refusal, ServiceName, TimeUs};
+
+impl Router {
+    pub(crate) fn arrive(
+        &mut self,
+        now_us: TimeUs,
+        id: RequestId,
+        service: &ServiceName,
+        deadline_us: TimeUs,
+        idempotent: bool,
+        outputs: &mut Vec<Output>,
+    ) {
+        self.counters.arrived += 1;
+        let service = self.table.service_id(service);
+        let Some(service) = service.filter(|&id| self.table.services[id].declared) else {
+            self.refuse(id, Refusal::UnknownService, outputs);
+            return;
+        };
+        if deadline_us.reached(now_us) {
+            self.refuse(id, Refusal::Deadline, outputs);
+            return;
+        }
+        let request = Request {
+            service,
+            deadline_us,
+            idempotent,
+            may_have_run: false,
+            attempts: 0,
+            tried: Vec::new(),
+            blocked: Refusal::Overloaded,
+            stage: Stage::Queued,
+        };
+        self.admit(now_us, id, request, outputs);
+    }
+
+    fn admit(
+        &mut self,
+        now_us: TimeUs,
+        id: RequestId,
+        mut request: Request,
+        outputs: &mut Vec<Output>,
+    ) {
+        let choice = match self.is_waiting(request.service) {
+            true => Err(Refusal::Overloaded),
+            false => self.choose(now_us, &request),
+        };
+        let service = &self.table.services[request.service];
+        let queue_full = service.queue.len() >= self.config.limits.queue_requests;
+        match choice {
+            Ok(upstream) => {
+                self.requests.insert(id, request);
+                self.forward(now_us, id, upstream, outputs);
+            }
+            Err(refusal @ (Refusal::Overloaded | Refusal::NoCapacity)) if !queue_full => {
+                request.blocked = refusal;
+                self.requests.insert(id, request);
+                self.enqueue(id);
+            }
+            Err(refusal) => self.refuse(id, refusal, outputs),
+        }
+    }
+
+    pub(crate) fn forward(
+        &mut self,
+        now_us: TimeUs,
+        id: RequestId,
+        upstream_id: usize,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let upstream = &mut self.table.upstreams[upstream_id];
+        let region = &mut self.table.regions[upstream.region];
+        request.attempts += 1;
+        request.tried.push(upstream_id);
+        request.stage = Stage::Forwarded {
+            upstream: upstream_id,
+            region: upstream.region,
+            since_us: now_us,
+            answering: false,
+        };
+        upstream.in_flight += 1;
+        region.room.in_flight += 1;
+        if upstream.region != OWN_REGION {
+            let bytes = self.table.services[request.service].answer_bytes;
+            region.link.take(now_us, bytes);
+        }
+        outputs.push(Output::Forward {
+            request: id,
+            upstream: upstream.name.clone(),
+            address: upstream.address,
+            region: region.name.clone(),
+            failure_domain: upstream.failure_domain.clone(),
+            attempt: request.attempts,
+            deadline_us: request.deadline_us,
+        });
+        self.counters.forwarded += 1;
+        self.table.refresh(upstream_id);
+    }
+
+    pub(crate) fn answering(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id)
+            && let Stage::Forwarded { answering, .. } = &mut request.stage
+        {
+            *answering = true;
+        }
+    }
+
+    pub(crate) fn ended(
+        &mut self,
+        now_us: TimeUs,
+        id: RequestId,
+        ending: Ending,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Stage::Forwarded {
+            upstream,
+            region,
+            answering,
+            ..
+        } = request.stage
+        else {
+            self.ended_in_queue(id, ending);
+            return;
+        };
+        let idempotent = request.idempotent;
+        request.may_have_run |= ending == Ending::Broken;
+        self.release(upstream, region);
+        match ending {
+            Ending::Finished { .. } => self.finish(id),
+            Ending::CutShort => self.drop_request(id),
+            Ending::Cancelled => {
+                outputs.push(Output::Cancel { request: id });
+                self.counters.cancelled += 1;
+                self.drop_request(id);
+            }
+            Ending::NotSent => self.retry(now_us, id, Refusal::NoUpstream, outputs),
+            Ending::Refused => self.retry(now_us, id, Refusal::UpstreamRefused, outputs),
+            Ending::Broken if idempotent && !answering => {
+                self.retry(now_us, id, Refusal::UpstreamRefused, outputs);
+            }
+            Ending::Broken => self.settle(id, Refusal::UpstreamRefused, outputs),
+        }
+    }
+
+    fn ended_in_queue(&mut self, id: RequestId, ending: Ending) {
+        if ending == Ending::Cancelled {
+            self.counters.cancelled += 1;
+            self.dequeue(id);
+            self.drop_request(id);
+        }
+    }
+
+    fn release(&mut self, upstream: usize, region: usize) {
+        self.table.regions[region].room.in_flight -= 1;
+        self.table.upstreams[upstream].in_flight -= 1;
+        self.table.refresh(upstream);
+        self.table.forget_upstream(upstream);
+    }
+
+    fn retry(
+        &mut self,
+        now_us: TimeUs,
+        id: RequestId,
+        refusal: Refusal,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(request) = self.requests.remove(&id) else {
+            return;
+        };
+        let declared = self.table.services[request.service].declared;
+        let may_go_on = declared
+            && request.attempts < self.config.limits.attempts
+            && !request.deadline_us.reached(now_us);
+        let choice = match may_go_on {
+            true => self.choose(now_us, &request),
+            false => Err(refusal),
+        };
+        self.requests.insert(id, request);
+        match choice {
+            Ok(upstream) => {
+                self.counters.retried += 1;
+                self.forward(now_us, id, upstream, outputs);
+            }
+            Err(Refusal::Overloaded | Refusal::NoCapacity) => self.enqueue(id),
+            Err(_) => self.settle(id, refusal, outputs),
+        }
+    }
+
+    /// Ends a request that no upstream answered.
+    pub(crate) fn settle(&mut self, id: RequestId, refusal: Refusal, outputs: &mut Vec<Output>) {
+        let may_have_run = self.requests.get(&id).is_some_and(|r| r.may_have_run);
+        self.drop_request(id);
+        if !may_have_run {
+            self.refuse(id, refusal, outputs);
+            return;
+        }
+        self.counters.unknown += 1;
+        outputs.push(Output::Settle {
+            request: id,
+            settled: Settled {
+                outcome: Outcome::Unknown,
+                refusal: None,
+            },
+        });
+    }
+
+    fn refuse(&mut self, id: RequestId, refusal: Refusal, outputs: &mut Vec<Output>) {
+        *self.counters.refused.entry(refusal.into()).or_default() += 1;
+        outputs.push(Output::Settle {
+            request: id,
+            settled: Settled {
+                outcome: Outcome::DidNotRun,
+                refusal: Some(refusal),
+            },
+        });
+    }
+
+    fn finish(&mut self, id: RequestId) {
+        self.counters.finished += 1;
+        self.drop_request(id);
+    }
+
+    fn drop_request(&mut self, id: RequestId) {
+        self.requests.remove(&id);
+    }
+}
--- /dev/null
+++ b/crates/route/src/declare.rs
@@ -0,0 +1,130 @@
+//! Declared resources and announcements.
+
+use crate::{Output, request::Stage, router::Router, upstream::Upstream};
+use types::{
+    Announcement, DrainTarget, Refusal, Resource, ResourceName, ServiceName, Spec, UpstreamName,
+};
+
+impl Router {
+    pub(crate) fn declared(&mut self, resource: &Resource, outputs: &mut Vec<Output>) {
+        match &resource.spec {
+            Spec::Service(spec) => {
+                if let Some(name) = service_name(&resource.name) {
+                    self.table.declare_service(&name, spec);
+                }
+            }
+            Spec::Link(spec) => {
+                let a = self.table.region_id(&spec.a);
+                let b = self.table.region_id(&spec.b);
+                let link = (a, b, spec.delay_us);
+                self.table.links.insert(resource.name.clone(), link);
+                self.table.apply_links();
+            }
+            Spec::Drain(spec) => {
+                let target = spec.target.clone();
+                self.drains.insert(resource.name.clone(), target);
+                self.apply_drains();
+            }
+            Spec::Region(_) | Spec::Entry(_) | Spec::Shift(_) => {}
+        }
+        self.settle_stranded(outputs);
+    }
+
+    pub(crate) fn withdrawn(&mut self, resource: &Resource, outputs: &mut Vec<Output>) {
+        match &resource.spec {
+            Spec::Service(_) => {
+                let name = service_name(&resource.name);
+                if let Some(id) = name.and_then(|name| self.table.service_id(&name)) {
+                    self.table.services[id].declared = false;
+                }
+            }
+            Spec::Link(_) => {
+                self.table.links.remove(&resource.name);
+                self.table.apply_links();
+            }
+            Spec::Drain(_) => {
+                self.drains.remove(&resource.name);
+                self.apply_drains();
+            }
+            Spec::Region(_) | Spec::Entry(_) | Spec::Shift(_) => {}
+        }
+        self.settle_stranded(outputs);
+    }
+
+    pub(crate) fn announced(&mut self, name: &UpstreamName, announcement: &Announcement) {
+        let region = self.table.region_id(&announcement.region);
+        let mut upstream = Upstream::new(name, announcement, region);
+        upstream.drained = self.is_drained(&upstream);
+        let Some(id) = self.table.upstream_id(name) else {
+            let id = self.table.insert_upstream(upstream);
+            self.table.list(id);
+            return;
+        };
+        let known = &mut self.table.upstreams[id];
+        let same_place = known.service == announcement.service
+            && known.region == region
+            && known.failure_domain == announcement.failure_domain
+            && known.state == announcement.state
+            && known.present;
+        if same_place {
+            known.address = announcement.address;
+            known.slots = announcement.slots;
+            known.reported_load = announcement.load;
+            known.epoch_ms = announcement.epoch_ms;
+            self.table.refresh(id);
+            return;
+        }
+        self.table.unlist(id);
+        upstream.in_flight = self.table.upstreams[id].in_flight;
+        self.table.upstreams[id] = upstream;
+        self.table.list(id);
+    }
+
+    pub(crate) fn upstream_gone(&mut self, name: &UpstreamName) {
+        let Some(id) = self.table.upstream_id(name) else {
+            return;
+        };
+        self.table.unlist(id);
+        self.table.upstreams[id].present = false;
+        self.table.forget_upstream(id);
+    }
+
+    /// Settles requests that wait for a service that is no longer declared.
+    fn settle_stranded(&mut self, outputs: &mut Vec<Output>) {
+        for service in 0..self.table.services.len() {
+            if self.table.services[service].declared {
+                continue;
+            }
+            while let Some(id) = self.table.services[service].queue.front() {
+                debug_assert!(self.requests[&id].stage == Stage::Queued);
+                self.dequeue(id);
+                self.settle(id, Refusal::UnknownService, outputs);
+            }
+        }
+    }
+
+    fn apply_drains(&mut self) {
+        for id in 0..self.table.upstreams.len() {
+            let drained = self.is_drained(&self.table.upstreams[id]);
+            if drained == self.table.upstreams[id].drained {
+                continue;
+            }
+            self.table.unlist(id);
+            self.table.upstreams[id].drained = drained;
+            self.table.list(id);
+        }
+    }
+
+    fn is_drained(&self, upstream: &Upstream) -> bool {
+        self.drains.values().any(|target| match target {
+            DrainTarget::Upstream(name) => *name == upstream.name,
+            DrainTarget::FailureDomain(name) => *name == upstream.failure_domain,
+            DrainTarget::Region(name) => *name == self.table.regions[upstream.region].name,
+            DrainTarget::Entry(_) => false,
+        })
+    }
+}
+
+fn service_name(name: &ResourceName) -> Option<ServiceName> {
+    ServiceName::new(name.as_str()).ok()
+}
--- /dev/null
+++ b/crates/route/src/room.rs
@@ -0,0 +1,78 @@
+//! What an entry may use of regions and links.
+
+use crate::Fallback;
+use types::TimeUs;
+
+/// A part of a region's capacity.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    slots: u32,
+    expires_us: TimeUs,
+}
+
+/// This entry's use of a region.
+#[derive(Debug, Default)]
+pub(crate) struct RegionRoom {
+    share: Option<Share>,
+    /// Requests in flight there from this entry.
+    pub(crate) in_flight: u32,
+}
+
+impl RegionRoom {
+    /// Replaces the share.
+    pub(crate) fn set_share(&mut self, slots: u32, expires_us: TimeUs) {
+        self.share = Some(Share { slots, expires_us });
+    }
+
+    /// Requests that this entry may have in flight there; no bound gives `u32::MAX`.
+    pub(crate) fn allowed_slots(&self, now_us: TimeUs, fallback: Fallback) -> u32 {
+        match (self.share, fallback) {
+            (Some(share), _) if share.expires_us.reached(now_us) => 0,
+            (Some(share), _) => share.slots,
+            (None, Fallback::Unlimited) => u32::MAX,
+            (None, Fallback::Zero) => 0,
+        }
+    }
+
+    /// Whether one more may start.
+    pub(crate) fn has_room(&self, now_us: TimeUs, fallback: Fallback) -> bool {
+        self.in_flight < self.allowed_slots(now_us, fallback)
+    }
+}
+
+/// This entry's use of a link, one way.
+#[derive(Debug, Default)]
+pub(crate) struct LinkRoom {
+    rate: Option<Rate>,
+    /// When all that was started has been carried at the share's rate.
+    busy_until_us: TimeUs,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Rate {
+    kbps: u64,
+    expires_us: TimeUs,
+}
+
+impl LinkRoom {
+    /// Replaces the share.
+    pub(crate) fn set_share(&mut self, kbps: u64, expires_us: TimeUs) {
+        self.rate = Some(Rate { kbps, expires_us });
+    }
+
+    /// Whether one more answer may start.
+    pub(crate) fn has_room(&self, now_us: TimeUs, fallback: Fallback, burst_us: u64) -> bool {
+        match self.rate {
+            Some(rate) if rate.expires_us.reached(now_us) || rate.kbps == 0 => false,
+            Some(_) => self.busy_until_us <= now_us.after_us(burst_us),
+            None => fallback == Fallback::Unlimited,
+        }
+    }
+
+    /// Counts an answer of this size.
+    pub(crate) fn take(&mut self, now_us: TimeUs, bytes: u64) {
+        let Some(rate) = self.rate else { return };
+        let carry_us = (bytes * 8_000).div_ceil(rate.kbps.max(1));
+        self.busy_until_us = self.busy_until_us.max(now_us).after_us(carry_us);
+    }
+}
--- /dev/null
+++ b/crates/route/src/router.rs
@@ -0,0 +1,216 @@
+//! The router: one step for each event.
+
+use crate::{
+    Input, Output, RequestId, RouterConfig,
+    request::{Request, Stage},
+    snapshot::Counters,
+    table::Table,
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use types::{DrainTarget, Priority, Refusal, ResourceName, TimeUs};
+
+/// Grants are counted in rounds of this many to keep browsing its part.
+const ROUND_PERCENT: u32 = 100;
+
+/// Decides for one entry which upstream runs each request, and which requests run at all.
+#[derive(Debug)]
+pub struct Router {
+    pub(crate) config: RouterConfig,
+    pub(crate) table: Table,
+    pub(crate) requests: HashMap<RequestId, Request>,
+    pub(crate) drains: BTreeMap<ResourceName, DrainTarget>,
+    pub(crate) rng: SmallRng,
+    pub(crate) counters: Counters,
+    /// Services with requests that wait.
+    waiting: BTreeSet<usize>,
+    /// Requests that wait, by deadline.
+    deadlines: BTreeSet<(TimeUs, RequestId)>,
+    /// Percent points that browsing is owed.
+    browse_credit: u32,
+}
+
+impl Router {
+    /// A router that knows nothing but its configuration.
+    #[must_use]
+    pub fn new(config: RouterConfig) -> Self {
+        Self {
+            table: Table::new(&config.region, &config.failure_domain),
+            rng: SmallRng::seed_from_u64(config.seed),
+            config,
+            requests: HashMap::new(),
+            drains: BTreeMap::new(),
+            counters: Counters::default(),
+            waiting: BTreeSet::new(),
+            deadlines: BTreeSet::new(),
+            browse_credit: 0,
+        }
+    }
+
+    /// Takes one event and adds what follows from it to `outputs`.
+    pub fn step(&mut self, now_us: TimeUs, input: Input<'_>, outputs: &mut Vec<Output>) {
+        self.expire(now_us, outputs);
+        match input {
+            Input::Declared(resource) => self.declared(resource, outputs),
+            Input::Withdrawn(resource) => self.withdrawn(resource, outputs),
+            Input::Upstream { name, announcement } => self.announced(name, announcement),
+            Input::UpstreamGone { name } => self.upstream_gone(name),
+            Input::Arrive {
+                request,
+                service,
+                deadline_us,
+                idempotent,
+            } => {
+                self.arrive(now_us, request, service, deadline_us, idempotent, outputs);
+                return;
+            }
+            Input::Answering { request } => {
+                self.answering(request);
+                return;
+            }
+            Input::Ended { request, ending } => self.ended(now_us, request, ending, outputs),
+            Input::Share {
+                region,
+                slots,
+                expires_us,
+            } => {
+                let id = self.table.region_id(region);
+                self.table.regions[id].room.set_share(slots, expires_us);
+            }
+            Input::LinkShare {
+                from,
+                to,
+                kbps,
+                expires_us,
+            } => {
+                if *to == self.config.region {
+                    let id = self.table.region_id(from);
+                    self.table.regions[id].link.set_share(kbps, expires_us);
+                }
+            }
+            Input::Tick => {}
+        }
+        self.dispatch(now_us, outputs);
+    }
+
+    /// Whether requests of the service wait.
+    pub(crate) fn is_waiting(&self, service: usize) -> bool {
+        self.waiting.contains(&service)
+    }
+
+    /// Lets a request wait: behind the others, or before them when it was sent already.
+    pub(crate) fn enqueue(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.stage = Stage::Queued;
+        let queue = &mut self.table.services[request.service].queue;
+        if request.attempts == 0 {
+            queue.push_back(id);
+        } else {
+            queue.push_front(id);
+        }
+        self.waiting.insert(request.service);
+        self.deadlines.insert((request.deadline_us, id));
+    }
+
+    /// Takes a request out of its queue.
+    pub(crate) fn dequeue(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        self.deadlines.remove(&(request.deadline_us, id));
+        let queue = &mut self.table.services[request.service].queue;
+        queue.remove(id);
+        if queue.is_empty() {
+            self.waiting.remove(&request.service);
+        }
+    }
+
+    /// Gives room to requests that wait: critical ones first, and browsing its part.
+    pub(crate) fn dispatch(&mut self, now_us: TimeUs, outputs: &mut Vec<Output>) {
+        while !self.waiting.is_empty() {
+            let first = match self.browse_credit >= ROUND_PERCENT {
+                true => Priority::Browse,
+                false => Priority::Critical,
+            };
+            let second = match first {
+                Priority::Browse => Priority::Critical,
+                Priority::Critical => Priority::Browse,
+            };
+            if !self.grant_one(now_us, first, outputs) && !self.grant_one(now_us, second, outputs) {
+                return;
+            }
+        }
+        self.browse_credit = 0;
+    }
+
+    fn grant_one(&mut self, now_us: TimeUs, priority: Priority, outputs: &mut Vec<Output>) -> bool {
+        let services: Vec<usize> = self
+            .waiting
+            .iter()
+            .copied()
+            .filter(|&id| self.table.services[id].priority == priority)
+            .collect();
+        for service in services {
+            let Some(id) = self.table.services[service].queue.front() else {
+                continue;
+            };
+            if self.place_queued(now_us, id, outputs) {
+                self.count_grant(priority);
+                return true;
+            }
+        }
+        false
+    }
+
+    fn count_grant(&mut self, priority: Priority) {
+        match priority {
+            Priority::Critical => self.browse_credit += self.config.limits.browse_percent,
+            Priority::Browse => {
+                self.browse_credit = self.browse_credit.saturating_sub(ROUND_PERCENT);
+            }
+        }
+    }
+
+    /// Tries to forward a request that waits; `true` when it left the queue.
+    fn place_queued(&mut self, now_us: TimeUs, id: RequestId, outputs: &mut Vec<Output>) -> bool {
+        let Some(request) = self.requests.remove(&id) else {
+            return false;
+        };
+        let choice = self.choose(now_us, &request);
+        self.requests.insert(id, request);
+        match choice {
+            Ok(upstream) => {
+                self.dequeue(id);
+                self.forward(now_us, id, upstream, outputs);
+                true
+            }
+            Err(refusal @ (Refusal::Overloaded | Refusal::NoCapacity)) => {
+                if let Some(request) = self.requests.get_mut(&id) {
+                    request.blocked = refusal;
+                }
+                false
+            }
+            Err(refusal) => {
+                self.dequeue(id);
+                self.settle(id, refusal, outputs);
+                true
+            }
+        }
+    }
+
+    fn expire(&mut self, now_us: TimeUs, outputs: &mut Vec<Output>) {
+        while let Some(&(deadline_us, id)) = self.deadlines.first() {
+            if !deadline_us.reached(now_us) {
+                return;
+            }
+            let refusal = match self.requests.get(&id).map(|request| request.blocked) {
+                Some(Refusal::NoCapacity) => Refusal::NoCapacity,
+                _ => Refusal::Deadline,
+            };
+            self.dequeue(id);
+            self.settle(id, refusal, outputs);
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/table.rs
@@ -0,0 +1,322 @@
+//! Services, regions and upstreams, by index.
+
+use crate::{
+    queue::Queue,
+    room::{LinkRoom, RegionRoom},
+    upstream::{Place, Upstream},
+};
+use std::collections::BTreeMap;
+use types::{
+    DomainName, Priority, RegionName, ResourceName, ServiceName, ServiceSpec, UpstreamName,
+};
+
+/// The cost of another failure domain of the entry's own region, as a delay.
+const OWN_REGION_COST_US: u64 = 1;
+/// The cost of a region without a declared link.
+const UNLINKED_COST_US: u64 = 1_000_000;
+
+/// A region.
+#[derive(Debug)]
+pub(crate) struct Region {
+    /// Its name.
+    pub(crate) name: RegionName,
+    /// This entry's use of it.
+    pub(crate) room: RegionRoom,
+    /// This entry's use of the link from there to its own region.
+    pub(crate) link: LinkRoom,
+    /// The one-way delay from the entry's own region, where a link is declared.
+    pub(crate) delay_us: Option<u64>,
+}
+
+/// Upstreams of one service that cost the entry the same.
+#[derive(Debug)]
+pub(crate) struct Group {
+    /// The region's index.
+    pub(crate) region: usize,
+    /// Whether it is the entry's own failure domain.
+    pub(crate) own_domain: bool,
+    /// The order of choice.
+    pub(crate) cost_us: u64,
+    /// All upstreams.
+    pub(crate) members: Vec<usize>,
+    /// Those that take one more request.
+    pub(crate) open: Vec<usize>,
+    /// Those that take new work at all.
+    pub(crate) usable: usize,
+    /// Where the next round begins.
+    pub(crate) cursor: usize,
+}
+
+/// A service.
+#[derive(Debug)]
+pub(crate) struct Service {
+    /// Its name.
+    pub(crate) name: ServiceName,
+    /// Whether it is declared now.
+    pub(crate) declared: bool,
+    /// Its place under overload.
+    pub(crate) priority: Priority,
+    /// The size of an answer for which room on a link is kept.
+    pub(crate) answer_bytes: u64,
+    /// The regions that may run it.
+    pub(crate) regions: Vec<usize>,
+    /// Its upstreams, nearest first.
+    pub(crate) groups: Vec<Group>,
+    /// Requests that wait.
+    pub(crate) queue: Queue,
+}
+
+impl Service {
+    /// Upstreams that take new work at all.
+    pub(crate) fn usable(&self) -> usize {
+        self.groups.iter().map(|group| group.usable).sum()
+    }
+}
+
+/// Services, regions and upstreams, by index.
+#[derive(Debug)]
+pub(crate) struct Table {
+    /// The entry's failure domain; its region has index 0.
+    pub(crate) own_domain: DomainName,
+    /// Every region named so far.
+    pub(crate) regions: Vec<Region>,
+    /// Every service declared so far.
+    pub(crate) services: Vec<Service>,
+    /// Every upstream announced so far; the place of one that is gone is used again.
+    pub(crate) upstreams: Vec<Upstream>,
+    /// Declared links by resource.
+    pub(crate) links: BTreeMap<ResourceName, (usize, usize, u64)>,
+    region_ids: BTreeMap<RegionName, usize>,
+    service_ids: BTreeMap<ServiceName, usize>,
+    upstream_ids: BTreeMap<UpstreamName, usize>,
+    vacant: Vec<usize>,
+}
+
+/// The index of the entry's own region.
+pub(crate) const OWN_REGION: usize = 0;
+
+impl Table {
+    /// A table that knows the entry's own region only.
+    pub(crate) fn new(region: &RegionName, domain: &DomainName) -> Self {
+        let mut table = Self {
+            own_domain: domain.clone(),
+            regions: Vec::new(),
+            services: Vec::new(),
+            upstreams: Vec::new(),
+            links: BTreeMap::new(),
+            region_ids: BTreeMap::new(),
+            service_ids: BTreeMap::new(),
+            upstream_ids: BTreeMap::new(),
+            vacant: Vec::new(),
+        };
+        table.region_id(region);
+        table
+    }
+
+    /// The region's index; a name seen for the first time gets one.
+    pub(crate) fn region_id(&mut self, name: &RegionName) -> usize {
+        if let Some(&id) = self.region_ids.get(name) {
+            return id;
+        }
+        let id = self.regions.len();
+        self.regions.push(Region {
+            name: name.clone(),
+            room: RegionRoom::default(),
+            link: LinkRoom::default(),
+            delay_us: None,
+        });
+        self.region_ids.insert(name.clone(), id);
+        id
+    }
+
+    /// The index of a service that was declared once.
+    pub(crate) fn service_id(&self, name: &ServiceName) -> Option<usize> {
+        self.service_ids.get(name).copied()
+    }
+
+    /// The index of an upstream that is known.
+    pub(crate) fn upstream_id(&self, name: &UpstreamName) -> Option<usize> {
+        self.upstream_ids.get(name).copied()
+    }
+
+    /// Stores what is declared of a service and lists its upstreams anew.
+    pub(crate) fn declare_service(&mut self, name: &ServiceName, spec: &ServiceSpec) -> usize {
+        let regions = spec.regions.iter().map(|r| self.region_id(r)).collect();
+        let id = self.service_ids.get(name).copied().unwrap_or_else(|| {
+            let id = self.services.len();
+            self.service_ids.insert(name.clone(), id);
+            self.services.push(Service {
+                name: name.clone(),
+                declared: true,
+                priority: spec.priority,
+                answer_bytes: 0,
+                regions: Vec::new(),
+                groups: Vec::new(),
+                queue: Queue::new(),
+            });
+            id
+        });
+        let service = &mut self.services[id];
+        service.declared = true;
+        service.priority = spec.priority;
+        service.answer_bytes = spec.answer_bytes;
+        service.regions = regions;
+        self.list_upstreams(id);
+        id
+    }
+
+    /// Stores an upstream that is new.
+    pub(crate) fn insert_upstream(&mut self, upstream: Upstream) -> usize {
+        let name = upstream.name.clone();
+        let id = match self.vacant.pop() {
+            Some(id) => {
+                self.upstreams[id] = upstream;
+                id
+            }
+            None => {
+                self.upstreams.push(upstream);
+                self.upstreams.len() - 1
+            }
+        };
+        self.upstream_ids.insert(name, id);
+        id
+    }
+
+    /// Forgets an upstream that is gone and has nothing in flight.
+    pub(crate) fn forget_upstream(&mut self, id: usize) {
+        let upstream = &self.upstreams[id];
+        if upstream.present || upstream.in_flight > 0 {
+            return;
+        }
+        let name = upstream.name.clone();
+        self.unlist(id);
+        if self.upstream_ids.remove(&name).is_some() {
+            self.vacant.push(id);
+        }
+    }
+
+    /// Sets the delays that the declared links give and orders every service's groups.
+    pub(crate) fn apply_links(&mut self) {
+        for region in &mut self.regions {
+            region.delay_us = None;
+        }
+        for &(a, b, delay_us) in self.links.values() {
+            match (a, b) {
+                (OWN_REGION, other) | (other, OWN_REGION) => {
+                    self.regions[other].delay_us = Some(delay_us);
+                }
+                _ => {}
+            }
+        }
+        for id in 0..self.services.len() {
+            self.list_upstreams(id);
+        }
+    }
+
+    fn list_upstreams(&mut self, service: usize) {
+        self.services[service].groups.clear();
+        let name = self.services[service].name.clone();
+        let mut groups: Vec<Group> = Vec::new();
+        for &region in &self.services[service].regions {
+            let delay_us = self.regions[region].delay_us.unwrap_or(UNLINKED_COST_US);
+            let costs = match region {
+                OWN_REGION => vec![(true, 0), (false, OWN_REGION_COST_US)],
+                _ => vec![(false, delay_us)],
+            };
+            groups.extend(costs.into_iter().map(|(own_domain, cost_us)| Group {
+                region,
+                own_domain,
+                cost_us,
+                members: Vec::new(),
+                open: Vec::new(),
+                usable: 0,
+                cursor: 0,
+            }));
+        }
+        groups.sort_by_key(|group| (group.cost_us, group.region));
+        self.services[service].groups = groups;
+        for id in 0..self.upstreams.len() {
+            if self.upstreams[id].service == name {
+                self.upstreams[id].place = None;
+                self.list(id);
+            }
+        }
+    }
+
+    /// Lists an upstream in its service's group, if the service may run there.
+    pub(crate) fn list(&mut self, id: usize) {
+        self.unlist(id);
+        let upstream = &self.upstreams[id];
+        let own_domain =
+            upstream.region == OWN_REGION && upstream.failure_domain == self.own_domain;
+        let Some(service) = self.service_id(&upstream.service) else {
+            return;
+        };
+        let group = self.services[service]
+            .groups
+            .iter()
+            .position(|g| g.region == upstream.region && g.own_domain == own_domain);
+        let Some(group) = group.filter(|_| upstream.present) else {
+            return;
+        };
+        let usable = usize::from(upstream.is_usable());
+        self.upstreams[id].place = Some(Place {
+            service,
+            group,
+            open: None,
+        });
+        let group = &mut self.services[service].groups[group];
+        group.members.push(id);
+        group.usable += usable;
+        self.refresh(id);
+    }
+
+    /// Removes an upstream from its group.
+    pub(crate) fn unlist(&mut self, id: usize) {
+        self.close(id);
+        let Some(place) = self.upstreams[id].place.take() else {
+            return;
+        };
+        let usable = usize::from(self.upstreams[id].is_usable());
+        let group = &mut self.services[place.service].groups[place.group];
+        group.members.retain(|&member| member != id);
+        group.usable -= usable;
+    }
+
+    /// Puts an upstream on or off its group's list of those with room.
+    pub(crate) fn refresh(&mut self, id: usize) {
+        let upstream = &self.upstreams[id];
+        let Some(place) = upstream.place else { return };
+        match (upstream.has_room(), place.open) {
+            (true, None) => {
+                let open = &mut self.services[place.service].groups[place.group].open;
+                open.push(id);
+                let position = open.len() - 1;
+                self.upstreams[id].place = Some(Place {
+                    open: Some(position),
+                    ..place
+                });
+            }
+            (false, Some(_)) => self.close(id),
+            _ => {}
+        }
+    }
+
+    fn close(&mut self, id: usize) {
+        let Some(place) = self.upstreams[id].place else {
+            return;
+        };
+        let Some(position) = place.open else { return };
+        let open = &mut self.services[place.service].groups[place.group].open;
+        open.swap_remove(position);
+        if let Some(&moved) = open.get(position)
+            && let Some(moved_place) = &mut self.upstreams[moved].place
+        {
+            moved_place.open = Some(position);
+        }
+        self.upstreams[id].place = Some(Place {
+            open: None,
+            ..place
+        });
+    }
+}
--- /dev/null
+++ b/crates/route/tests/admission.rs
@@ -0,0 +1,159 @@
+//! Slots, shares, queues and the order of choice.
+
+mod common;
+
+use common::{Bench, Step, announcement, config, of, region};
+use route::{Fallback, Input, Limits, Output, Policy, Settled};
+use strum::IntoEnumIterator;
+use types::{DrainTarget, Outcome, Refusal, TimeUs, UpstreamState};
+
+fn refusal(step: &Step) -> Option<Refusal> {
+    match step {
+        Step::Settled(Settled {
+            outcome: Outcome::DidNotRun,
+            refusal,
+        }) => *refusal,
+        _ => None,
+    }
+}
+
+#[test]
+fn the_nearest_upstream_with_room_is_chosen() {
+    for policy in Policy::iter() {
+        let mut bench = Bench::new(config().with_policy(policy));
+        bench.upstream("far", "browse", "there-a", 1);
+        bench.upstream("beside", "browse", "here-b", 1);
+        bench.upstream("near", "browse", "here-a", 1);
+        for name in ["near", "beside", "far"] {
+            let (_, step) = bench.arrive("browse", true);
+            assert_eq!(step, Step::Forwarded(name.into()), "{policy}");
+        }
+        assert_eq!(bench.arrive("browse", true).1, Step::Nothing, "{policy}");
+    }
+}
+
+#[test]
+fn only_ready_upstreams_that_no_drain_names_get_work() {
+    let mut bench = Bench::new(config());
+    for state in [UpstreamState::Starting, UpstreamState::Leaving] {
+        let mut said = announcement("browse", "here-a", 3);
+        said.state = state;
+        bench.announce("near", &said);
+        let (_, step) = bench.arrive("browse", true);
+        assert_eq!(refusal(&step), Some(Refusal::NoUpstream));
+    }
+    bench.upstream("near", "browse", "here-a", 3);
+    for target in [
+        DrainTarget::Upstream("near".parse().unwrap()),
+        DrainTarget::FailureDomain("here-a".parse().unwrap()),
+        DrainTarget::Region(region("here")),
+    ] {
+        bench.drain(target);
+        let (_, step) = bench.arrive("browse", true);
+        assert_eq!(refusal(&step), Some(Refusal::NoUpstream));
+    }
+}
+
+#[test]
+fn a_full_queue_refuses_and_a_deadline_ends_the_wait() {
+    let limits = Limits {
+        queue_requests: 1,
+        ..Limits::default()
+    };
+    let mut bench = Bench::new(config().with_limits(limits));
+    bench.upstream("near", "browse", "here-a", 1);
+    bench.arrive("browse", true);
+    let (second, _) = bench.arrive("browse", true);
+    let (_, step) = bench.arrive("browse", true);
+    assert_eq!(refusal(&step), Some(Refusal::Overloaded));
+    bench.now_us = bench.now_us.after_ms(1_000);
+    let outputs = bench.step(Input::Tick);
+    assert_eq!(refusal(&of(second, &outputs)), Some(Refusal::Deadline));
+}
+
+#[test]
+fn a_share_bounds_its_region_until_it_expires() {
+    let mut bench = Bench::new(config());
+    bench.upstream("near", "browse", "here-a", 9);
+    let expires_us = bench.now_us.after_ms(100);
+    bench.share("here", 2, expires_us);
+    let (first, _) = bench.arrive("browse", true);
+    bench.arrive("browse", true);
+    let (third, step) = bench.arrive("browse", true);
+    assert_eq!(step, Step::Nothing);
+    bench.now_us = expires_us;
+    assert!(bench.finish(first).is_empty());
+    let outputs = bench.share("here", 2, expires_us.after_ms(100));
+    assert_eq!(of(third, &outputs), Step::Forwarded("near".into()));
+}
+
+#[test]
+fn without_any_share_the_fallback_holds() {
+    let mut bench = Bench::new(config().with_fallback(Fallback::Zero));
+    bench.upstream("near", "browse", "here-a", 9);
+    assert_eq!(bench.arrive("browse", true).1, Step::Nothing);
+    bench.now_us = bench.now_us.after_ms(1_000);
+    let outputs = bench.step(Input::Tick);
+    assert!(matches!(
+        outputs[..],
+        [Output::Settle {
+            settled: Settled {
+                refusal: Some(Refusal::NoCapacity),
+                ..
+            },
+            ..
+        }]
+    ));
+}
+
+#[test]
+fn a_link_share_bounds_the_rate_of_answers() {
+    let mut bench = Bench::new(config());
+    bench.upstream("far", "browse", "there-a", 99);
+    let expires_us = bench.now_us.after_ms(10_000);
+    bench.step(Input::LinkShare {
+        from: &region("there"),
+        to: &region("here"),
+        kbps: 8_000,
+        expires_us,
+    });
+    let mut forwarded = 0;
+    for _ in 0..100 {
+        forwarded += u64::from(bench.arrive("browse", true).1 != Step::Nothing);
+        bench.now_us = bench.now_us.after_ms(1);
+        forwarded += bench.step(Input::Tick).len() as u64;
+    }
+    let answer_us = 10_000;
+    let burst_us = Limits::default().link_burst_us;
+    assert_eq!(forwarded, (100_000 + burst_us) / answer_us + 1);
+}
+
+#[test]
+fn critical_requests_go_first_and_browsing_keeps_its_part() {
+    let mut bench = Bench::new(config());
+    bench.upstream("near", "browse", "here-a", 9);
+    bench.upstream("cash", "pay", "here-a", 9);
+    let expires_us = TimeUs(u64::MAX);
+    bench.share("here", 1, expires_us);
+    let (mut running, _) = bench.arrive("browse", true);
+    let mut queued = Vec::new();
+    for _ in 0..20 {
+        queued.push(bench.arrive("browse", true).0);
+        queued.push(bench.arrive("pay", true).0);
+    }
+    let mut browsed = 0;
+    for _ in 0..12 {
+        let outputs = bench.finish(running);
+        let [
+            Output::Forward {
+                request, upstream, ..
+            },
+        ] = &outputs[..]
+        else {
+            panic!("one grant for one free slot: {outputs:?}");
+        };
+        browsed += u32::from(upstream.as_str() == "near");
+        running = *request;
+    }
+    assert_eq!(browsed, 2, "one grant in six");
+}
--- /dev/null
+++ b/crates/route/tests/common/mod.rs
@@ -0,0 +1,178 @@
+//! A router with declared services and upstreams, driven by hand.
+
+#![allow(dead_code)]
+
+use route::{Ending, Input, Output, RequestId, Router, RouterConfig, Settled};
+use types::{
+    Announcement, DomainName, DrainSpec, DrainTarget, EntryName, LinkSpec, Priority, RegionName,
+    Resource, ResourceName, ServiceName, ServiceSpec, Spec, TimeUs, UpstreamName, UpstreamState,
+};
+
+/// A router and its clock.
+pub struct Bench {
+    pub router: Router,
+    pub now_us: TimeUs,
+    next_request: u64,
+}
+
+/// What became of an arrival or ending.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Step {
+    Forwarded(String),
+    Settled(Settled),
+    Nothing,
+}
+
+pub fn config() -> RouterConfig {
+    RouterConfig::new(
+        EntryName::new("entry-1").unwrap(),
+        region("here"),
+        DomainName::new("here-a").unwrap(),
+    )
+}
+
+pub fn region(name: &str) -> RegionName {
+    RegionName::new(name).unwrap()
+}
+
+pub fn service(name: &str) -> ServiceName {
+    ServiceName::new(name).unwrap()
+}
+
+pub fn resource(name: &str, spec: Spec) -> Resource {
+    Resource {
+        name: ResourceName::new(name).unwrap(),
+        spec,
+        version: 1,
+        revision: 1,
+    }
+}
+
+pub fn service_spec(priority: Priority) -> ServiceSpec {
+    ServiceSpec {
+        regions: vec![region("here"), region("there")],
+        idempotent: true,
+        priority,
+        deadline_ms: 1_000,
+        answer_bytes: 10_000,
+    }
+}
+
+pub fn announcement(service_name: &str, domain: &str, slots: u32) -> Announcement {
+    Announcement {
+        service: service(service_name),
+        address: "127.0.2.1:9000".parse().unwrap(),
+        region: region(domain.split('-').next().unwrap()),
+        failure_domain: DomainName::new(domain).unwrap(),
+        slots,
+        connections: 350,
+        load: 0,
+        state: UpstreamState::Ready,
+        epoch_ms: 1,
+        sequence: 1,
+    }
+}
+
+impl Bench {
+    /// Services `browse` and `pay` in regions `here` and `there`, 10 ms apart.
+    pub fn new(config: RouterConfig) -> Self {
+        let mut bench = Self {
+            router: Router::new(config),
+            now_us: TimeUs(1_000_000),
+            next_request: 0,
+        };
+        bench.declare("browse", Spec::Service(service_spec(Priority::Browse)));
+        bench.declare("pay", Spec::Service(service_spec(Priority::Critical)));
+        let link = LinkSpec {
+            a: region("here"),
+            b: region("there"),
+            limit_kbps: 300_000,
+            delay_us: 10_000,
+        };
+        bench.declare("here-there", Spec::Link(link));
+        bench
+    }
+
+    pub fn step(&mut self, input: Input<'_>) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        self.router.step(self.now_us, input, &mut outputs);
+        outputs
+    }
+
+    pub fn declare(&mut self, name: &str, spec: Spec) -> Vec<Output> {
+        self.step(Input::Declared(&resource(name, spec)))
+    }
+
+    pub fn drain(&mut self, target: DrainTarget) -> Vec<Output> {
+        self.declare("drain", Spec::Drain(DrainSpec { target }))
+    }
+
+    pub fn announce(&mut self, name: &str, announcement: &Announcement) -> Vec<Output> {
+        let name = UpstreamName::new(name).unwrap();
+        self.step(Input::Upstream {
+            name: &name,
+            announcement,
+        })
+    }
+
+    pub fn upstream(&mut self, name: &str, service: &str, domain: &str, slots: u32) {
+        self.announce(name, &announcement(service, domain, slots));
+    }
+
+    pub fn share(&mut self, name: &str, slots: u32, expires_us: TimeUs) -> Vec<Output> {
+        self.step(Input::Share {
+            region: &region(name),
+            slots,
+            expires_us,
+        })
+    }
+
+    pub fn arrive(&mut self, service_name: &str, idempotent: bool) -> (RequestId, Step) {
+        let deadline_us = self.now_us.after_ms(1_000);
+        self.arrive_until(service_name, idempotent, deadline_us)
+    }
+
+    pub fn arrive_until(
+        &mut self,
+        service_name: &str,
+        idempotent: bool,
+        deadline_us: TimeUs,
+    ) -> (RequestId, Step) {
+        self.next_request += 1;
+        let request = RequestId(self.next_request);
+        let outputs = self.step(Input::Arrive {
+            request,
+            service: &service(service_name),
+            deadline_us,
+            idempotent,
+        });
+        (request, of(request, &outputs))
+    }
+
+    pub fn end(&mut self, request: RequestId, ending: Ending) -> Vec<Output> {
+        self.step(Input::Ended { request, ending })
+    }
+
+    pub fn finish(&mut self, request: RequestId) -> Vec<Output> {
+        self.end(request, Ending::Finished { status: 200 })
+    }
+}
+
+/// What the outputs say of a request.
+pub fn of(request: RequestId, outputs: &[Output]) -> Step {
+    for output in outputs {
+        match output {
+            Output::Forward {
+                request: id,
+                upstream,
+                ..
+            } if *id == request => return Step::Forwarded(upstream.to_string()),
+            Output::Settle {
+                request: id,
+                settled,
+            } if *id == request => return Step::Settled(*settled),
+            _ => {}
+        }
+    }
+    Step::Nothing
+}
