Make the all-knowing chooser a limit

It now keeps its queue by the entries' regions, sends far only when the near wait is longer than the way and no near request wants the slot, and refuses what its known work can't finish in time. Attempts now end at the caller's deadline in every run.

--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -38,8 +38,10 @@
     pub outcomes: Outcomes,
     /// Requests finished in the measured time, in percent of what all slots could.
     pub finished_percent: f64,
-    /// Least part of a region's capacity not in use, in percent.
+    /// Least part of a region's capacity that no running request took, in percent.
     pub region_headroom_percent: f64,
+    /// The same with requests and answers on their way, as the entries count.
+    pub share_headroom_percent: f64,
     /// Least part of a link's rate not in use within 100 ms, in percent.
     pub link_headroom_percent: f64,
     /// From the drain to the end of the last request there.
@@ -68,6 +70,8 @@
     pub second_runs: u64,
     /// Least room of a region so far, in percent.
     pub region_headroom_percent: f64,
+    /// The same as the entries count.
+    pub share_headroom_percent: f64,
     /// From the drain to the end of the last request there.
     pub drain_us: Option<u64>,
 }
@@ -87,6 +91,7 @@
             forwarded: 0,
             second_runs: 0,
             region_headroom_percent: 100.0,
+            share_headroom_percent: 100.0,
             drain_us: None,
         }
     }
@@ -105,6 +110,16 @@
         }
     }
 
+    /// Notes the room of a region that running requests leave.
+    pub fn note_region_headroom(&mut self, percent: f64) {
+        self.region_headroom_percent = self.region_headroom_percent.min(percent);
+    }
+
+    /// Notes the room of a region that requests in flight leave.
+    pub fn note_share_headroom(&mut self, percent: f64) {
+        self.share_headroom_percent = self.share_headroom_percent.min(percent);
+    }
+
     /// The latency of finished requests.
     #[must_use]
     pub fn latency(&self) -> Latency {
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -297,6 +297,7 @@
         outcomes: measure.outcomes,
         finished_percent: 100.0 * measure.finished_in_time as f64 / measured_s / capacity,
         region_headroom_percent: measure.region_headroom_percent,
+        share_headroom_percent: measure.share_headroom_percent,
         link_headroom_percent: links
             .map(Link::least_headroom_percent)
             .fold(100.0, f64::min),
--- a/crates/lab/src/shares.rs
+++ b/crates/lab/src/shares.rs
@@ -57,7 +57,13 @@
     /// The part of the capacity that is not in use, in percent.
     #[must_use]
     pub fn headroom_percent(&self) -> f64 {
-        100.0 - 100.0 * f64::from(self.in_flight()) / f64::from(self.capacity_slots)
+        self.headroom_of(self.in_flight())
+    }
+
+    /// The part of the capacity that so many requests leave, in percent.
+    #[must_use]
+    pub fn headroom_of(&self, requests: u32) -> f64 {
+        100.0 - 100.0 * f64::from(requests) / f64::from(self.capacity_slots)
     }
 
     /// Hands out the whole capacity to the entries that are up, by use.
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -157,6 +157,7 @@
             region: self.site.entry_regions[request.entry],
             domain: names::entry_domain(request.entry),
             deadline_us: request.deadline_us,
+            work_us: request.work_us,
         }
     }
 
@@ -181,12 +182,12 @@
 
     /// Lets the all-knowing chooser place what it can.
     pub fn grant_all(&mut self, now_us: u64, service: usize) {
-        let mean_us = self.site.services[service].mean_us;
+        let way_us = self.site.domain_delay_us;
         loop {
             let Front::AllKnowing(chooser) = &mut self.front else {
                 return;
             };
-            if let Some(request) = chooser.expired(now_us, service, mean_us) {
+            if let Some(request) = chooser.expired(now_us, service, way_us) {
                 self.close(now_us, request, Outcome::DidNotRun, 0);
                 continue;
             }
@@ -204,11 +205,11 @@
         request.in_flight = true;
         self.measure.attempts += 1;
         self.measure.forwarded += u64::from(request.attempt == 1);
-        let (entry, attempt) = (request.entry, request.attempt);
+        let (entry, attempt, deadline_us) = (request.entry, request.attempt, request.deadline_us);
+        self.end_at(deadline_us, id, attempt, EndingCode::Broken);
         let region = &mut self.regions[self.workers[worker].region];
         region.begin(entry);
-        let headroom = region.headroom_percent();
-        self.measure.region_headroom_percent = self.measure.region_headroom_percent.min(headroom);
+        self.measure.note_share_headroom(region.headroom_percent());
         let at_us = self.way_us(now_us, entry, worker, REQUEST_BYTES, true);
         self.events.push(
             at_us,
@@ -263,6 +264,7 @@
             return;
         };
         self.held[worker].push((id, attempt));
+        self.note_running(self.workers[worker].region);
         self.requests[id].runs += 1;
         let idempotent = self.site.services[request.service].idempotent;
         self.measure.second_runs += u64::from(request.runs > 0 && !idempotent);
@@ -275,6 +277,13 @@
         self.events.push(now_us + run_us, done);
     }
 
+    fn note_running(&mut self, region: usize) {
+        let here = self.workers.iter().filter(|w| w.region == region);
+        let running = here.map(|worker| worker.running).sum();
+        let headroom = self.regions[region].headroom_of(running);
+        self.measure.note_region_headroom(headroom);
+    }
+
     fn end_at(&mut self, at_us: u64, request: usize, attempt: u32, ending: EndingCode) {
         let event = Event::AttemptEnded {
             request,
@@ -334,7 +343,7 @@
             }
             Front::AllKnowing(chooser) => match ending {
                 EndingCode::Finished(_) => {}
-                EndingCode::Broken if !idempotent => {
+                EndingCode::Broken if !idempotent || request.deadline_us <= now_us => {
                     self.close(now_us, id, Outcome::Unknown, 0);
                 }
                 EndingCode::NotSent | EndingCode::Refused | EndingCode::Broken => {
