Add the entry: its core, its listeners and the task that owns it

Cause: callers and upstreams need a process to talk to. The core joins the configuration lease, the table of upstreams and the router without input or output; the daemon's task owns it and the sockets stay with tasks of their own. The lease is renewed by the answers of a majority of replicas, not by a leader: renewal by the leader was ruled out because every election would let entries run out, renewal through a peer because it adds a hop whose age must be bounded too.

--- /dev/null
+++ b/crates/daemon/src/entry/actor.rs
@@ -0,0 +1,456 @@
+//! The task that owns an entry's core.
+
+use crate::{
+    clock::Clock,
+    entry::{
+        convert,
+        links::Links,
+        metrics::{EntryMetrics, Settlement},
+    },
+};
+use entry::{Arrival, EntryCore, Input, Output};
+use kameo::{
+    Actor, Reply,
+    actor::{ActorRef, WeakActorRef},
+    error::Infallible,
+    message::{Context, Message},
+};
+use link::{Event, Replies};
+use member::{Announced, EXPIRES_WITHIN_MS, RENEW_WITHIN_MS};
+use route::{Ending, RequestId, Settled};
+use slog::{Logger, info, warn};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use tokio::sync::{mpsc, watch};
+use types::{
+    AnnounceAnswer, Announcement, EntryName, LookupAnswer, ReplicaName, ServiceName, TimeUs,
+    UpstreamName,
+};
+use wire::peer::{Frame, frame::Body};
+
+/// What the task of a request is to do next.
+#[derive(Clone, Debug)]
+pub enum Directive {
+    /// Make an attempt.
+    Forward {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// Its address.
+        address: SocketAddr,
+        /// Counts the attempts.
+        attempt: u32,
+        /// When the attempt must have ended.
+        deadline_us: TimeUs,
+    },
+    /// Tell the caller.
+    Settle(Settled),
+    /// Drop the attempt under way.
+    Cancel,
+}
+
+/// A request that the core has taken in.
+#[derive(Debug, Reply)]
+pub struct Admission {
+    /// Its name.
+    pub request: RequestId,
+    /// What to do.
+    pub directives: mpsc::UnboundedReceiver<Directive>,
+}
+
+/// What the actor is made of.
+#[derive(Debug)]
+pub struct EntryArgs {
+    /// The core.
+    pub core: EntryCore,
+    /// The clock.
+    pub clock: Clock,
+    /// The links to control replicas and other entries.
+    pub links: Links,
+    /// The counters.
+    pub metrics: Arc<EntryMetrics>,
+    /// Told when the entry may exit.
+    pub stopped: watch::Sender<bool>,
+    /// The log.
+    pub log: Logger,
+}
+
+/// Owns an entry's core.
+#[derive(Debug)]
+pub struct EntryActor {
+    args: EntryArgs,
+    requests: HashMap<RequestId, mpsc::UnboundedSender<Directive>>,
+    next_request: u64,
+    outputs: Vec<Output>,
+}
+
+impl Actor for EntryActor {
+    type Args = EntryArgs;
+    type Error = Infallible;
+
+    async fn on_start(args: Self::Args, _: ActorRef<Self>) -> Result<Self, Self::Error> {
+        Ok(Self {
+            args,
+            requests: HashMap::new(),
+            next_request: 1,
+            outputs: Vec::new(),
+        })
+    }
+
+    async fn on_panic(
+        &mut self,
+        _: WeakActorRef<Self>,
+        error: kameo::error::PanicError,
+    ) -> Result<std::ops::ControlFlow<kameo::error::ActorStopReason>, Self::Error> {
+        slog::crit!(self.args.log, "the entry's task failed"; "error" => %error);
+        Ok(std::ops::ControlFlow::Break(
+            kameo::error::ActorStopReason::Panicked(error),
+        ))
+    }
+}
+
+/// Time has passed.
+#[derive(Clone, Copy, Debug)]
+pub struct Tick;
+
+/// Stop without cutting anything off.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop;
+
+/// A caller's request has come.
+#[derive(Debug)]
+pub struct Arrive {
+    /// The service.
+    pub service: ServiceName,
+    /// How long the caller waits.
+    pub patience_ms: Option<u64>,
+}
+
+/// The upstream's answer has begun.
+#[derive(Clone, Copy, Debug)]
+pub struct Answering {
+    /// The request.
+    pub request: RequestId,
+}
+
+/// An attempt ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    /// The request.
+    pub request: RequestId,
+    /// How.
+    pub ending: Ending,
+}
+
+/// The answer to an announcement.
+#[derive(Debug, Reply)]
+pub struct Renew(pub AnnounceAnswer);
+
+/// An upstream announced itself.
+#[derive(Debug)]
+pub struct Announce {
+    /// The upstream.
+    pub name: UpstreamName,
+    /// What it says.
+    pub announcement: Announcement,
+}
+
+/// A caller asks which entries to use.
+#[derive(Debug)]
+pub struct Lookup {
+    /// The service.
+    pub service: ServiceName,
+}
+
+/// Asks for the whole state.
+#[derive(Clone, Copy, Debug)]
+pub struct Dump;
+
+/// Asks whether the entry takes work.
+#[derive(Clone, Copy, Debug)]
+pub struct Ready;
+
+/// An event of a link.
+#[derive(Debug)]
+pub struct Linked(pub Event);
+
+impl EntryActor {
+    fn now_us(&self) -> TimeUs {
+        self.args.clock.now_us()
+    }
+
+    fn step(&mut self, input: Input<'_>) {
+        let now_us = self.now_us();
+        self.args.core.step(now_us, input, &mut self.outputs);
+        self.carry_out();
+    }
+
+    fn carry_out(&mut self) {
+        for output in std::mem::take(&mut self.outputs) {
+            match output {
+                Output::Poll {
+                    replica,
+                    serial,
+                    applied_index,
+                } => {
+                    let poll = convert::poll(&self.args.links.own_name, applied_index);
+                    self.args.links.send_replica(
+                        &replica,
+                        Frame {
+                            serial,
+                            body: Some(poll),
+                        },
+                    );
+                }
+                Output::Sync {
+                    peer,
+                    serial,
+                    since_version,
+                } => {
+                    let body = Some(Body::Sync(wire::peer::Sync { since_version }));
+                    self.args.links.send_peer(&peer, Frame { serial, body });
+                }
+                Output::Peers(peers) => {
+                    if let Err(error) = self.args.links.declare_peers(&peers) {
+                        warn!(self.args.log, "dialing entries failed"; "error" => %error);
+                    }
+                }
+                Output::Route(output) => self.direct(output),
+                Output::LeaseChanged { held } => {
+                    info!(self.args.log, "configuration lease changed"; "held" => held);
+                    self.args.metrics.lease_held.set(i64::from(held));
+                }
+                Output::ConfigChanged { applied_index } => {
+                    let index = i64::try_from(applied_index).unwrap_or(i64::MAX);
+                    self.args.metrics.applied_index.set(index);
+                }
+                Output::Stopped => {
+                    self.args.stopped.send_replace(true);
+                }
+            }
+        }
+    }
+
+    fn direct(&mut self, output: route::Output) {
+        match output {
+            route::Output::Forward {
+                request,
+                upstream,
+                address,
+                attempt,
+                deadline_us,
+                ..
+            } => {
+                let directive = Directive::Forward {
+                    upstream,
+                    address,
+                    attempt,
+                    deadline_us,
+                };
+                self.tell(request, directive);
+            }
+            route::Output::Settle { request, settled } => {
+                self.args.metrics.count(Settlement::of(settled));
+                self.tell(request, Directive::Settle(settled));
+                self.requests.remove(&request);
+            }
+            route::Output::Cancel { request } => self.tell(request, Directive::Cancel),
+        }
+    }
+
+    fn tell(&self, request: RequestId, directive: Directive) {
+        if let Some(directives) = self.requests.get(&request) {
+            let _ = directives.send(directive);
+        }
+    }
+
+    fn receive(&mut self, node: &str, frame: Frame, replies: &Replies) {
+        let serial = frame.serial;
+        match frame.body {
+            Some(Body::Sync(sync)) => {
+                let now_us = self.now_us();
+                let answer = self.args.core.sync_answer(now_us, sync.since_version);
+                let stopping = self.args.core.is_stopping();
+                let body = Some(Body::SyncAnswer(wire::sync_to_wire(&answer, stopping)));
+                let _ = replies.try_send(Frame { serial, body });
+            }
+            Some(Body::SyncAnswer(answer)) => self.sync_answered(node, serial, answer),
+            Some(Body::PollAnswer(answer)) => self.poll_answered(node, serial, answer),
+            _ => {
+                self.args.metrics.malformed_frames.inc();
+            }
+        }
+    }
+
+    fn sync_answered(&mut self, node: &str, serial: u64, answer: wire::peer::SyncAnswer) {
+        let stopping = answer.stopping;
+        let (Ok(peer), Ok(answer)) = (EntryName::new(node), wire::sync_from_wire(answer)) else {
+            self.args.metrics.malformed_frames.inc();
+            return;
+        };
+        self.step(Input::SyncAnswer {
+            peer: &peer,
+            serial,
+            answer,
+            stopping,
+        });
+    }
+
+    fn poll_answered(&mut self, node: &str, serial: u64, answer: wire::peer::PollAnswer) {
+        let (Ok(replica), Ok(answer)) = (ReplicaName::new(node), convert::replica_answer(answer))
+        else {
+            self.args.metrics.malformed_frames.inc();
+            return;
+        };
+        self.step(Input::PollAnswer {
+            replica: &replica,
+            serial,
+            answer,
+        });
+    }
+}
+
+impl Message<Tick> for EntryActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Tick, _: &mut Context<Self, Self::Reply>) {
+        self.step(Input::Tick);
+    }
+}
+
+impl Message<Stop> for EntryActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Stop, _: &mut Context<Self, Self::Reply>) {
+        info!(self.args.log, "stopping");
+        self.step(Input::Stop);
+    }
+}
+
+impl Message<Arrive> for EntryActor {
+    type Reply = Admission;
+
+    async fn handle(
+        &mut self,
+        Arrive {
+            service,
+            patience_ms,
+        }: Arrive,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        let request = RequestId(self.next_request);
+        self.next_request += 1;
+        let (sender, directives) = mpsc::unbounded_channel();
+        self.requests.insert(request, sender);
+        self.step(Input::Arrive(Arrival {
+            request,
+            service: &service,
+            patience_ms,
+        }));
+        Admission {
+            request,
+            directives,
+        }
+    }
+}
+
+impl Message<Answering> for EntryActor {
+    type Reply = ();
+
+    async fn handle(
+        &mut self,
+        Answering { request }: Answering,
+        _: &mut Context<Self, Self::Reply>,
+    ) {
+        self.step(Input::Answering { request });
+    }
+}
+
+impl Message<Ended> for EntryActor {
+    type Reply = ();
+
+    async fn handle(
+        &mut self,
+        Ended { request, ending }: Ended,
+        _: &mut Context<Self, Self::Reply>,
+    ) {
+        if let Some(settlement) = Settlement::ended(ending) {
+            self.args.metrics.count(settlement);
+            self.requests.remove(&request);
+        }
+        self.step(Input::Ended { request, ending });
+    }
+}
+
+impl Message<Announce> for EntryActor {
+    type Reply = Renew;
+
+    async fn handle(
+        &mut self,
+        Announce { name, announcement }: Announce,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        let now_us = self.now_us();
+        match self
+            .args
+            .core
+            .announce(now_us, &name, &announcement, &mut self.outputs)
+        {
+            Announced::Accepted => self.args.metrics.announcements.inc(),
+            Announced::Outdated => self.args.metrics.outdated_announcements.inc(),
+        };
+        self.carry_out();
+        Renew(AnnounceAnswer {
+            renew_within_ms: RENEW_WITHIN_MS,
+            expires_within_ms: EXPIRES_WITHIN_MS,
+        })
+    }
+}
+
+impl Message<Lookup> for EntryActor {
+    type Reply = Option<LookupAnswer>;
+
+    async fn handle(
+        &mut self,
+        Lookup { service }: Lookup,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        self.args.metrics.lookups.inc();
+        self.args.core.lookup(self.now_us(), &service)
+    }
+}
+
+impl Message<Dump> for EntryActor {
+    type Reply = Result<serde_json::Value, serde_json::Error>;
+
+    async fn handle(&mut self, _: Dump, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        serde_json::to_value(self.args.core.dump(self.now_us()))
+    }
+}
+
+impl Message<Ready> for EntryActor {
+    type Reply = bool;
+
+    async fn handle(&mut self, _: Ready, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.args.core.is_ready(self.now_us())
+    }
+}
+
+impl Message<Linked> for EntryActor {
+    type Reply = ();
+
+    async fn handle(&mut self, Linked(event): Linked, _: &mut Context<Self, Self::Reply>) {
+        match event {
+            Event::Up { .. } => {}
+            Event::Frame {
+                peer,
+                frame,
+                replies,
+                ..
+            } => self.receive(&peer.node, frame, &replies),
+            Event::Down { peer, .. } => {
+                if let Ok(peer) = EntryName::new(&peer.node) {
+                    self.step(Input::PeerDown { peer: &peer });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/convert.rs
@@ -0,0 +1,61 @@
+//! Conversion between an entry's core and the wire.
+
+use entry::{ConfigChange, ReplicaAnswer};
+use thiserror::Error;
+use types::{EntryName, InvalidName, Key, ResourceName};
+use wire::peer::{Change, Poll, PollAnswer, frame::Body};
+
+/// A poll answer that breaks its rules.
+#[derive(Debug, Error)]
+pub enum ConvertError {
+    /// A name is invalid.
+    #[error(transparent)]
+    Name(#[from] InvalidName),
+    /// A kind is unknown.
+    #[error("unknown kind of resource: {0}")]
+    Kind(#[from] strum::ParseError),
+    /// A resource is no valid JSON.
+    #[error("invalid resource: {0}")]
+    Resource(#[from] serde_json::Error),
+}
+
+/// A poll for changes after `applied_index`.
+pub fn poll(entry: &EntryName, applied_index: u64) -> Body {
+    Body::Poll(Poll {
+        entry: entry.to_string(),
+        applied_index,
+    })
+}
+
+/// The answer to a poll.
+pub fn replica_answer(answer: PollAnswer) -> Result<ReplicaAnswer, ConvertError> {
+    Ok(ReplicaAnswer {
+        last_index: answer.last_index,
+        applied_index: answer.applied_index,
+        membership_index: answer.membership_index,
+        voters: answer.voters,
+        votes: answer.votes,
+        complete: answer.complete,
+        changes: answer
+            .changes
+            .iter()
+            .map(change)
+            .collect::<Result<_, _>>()?,
+    })
+}
+
+fn change(change: &Change) -> Result<ConfigChange, ConvertError> {
+    let key = Key {
+        kind: change.kind.parse()?,
+        name: ResourceName::new(&change.name)?,
+    };
+    let resource = match change.resource_json.as_slice() {
+        [] => None,
+        json => Some(serde_json::from_slice(json)?),
+    };
+    Ok(ConfigChange {
+        revision: change.revision,
+        key,
+        resource,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/entry/http.rs
@@ -0,0 +1,340 @@
+//! The HTTP interface of an entry.
+
+use crate::{
+    clock::Clock,
+    entry::{
+        actor::{
+            Admission, Announce, Answering, Arrive, Directive, Dump, Ended, EntryActor, Lookup,
+            Ready,
+        },
+        forward::{Attempt, Call, Target, attempt, strip_connection_headers},
+        metrics::EntryMetrics,
+        pool::{Connection, Pool},
+        relay::{Relay, RelayedBody, RequestGuard},
+    },
+    http::{Body, error, json, read_body, text},
+};
+use http_body_util::BodyExt;
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    body::Incoming,
+    header::{CACHE_CONTROL, HeaderName, HeaderValue},
+};
+use kameo::actor::ActorRef;
+use prometheus_client::registry::Registry;
+use route::Settled;
+use serde_json::json;
+use std::{sync::Arc, time::Instant};
+use tokio::sync::mpsc::UnboundedReceiver;
+use types::{ApiError, Outcome, ServiceName, UpstreamName};
+
+/// The largest body of a caller's request.
+const REQUEST_MAX_BYTES: usize = 1024 * 1024;
+
+/// The largest announcement.
+const ANNOUNCEMENT_MAX_BYTES: usize = 4 * 1024;
+
+const OUTCOME: HeaderName = HeaderName::from_static("ow-outcome");
+const REFUSAL: HeaderName = HeaderName::from_static("ow-refusal");
+const UPSTREAM: HeaderName = HeaderName::from_static("ow-upstream");
+const ATTEMPTS: HeaderName = HeaderName::from_static("ow-attempts");
+const DEADLINE_MS: HeaderName = HeaderName::from_static("ow-deadline-ms");
+
+/// What the handlers of an entry's interface need.
+#[derive(Clone, Debug)]
+pub struct EntryHttp {
+    /// The task that owns the core.
+    pub actor: ActorRef<EntryActor>,
+    /// The task that owns idle connections.
+    pub pool: ActorRef<Pool>,
+    /// The clock.
+    pub clock: Clock,
+    /// The counters.
+    pub metrics: Arc<EntryMetrics>,
+    /// Every counter of the process.
+    pub registry: Arc<Registry>,
+    /// Begins the names of attempts, unique to this run of this entry.
+    pub run: Arc<str>,
+}
+
+impl EntryHttp {
+    /// Answers a request.
+    pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        let mut parts = path.trim_start_matches('/').splitn(3, '/');
+        let route = (parts.next().unwrap_or(""), parts.next().unwrap_or(""));
+        let answer = match (route, parts.next()) {
+            (("s", service), rest) => self.forward(service, rest.unwrap_or(""), request).await,
+            (("v1", "lookup"), Some(service)) => self.lookup(service, request.method()).await,
+            (("v1", "upstreams"), Some(name)) => self.announce(name, request).await,
+            (("metrics", ""), None) => self.metrics(),
+            (("ready", ""), None) => self.ready().await,
+            (("dump", ""), None) => self.dump().await,
+            _ => Err(ApiError::NotFound),
+        };
+        answer.unwrap_or_else(|failure| error(&failure))
+    }
+
+    async fn lookup(&self, service: &str, method: &Method) -> Result<Response<Body>, ApiError> {
+        if method != Method::GET {
+            return Err(ApiError::MethodNotAllowed);
+        }
+        let service = service_name(service)?;
+        let answer = self
+            .actor
+            .ask(Lookup { service })
+            .await
+            .map_err(|_| ApiError::TooBusy)?;
+        let answer = answer.ok_or(ApiError::NotFound)?;
+        let mut response = json(StatusCode::OK, &answer);
+        let max_age = format!("max-age={}", answer.lifetime_ms / 1_000);
+        if let Ok(value) = HeaderValue::from_str(&max_age) {
+            response.headers_mut().insert(CACHE_CONTROL, value);
+        }
+        Ok(response)
+    }
+
+    async fn announce(
+        &self,
+        name: &str,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, ApiError> {
+        if request.method() != Method::PUT {
+            return Err(ApiError::MethodNotAllowed);
+        }
+        let name = UpstreamName::new(name)
+            .map_err(|invalid| ApiError::InvalidName { name: invalid.name })?;
+        let body = read_body(request.into_body(), ANNOUNCEMENT_MAX_BYTES).await?;
+        let announcement =
+            serde_json::from_slice(&body).map_err(|error| ApiError::MalformedJson {
+                reason: error.to_string(),
+            })?;
+        let renew = self.actor.ask(Announce { name, announcement }).await;
+        Ok(json(
+            StatusCode::OK,
+            &renew.map_err(|_| ApiError::TooBusy)?.0,
+        ))
+    }
+
+    fn metrics(&self) -> Result<Response<Body>, ApiError> {
+        let mut encoded = String::new();
+        prometheus_client::encoding::text::encode(&mut encoded, &self.registry)
+            .map_err(|_| ApiError::TooBusy)?;
+        Ok(text(
+            "application/openmetrics-text; version=1.0.0; charset=utf-8",
+            encoded,
+        ))
+    }
+
+    async fn ready(&self) -> Result<Response<Body>, ApiError> {
+        let ready = self.actor.ask(Ready).await.map_err(|_| ApiError::TooBusy)?;
+        if ready {
+            return Ok(json(StatusCode::OK, &json!({"ready": true})));
+        }
+        let body = json!({"ready": false, "reason": "configuration-lease"});
+        Ok(json(StatusCode::SERVICE_UNAVAILABLE, &body))
+    }
+
+    async fn dump(&self) -> Result<Response<Body>, ApiError> {
+        let dump = self.actor.ask(Dump).await.map_err(|_| ApiError::TooBusy)?;
+        Ok(json(StatusCode::OK, &dump))
+    }
+
+    async fn forward(
+        &self,
+        service: &str,
+        rest: &str,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, ApiError> {
+        let service = service_name(service)?;
+        let patience_ms = patience_ms(request.headers())?;
+        let started = Instant::now();
+        let (head, body) = request.into_parts();
+        let body = read_body(body, REQUEST_MAX_BYTES).await?;
+        let arrive = Arrive {
+            service,
+            patience_ms,
+        };
+        let admission = self
+            .actor
+            .ask(arrive)
+            .await
+            .map_err(|_| ApiError::TooBusy)?;
+        let Admission {
+            request,
+            directives,
+        } = admission;
+        let mut headers = head.headers;
+        strip_connection_headers(&mut headers);
+        let call = Call {
+            name: format!("{}-{}", self.run, request.0),
+            method: head.method,
+            uri: upstream_uri(rest, head.uri.query())?,
+            headers,
+            body,
+        };
+        let guard = RequestGuard::new(self.actor.clone(), request);
+        let response = self.carry_out(call, guard, directives).await;
+        self.metrics
+            .answer_seconds
+            .observe(started.elapsed().as_secs_f64());
+        Ok(response)
+    }
+
+    /// Makes attempts as the core directs until one answers or the request is settled.
+    async fn carry_out(
+        &self,
+        call: Call,
+        mut guard: RequestGuard,
+        mut directives: UnboundedReceiver<Directive>,
+    ) -> Response<Body> {
+        let mut attempts = 0;
+        while let Some(directive) = directives.recv().await {
+            let (upstream, target) = match directive {
+                Directive::Forward {
+                    upstream,
+                    address,
+                    attempt,
+                    deadline_us,
+                } => (
+                    upstream,
+                    Target {
+                        address,
+                        deadline_us,
+                        attempt,
+                    },
+                ),
+                Directive::Settle(settled) => {
+                    guard.settled();
+                    return refusal(settled, attempts);
+                }
+                Directive::Cancel => continue,
+            };
+            attempts = target.attempt;
+            let cancelled = cancelled(&mut directives);
+            let attempted = tokio::select! {
+                attempted = attempt(&self.pool, self.clock, &call, target) => attempted,
+                () = cancelled => Attempt::Failed(route::Ending::Broken),
+            };
+            match attempted {
+                Attempt::Answer {
+                    response,
+                    connection,
+                } => {
+                    let answer = Answer {
+                        response,
+                        connection,
+                        upstream,
+                        target,
+                    };
+                    return self.answer(answer, guard).await;
+                }
+                Attempt::Failed(ending) => {
+                    let ended = Ended {
+                        request: guard.request(),
+                        ending,
+                    };
+                    let _ = self.actor.tell(ended).await;
+                }
+            }
+        }
+        guard.settled();
+        refusal(
+            Settled {
+                outcome: Outcome::Unknown,
+                refusal: None,
+            },
+            attempts,
+        )
+    }
+
+    async fn answer(&self, answer: Answer, guard: RequestGuard) -> Response<Body> {
+        let Answer {
+            response,
+            connection,
+            upstream,
+            target,
+        } = answer;
+        let _ = self
+            .actor
+            .tell(Answering {
+                request: guard.request(),
+            })
+            .await;
+        let (mut head, incoming) = response.into_parts();
+        let relay = Relay {
+            status: head.status.as_u16(),
+            guard,
+            pool: self.pool.clone(),
+            address: target.address,
+            connection,
+            deadline: self.clock.instant(target.deadline_us),
+        };
+        strip_connection_headers(&mut head.headers);
+        mark(&mut head.headers, Outcome::Finished, target.attempt);
+        if let Ok(value) = HeaderValue::from_str(upstream.as_str()) {
+            head.headers.insert(UPSTREAM, value);
+        }
+        Response::from_parts(head, RelayedBody::new(incoming, relay).boxed())
+    }
+}
+
+/// An upstream's answer under way.
+#[derive(Debug)]
+struct Answer {
+    response: Response<Incoming>,
+    connection: Connection,
+    upstream: UpstreamName,
+    target: Target,
+}
+
+/// Resolves when the core cancels the attempt under way.
+async fn cancelled(directives: &mut UnboundedReceiver<Directive>) {
+    loop {
+        match directives.recv().await {
+            Some(Directive::Cancel) => return,
+            Some(_) => {}
+            None => std::future::pending().await,
+        }
+    }
+}
+
+fn refusal(settled: Settled, attempts: u32) -> Response<Body> {
+    let Settled { outcome, refusal } = settled;
+    let mut response = error(&ApiError::RequestRefused { outcome, refusal });
+    mark(response.headers_mut(), outcome, attempts);
+    if let Some(refusal) = refusal {
+        response
+            .headers_mut()
+            .insert(REFUSAL, HeaderValue::from_static(refusal.into()));
+    }
+    response
+}
+
+fn mark(headers: &mut HeaderMap, outcome: Outcome, attempts: u32) {
+    headers.insert(OUTCOME, HeaderValue::from_static(outcome.into()));
+    headers.insert(ATTEMPTS, HeaderValue::from(attempts));
+}
+
+fn service_name(service: &str) -> Result<ServiceName, ApiError> {
+    ServiceName::new(service).map_err(|invalid| ApiError::InvalidName { name: invalid.name })
+}
+
+fn patience_ms(headers: &HeaderMap) -> Result<Option<u64>, ApiError> {
+    let Some(value) = headers.get(DEADLINE_MS) else {
+        return Ok(None);
+    };
+    let parsed = value.to_str().ok().and_then(|text| text.parse().ok());
+    let malformed = || ApiError::MalformedHeader {
+        name: DEADLINE_MS.as_str().to_owned(),
+    };
+    parsed.map(Some).ok_or_else(malformed)
+}
+
+fn upstream_uri(rest: &str, query: Option<&str>) -> Result<Uri, ApiError> {
+    let path = match query {
+        Some(query) => format!("/{rest}?{query}"),
+        None => format!("/{rest}"),
+    };
+    path.parse().map_err(|_| ApiError::NotFound)
+}
--- /dev/null
+++ b/crates/daemon/src/entry/start.rs
@@ -0,0 +1,157 @@
+//! Starts the tasks of an entry and stops them in order.
+
+use crate::{
+    clock::Clock,
+    entry::{
+        actor::{EntryActor, EntryArgs, Linked, Stop, Tick},
+        http::EntryHttp,
+        links::Links,
+        metrics::EntryMetrics,
+        pool::Pool,
+    },
+    http::{Server, serve},
+};
+use entry::{EntryConfig, EntryCore};
+use kameo::{
+    actor::{ActorRef, Spawn},
+    mailbox,
+};
+use link::{Event, Identity, ListenerHandle, listen};
+use prometheus_client::registry::Registry;
+use route::RouterConfig;
+use settings::{EntrySettings, Settings};
+use slog::{Logger, info};
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinHandle,
+    time::{MissedTickBehavior, interval},
+};
+use types::EntryName;
+
+/// The period of the core's ticks.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Events of links that wait for the actor.
+const LINK_EVENTS: usize = 1_024;
+
+/// A running entry.
+#[derive(Debug)]
+pub struct Entry {
+    actor: ActorRef<EntryActor>,
+    server: Server,
+    listener: ListenerHandle,
+    timer: JoinHandle<()>,
+    stopped: watch::Receiver<bool>,
+}
+
+impl Entry {
+    /// Leaves the look-up answers, waits until they have run out, and finishes what is in flight.
+    pub async fn stop(mut self) {
+        let _ = self.actor.tell(Stop).await;
+        let _ = self.stopped.wait_for(|stopped| *stopped).await;
+        self.server.close().await;
+        self.timer.abort();
+        self.listener.close().await;
+        let _ = self.actor.stop_gracefully().await;
+    }
+}
+
+/// Starts an entry.
+///
+/// # Errors
+///
+/// When an address can't be listened on or the node's name is no entry's name.
+pub async fn start(
+    settings: &Settings,
+    own: &EntrySettings,
+    identity: Identity,
+    log: &Logger,
+) -> anyhow::Result<Entry> {
+    let clock = Clock::new();
+    let name = EntryName::new(&settings.node.name)?;
+    let (inbox, events) = mpsc::channel(LINK_EVENTS);
+    let listener = listen(own.peer_listen, identity.clone(), inbox.clone()).await?;
+    let links = Links::new(name.clone(), identity.clone(), inbox, &settings.replicas)?;
+    let mut registry = Registry::with_prefix("oleanderwell_entry");
+    let metrics = Arc::new(EntryMetrics::new(&mut registry));
+    let (stopped_sender, stopped) = watch::channel(false);
+    let core = core(settings, own, name, identity.incarnation, clock);
+    let actor = EntryActor::spawn_with_mailbox(
+        EntryArgs {
+            core,
+            clock,
+            links,
+            metrics: Arc::clone(&metrics),
+            stopped: stopped_sender,
+            log: log.clone(),
+        },
+        mailbox::unbounded(),
+    );
+    tokio::spawn(pass_events(events, actor.clone()));
+    let timer = tokio::spawn(tick(actor.clone()));
+    let http = EntryHttp {
+        actor: actor.clone(),
+        pool: Pool::spawn_with_mailbox(Pool::default(), mailbox::unbounded()),
+        clock,
+        metrics,
+        registry: Arc::new(registry),
+        run: format!("{}-{:x}", settings.node.name, identity.incarnation).into(),
+    };
+    let server = serve(own.listen, move |request, _| http.clone().handle(request)).await?;
+    info!(log, "entry started"; "listen" => %own.listen, "peer_listen" => %own.peer_listen);
+    Ok(Entry {
+        actor,
+        server,
+        listener,
+        timer,
+        stopped,
+    })
+}
+
+fn core(
+    settings: &Settings,
+    own: &EntrySettings,
+    name: EntryName,
+    seed: u64,
+    clock: Clock,
+) -> EntryCore {
+    let (region, failure_domain) = (
+        settings.node.region.clone(),
+        settings.node.failure_domain.clone(),
+    );
+    let router = RouterConfig::new(name.clone(), region.clone(), failure_domain.clone());
+    let router = router.with_seed(seed);
+    let config = EntryConfig {
+        name,
+        region,
+        failure_domain,
+        replicas: settings
+            .replicas
+            .iter()
+            .map(|replica| replica.name.clone())
+            .collect(),
+        lookup_lifetime_ms: own.lookup_lifetime_ms,
+        seed,
+    };
+    EntryCore::new(config, router, clock.now_us())
+}
+
+async fn pass_events(mut events: mpsc::Receiver<Event>, actor: ActorRef<EntryActor>) {
+    while let Some(event) = events.recv().await {
+        if actor.tell(Linked(event)).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn tick(actor: ActorRef<EntryActor>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if actor.tell(Tick).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http/reply.rs
@@ -0,0 +1,52 @@
+//! Answers with a body in memory.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, combinators::BoxBody};
+use hyper::{
+    Response, StatusCode,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use serde::Serialize;
+use std::io;
+use types::ApiError;
+
+/// The body of an answer.
+pub type Body = BoxBody<Bytes, io::Error>;
+
+/// An answer with a JSON body.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    match serde_json::to_vec(value) {
+        Ok(bytes) => with_body(status, "application/json", bytes),
+        Err(_) => with_body(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "application/json",
+            Vec::new(),
+        ),
+    }
+}
+
+/// An answer with a text body.
+pub fn text(content_type: &'static str, body: String) -> Response<Body> {
+    with_body(StatusCode::OK, content_type, body.into_bytes())
+}
+
+/// The answer that tells a failure.
+pub fn error(error: &ApiError) -> Response<Body> {
+    let status = StatusCode::from_u16(error.status_code());
+    json(
+        status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
+        &error.body(),
+    )
+}
+
+fn with_body(status: StatusCode, content_type: &'static str, body: Vec<u8>) -> Response<Body> {
+    let body = Full::new(Bytes::from(body))
+        .map_err(|never| match never {})
+        .boxed();
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,10 @@
 //! The daemon: sockets, files and timers round the cores of an entry and a control replica.
+
+mod clock;
+mod entry;
+mod http;
+mod log;
+mod options;
+mod run;
+
+pub use crate::run::main;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,7 @@
 //! Entry point of the daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    daemon::main()
+}
--- /dev/null
+++ b/crates/entry/src/core.rs
@@ -0,0 +1,408 @@
+//! The core that joins lease, configuration, upstreams and router.
+
+use crate::{
+    api::{Arrival, EntryConfig, Input, Output, PeerAddress, ReplicaAnswer},
+    config::{Applied, Config},
+    lease::Lease,
+    lookup::LookupView,
+    peers::{Outstanding, Peers},
+};
+use member::{Announced, Event, MemberRow, Members, PeerAnswer};
+use route::{Ending, RequestId, Router, RouterConfig, Settled};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+use types::{
+    Announcement, EntryName, LookupAnswer, Outcome, Refusal, ReplicaName, Resource, ServiceName,
+    TimeUs, UpstreamName,
+};
+
+/// The period of polls to each control replica.
+const POLL_PERIOD_MS: u64 = 250;
+
+/// The period of questions to each other entry.
+const SYNC_PERIOD_MS: u64 = 250;
+
+/// Other entries may name this one for so long after it began to stop.
+const STOP_NOTICE_MS: u64 = 1_500;
+
+/// Where an entry stands in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Running,
+    /// Out of the look-up answers; serves callers that hold an older answer until then.
+    Leaving {
+        closes_us: TimeUs,
+    },
+    /// Finishes what is in flight.
+    Closing,
+}
+
+/// The decisions of an entry.
+#[derive(Debug)]
+pub struct EntryCore {
+    own: EntryConfig,
+    config: Config,
+    lease: Lease,
+    lease_held: bool,
+    members: Members,
+    router: Router,
+    peers: Peers,
+    polls: BTreeMap<ReplicaName, Outstanding>,
+    live: BTreeSet<RequestId>,
+    phase: Phase,
+    next_serial: u64,
+    next_poll_us: TimeUs,
+    next_sync_us: TimeUs,
+    events: Vec<Event>,
+    routed: Vec<route::Output>,
+}
+
+/// An entry's whole state, for the process dump.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct EntryDump<'a> {
+    name: &'a EntryName,
+    applied_index: u64,
+    lease_left_ms: u64,
+    stopping: bool,
+    in_flight: usize,
+    upstreams: Vec<MemberRow<'a>>,
+    resources: Vec<&'a Resource>,
+}
+
+impl EntryCore {
+    /// An entry that knows nothing yet and takes no work.
+    #[must_use]
+    pub fn new(own: EntryConfig, router: RouterConfig, now_us: TimeUs) -> Self {
+        let polls = own
+            .replicas
+            .iter()
+            .map(|name| (name.clone(), Outstanding::default()));
+        Self {
+            polls: polls.collect(),
+            own,
+            config: Config::default(),
+            lease: Lease::new(),
+            lease_held: false,
+            members: Members::new(),
+            router: Router::new(router),
+            peers: Peers::default(),
+            live: BTreeSet::new(),
+            phase: Phase::Running,
+            next_serial: 1,
+            next_poll_us: now_us,
+            next_sync_us: now_us,
+            events: Vec::new(),
+            routed: Vec::new(),
+        }
+    }
+
+    /// Takes an event and appends what is to be done.
+    pub fn step(&mut self, now_us: TimeUs, input: Input<'_>, outputs: &mut Vec<Output>) {
+        match input {
+            Input::Tick => self.tick(now_us, outputs),
+            Input::PollAnswer {
+                replica,
+                serial,
+                answer,
+            } => {
+                self.poll_answered(now_us, replica, serial, answer, outputs);
+            }
+            Input::SyncAnswer {
+                peer,
+                serial,
+                answer,
+                stopping,
+            } => {
+                self.sync_answered(now_us, peer, serial, &answer, stopping);
+            }
+            Input::PeerDown { peer } => self.peer_down(peer),
+            Input::Arrive(arrival) => self.arrive(now_us, arrival, outputs),
+            Input::Answering { request } => {
+                self.route(now_us, route::Input::Answering { request });
+            }
+            Input::Ended { request, ending } => self.ended(now_us, request, ending),
+            Input::Stop => self.stop(now_us),
+        }
+        self.drain_routed(outputs);
+        self.note_lease(now_us, outputs);
+    }
+
+    /// Takes an announcement that an upstream made here.
+    pub fn announce(
+        &mut self,
+        now_us: TimeUs,
+        name: &UpstreamName,
+        announcement: &Announcement,
+        outputs: &mut Vec<Output>,
+    ) -> Announced {
+        let announced = self
+            .members
+            .announce(now_us, name, announcement, &mut self.events);
+        self.follow_members(now_us);
+        self.drain_routed(outputs);
+        announced
+    }
+
+    /// Answers another entry's question for the upstreams that were heard here.
+    #[must_use]
+    pub fn sync_answer(&self, now_us: TimeUs, since_version: u64) -> PeerAnswer {
+        self.members.answer(now_us, since_version)
+    }
+
+    /// Which entries callers should use for a declared service.
+    #[must_use]
+    pub fn lookup(&self, now_us: TimeUs, service: &ServiceName) -> Option<LookupAnswer> {
+        let view = LookupView {
+            own_name: &self.own.name,
+            own_open: !self.is_stopping() && self.lease.is_held(now_us),
+            near: &self.own.region,
+            config: &self.config,
+            peers: &self.peers,
+            lifetime_ms: self.own.lookup_lifetime_ms,
+        };
+        view.answer(now_us, service)
+    }
+
+    /// Whether the entry takes work.
+    #[must_use]
+    pub fn is_ready(&self, now_us: TimeUs) -> bool {
+        self.phase == Phase::Running && self.lease.is_held(now_us)
+    }
+
+    /// Whether the entry was told to stop.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.phase != Phase::Running
+    }
+
+    /// The index of the configuration that it runs.
+    #[must_use]
+    pub const fn applied_index(&self) -> u64 {
+        self.config.applied_index()
+    }
+
+    /// The whole state.
+    #[must_use]
+    pub fn dump(&self, now_us: TimeUs) -> EntryDump<'_> {
+        EntryDump {
+            name: &self.own.name,
+            applied_index: self.config.applied_index(),
+            lease_left_ms: self.lease.until_us().since_us(now_us) / 1_000,
+            stopping: self.is_stopping(),
+            in_flight: self.live.len(),
+            upstreams: self.members.rows(now_us).collect(),
+            resources: self.config.resources().collect(),
+        }
+    }
+
+    fn tick(&mut self, now_us: TimeUs, outputs: &mut Vec<Output>) {
+        self.members.expire(now_us, &mut self.events);
+        self.follow_members(now_us);
+        self.route(now_us, route::Input::Tick);
+        if self.next_poll_us.reached(now_us) {
+            self.poll(now_us, outputs);
+        }
+        if self.next_sync_us.reached(now_us) {
+            self.sync(now_us, outputs);
+        }
+        self.tick_phase(now_us, outputs);
+    }
+
+    fn tick_phase(&mut self, now_us: TimeUs, outputs: &mut Vec<Output>) {
+        if let Phase::Leaving { closes_us } = self.phase
+            && closes_us.reached(now_us)
+        {
+            self.phase = Phase::Closing;
+        }
+        if self.phase == Phase::Closing && self.live.is_empty() {
+            outputs.push(Output::Stopped);
+        }
+    }
+
+    fn poll(&mut self, now_us: TimeUs, outputs: &mut Vec<Output>) {
+        self.next_poll_us = now_us.after_ms(POLL_PERIOD_MS);
+        let applied_index = self.config.applied_index();
+        for (replica, outstanding) in &mut self.polls {
+            let serial = self.next_serial;
+            self.next_serial += 1;
+            outstanding.ask(serial, now_us);
+            outputs.push(Output::Poll {
+                replica: replica.clone(),
+                serial,
+                applied_index,
+            });
+        }
+    }
+
+    fn sync(&mut self, now_us: TimeUs, outputs: &mut Vec<Output>) {
+        self.next_sync_us = now_us.after_ms(SYNC_PERIOD_MS);
+        for (name, peer) in self.peers.iter_mut() {
+            let serial = self.next_serial;
+            self.next_serial += 1;
+            peer.outstanding.ask(serial, now_us);
+            let since_version = peer.since_version;
+            outputs.push(Output::Sync {
+                peer: name.clone(),
+                serial,
+                since_version,
+            });
+        }
+    }
+
+    fn poll_answered(
+        &mut self,
+        now_us: TimeUs,
+        replica: &ReplicaName,
+        serial: u64,
+        answer: ReplicaAnswer,
+        outputs: &mut Vec<Output>,
+    ) {
+        let outstanding = self.polls.get_mut(replica);
+        let Some(asked_us) = outstanding.and_then(|asked| asked.answered(serial)) else {
+            return;
+        };
+        self.lease.record(replica, asked_us, &answer);
+        let applied = self.config.apply(answer);
+        if applied.moved {
+            self.follow_config(now_us, &applied, outputs);
+        }
+        self.lease.renew(self.config.applied_index());
+    }
+
+    fn follow_config(&mut self, now_us: TimeUs, applied: &Applied, outputs: &mut Vec<Output>) {
+        for resource in &applied.withdrawn {
+            self.route(now_us, route::Input::Withdrawn(resource));
+        }
+        for resource in &applied.declared {
+            self.route(now_us, route::Input::Declared(resource));
+        }
+        let others = self
+            .config
+            .entries()
+            .filter(|(name, _)| *name != self.own.name);
+        let others = others.map(|(name, spec)| PeerAddress {
+            name,
+            address: spec.peer_address,
+        });
+        if let Some(peers) = self.peers.declare(others) {
+            outputs.push(Output::Peers(peers));
+        }
+        outputs.push(Output::ConfigChanged {
+            applied_index: self.config.applied_index(),
+        });
+        self.next_poll_us = now_us;
+    }
+
+    fn sync_answered(
+        &mut self,
+        now_us: TimeUs,
+        name: &EntryName,
+        serial: u64,
+        answer: &PeerAnswer,
+        stopping: bool,
+    ) {
+        let Some(peer) = self.peers.get_mut(name) else {
+            return;
+        };
+        let Some(asked_us) = peer.outstanding.answered(serial) else {
+            return;
+        };
+        peer.heard(asked_us, answer.version, stopping);
+        self.members
+            .merge(now_us, asked_us, answer, &mut self.events);
+        self.follow_members(now_us);
+    }
+
+    fn peer_down(&mut self, name: &EntryName) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.since_version = 0;
+            peer.outstanding = Outstanding::default();
+        }
+    }
+
+    fn arrive(&mut self, now_us: TimeUs, arrival: Arrival<'_>, outputs: &mut Vec<Output>) {
+        let Arrival {
+            request,
+            service,
+            patience_ms,
+        } = arrival;
+        let spec = self.config.service(service);
+        let refusal = match (self.phase, spec) {
+            (Phase::Closing, _) => Some(Refusal::Stopping),
+            _ if !self.lease.is_held(now_us) => Some(Refusal::ConfigurationLease),
+            (_, None) => Some(Refusal::UnknownService),
+            (_, Some(_)) => None,
+        };
+        let (None, Some(spec)) = (refusal, spec) else {
+            let settled = Settled {
+                outcome: Outcome::DidNotRun,
+                refusal,
+            };
+            outputs.push(Output::Route(route::Output::Settle { request, settled }));
+            return;
+        };
+        let deadline_us = now_us.after_ms(patience_ms.unwrap_or(spec.deadline_ms));
+        let idempotent = spec.idempotent;
+        self.live.insert(request);
+        let input = route::Input::Arrive {
+            request,
+            service,
+            deadline_us,
+            idempotent,
+        };
+        self.route(now_us, input);
+    }
+
+    fn ended(&mut self, now_us: TimeUs, request: RequestId, ending: Ending) {
+        if matches!(
+            ending,
+            Ending::Finished { .. } | Ending::CutShort | Ending::Cancelled
+        ) {
+            self.live.remove(&request);
+        }
+        self.route(now_us, route::Input::Ended { request, ending });
+    }
+
+    fn stop(&mut self, now_us: TimeUs) {
+        if self.phase == Phase::Running {
+            let notice_ms = STOP_NOTICE_MS + self.own.lookup_lifetime_ms;
+            self.phase = Phase::Leaving {
+                closes_us: now_us.after_ms(notice_ms),
+            };
+        }
+    }
+
+    /// Hands the router what changed in the table of upstreams.
+    fn follow_members(&mut self, now_us: TimeUs) {
+        for event in std::mem::take(&mut self.events) {
+            let (Event::Changed(name) | Event::Gone(name)) = &event;
+            let input = match self.members.get(name) {
+                Some(announcement) => route::Input::Upstream { name, announcement },
+                None => route::Input::UpstreamGone { name },
+            };
+            self.router.step(now_us, input, &mut self.routed);
+        }
+    }
+
+    fn route(&mut self, now_us: TimeUs, input: route::Input<'_>) {
+        self.router.step(now_us, input, &mut self.routed);
+    }
+
+    fn drain_routed(&mut self, outputs: &mut Vec<Output>) {
+        for output in self.routed.drain(..) {
+            if let route::Output::Settle { request, .. } = &output {
+                self.live.remove(request);
+            }
+            outputs.push(Output::Route(output));
+        }
+    }
+
+    fn note_lease(&mut self, now_us: TimeUs, outputs: &mut Vec<Output>) {
+        let held = self.lease.is_held(now_us);
+        if held != self.lease_held {
+            self.lease_held = held;
+            outputs.push(Output::LeaseChanged { held });
+        }
+    }
+}
