--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -28,6 +28,12 @@
         /// The name.
         name: String,
     },
+    /// A query parameter is unknown or has a wrong value.
+    #[error("invalid query parameter {parameter:?}")]
+    InvalidQuery {
+        /// The parameter.
+        parameter: String,
+    },
     /// No such kind of resource.
     #[error("no kind of resource is named {kind:?}")]
     UnknownKind {
@@ -76,6 +82,18 @@
         /// The field or other resource that it names.
         subject: String,
     },
+    /// A request id is empty, too long or not visible ASCII.
+    #[error("a request id is 1 to {limit_bytes} visible ASCII characters")]
+    InvalidRequestId {
+        /// The longest one.
+        limit_bytes: u64,
+    },
+    /// Another change came under this request id.
+    #[error("request id {request_id:?} belongs to another change")]
+    RequestIdReused {
+        /// The request id.
+        request_id: String,
+    },
     /// This replica does not lead.
     #[error("this replica does not lead")]
     NotLeader {
@@ -111,7 +129,9 @@
         match self {
             Self::MalformedJson { .. }
             | Self::MalformedHeader { .. }
-            | Self::InvalidName { .. } => 400,
+            | Self::InvalidName { .. }
+            | Self::InvalidQuery { .. }
+            | Self::InvalidRequestId { .. } => 400,
             Self::Unauthorized => 401,
             Self::Forbidden { .. } => 403,
             Self::UnknownKind { .. } | Self::NotFound => 404,
@@ -120,7 +140,7 @@
             Self::Conflict { .. } => 409,
             Self::Compacted { .. } => 410,
             Self::BodyTooLarge { .. } => 413,
-            Self::InvalidResource { .. } => 422,
+            Self::InvalidResource { .. } | Self::RequestIdReused { .. } => 422,
             Self::NotLeader { .. } | Self::Unavailable | Self::TooBusy => 503,
             Self::RequestRefused {
                 outcome: Outcome::Unknown,
