--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -16,6 +16,12 @@
         /// What the parser said.
         reason: String,
     },
+    /// A header's value breaks its rules.
+    #[error("the header {name} is not valid")]
+    MalformedHeader {
+        /// The header.
+        name: String,
+    },
     /// A name breaks the rules of names.
     #[error("invalid name {name:?}")]
     InvalidName {
@@ -128,6 +134,7 @@
     pub const fn status_code(&self) -> u16 {
         match self {
             Self::MalformedJson { .. }
+            | Self::MalformedHeader { .. }
             | Self::InvalidName { .. }
             | Self::InvalidQuery { .. }
             | Self::InvalidRequestId { .. } => 400,
