--- /dev/null
+++ b/crates/api/tests/http.rs
@@ -0,0 +1,162 @@
+//! Requests and answers as HTTP carries them.
+
+use api::{BODY_MAX_BYTES, HttpRequest, WATCH_MAX_MS, encode, parse};
+use control::{Answer, Request};
+use serde_json::{Value, json};
+use state::{List, Operation};
+use types::{ApiError, Kind};
+
+fn ask(method: &str, target: &str, body: &[u8]) -> Result<Request, ApiError> {
+    let (path, query) = match target.split_once('?') {
+        Some((path, query)) => (path, Some(query)),
+        None => (target, None),
+    };
+    parse(&HttpRequest {
+        method,
+        path,
+        query,
+        body,
+    })
+}
+
+fn ask_json(method: &str, target: &str, body: Value) -> Result<Request, ApiError> {
+    ask(method, target, body.to_string().as_bytes())
+}
+
+fn error_type(answer: Result<Request, ApiError>) -> (u16, String) {
+    let error = answer.expect_err("an error");
+    let body = encode(&Err(error));
+    let value: Value = serde_json::from_slice(&body.body).expect("JSON");
+    assert!(value["error"]["message"].is_string());
+    let name = value["error"]["type"].as_str().expect("a type").to_owned();
+    (body.status_code, name)
+}
+
+#[test]
+fn each_path_and_method_is_one_request() {
+    let key = "region/gauteng".parse().expect("a valid key");
+    assert_eq!(
+        ask("GET", "/v1/resources", b""),
+        Ok(Request::List { kind: None })
+    );
+    let regions = Request::List {
+        kind: Some(Kind::Region),
+    };
+    assert_eq!(ask("GET", "/v1/resources/region", b""), Ok(regions));
+    assert_eq!(
+        ask("GET", "/v1/resources/region/gauteng", b""),
+        Ok(Request::Get { key })
+    );
+    assert_eq!(ask("GET", "/v1/replicas", b""), Ok(Request::Replicas));
+    let watch = Request::Watch {
+        from: 7,
+        wait_ms: WATCH_MAX_MS,
+    };
+    assert_eq!(
+        ask("GET", "/v1/watch?from=7&wait_ms=99999999", b""),
+        Ok(watch)
+    );
+    let admit = json!({"name": "control-1", "incarnation": u64::MAX,
+        "replaces": {"name": "control-1", "incarnation": 1}});
+    assert!(matches!(
+        ask_json("POST", "/v1/replicas", admit),
+        Ok(Request::Admit { id, replaces: Some(_) }) if id.incarnation == u64::MAX
+    ));
+}
+
+#[test]
+fn bodies_become_changes() {
+    let spec = json!({"capacity_slots": 60, "failure_domains": ["gauteng-a"]});
+    let put = json!({"request_id": "r1", "based_on": 0, "spec": spec});
+    let Ok(Request::Change {
+        request_id,
+        operation: Operation::Put(declaration),
+    }) = ask_json("PUT", "/v1/resources/region/gauteng", put)
+    else {
+        panic!("no change");
+    };
+    assert_eq!((request_id.as_str(), declaration.based_on), ("r1", Some(0)));
+    let delete = json!({"request_id": "r2", "based_on": 1});
+    assert!(ask_json("DELETE", "/v1/resources/region/gauteng", delete).is_ok());
+    let change = json!({"kind": "region", "name": "gauteng", "spec": spec});
+    let apply = |dry_run: bool| json!({"request_id": "r3", "prune": true, "dry_run": dry_run, "changes": [change]});
+    let Ok(Request::Preview { operation }) = ask_json("POST", "/v1/apply", apply(true)) else {
+        panic!("no preview");
+    };
+    let change = Request::Change {
+        request_id: "r3".to_owned(),
+        operation,
+    };
+    assert_eq!(ask_json("POST", "/v1/apply", apply(false)), Ok(change));
+}
+
+#[test]
+fn bad_requests_have_typed_errors() {
+    let big = vec![b' '; BODY_MAX_BYTES + 1];
+    let put = |body: &str| ask("PUT", "/v1/resources/region/gauteng", body.as_bytes());
+    let spec = r#"{"capacity_slots":"many","failure_domains":[]}"#;
+    let cases = [
+        (ask("GET", "/v2/resources", b""), (404, "not_found")),
+        (ask("GET", "/v1/resources/a/b/c", b""), (404, "not_found")),
+        (
+            ask("GET", "/v1/resources/regio", b""),
+            (404, "unknown_kind"),
+        ),
+        (
+            ask("GET", "/v1/resources/region/A%20", b""),
+            (400, "invalid_name"),
+        ),
+        (
+            ask("POST", "/v1/resources", b""),
+            (405, "method_not_allowed"),
+        ),
+        (ask("DELETE", "/v1/watch", b""), (405, "method_not_allowed")),
+        (ask("GET", "/v1/watch?from=x", b""), (400, "invalid_query")),
+        (ask("GET", "/v1/watch?since=1", b""), (400, "invalid_query")),
+        (put("{"), (400, "malformed_json")),
+        (
+            put(r#"{"request_id":"a","based_on":0}"#),
+            (400, "malformed_json"),
+        ),
+        (
+            put(&format!(
+                r#"{{"request_id":"a","based_on":0,"spec":{spec}}}"#
+            )),
+            (400, "malformed_json"),
+        ),
+        (
+            put(r#"{"request_id":"","based_on":0,"spec":{}}"#),
+            (400, "invalid_request_id"),
+        ),
+        (ask("POST", "/v1/apply", &big), (413, "body_too_large")),
+    ];
+    for (number, (answer, (status_code, name))) in cases.into_iter().enumerate() {
+        assert_eq!(
+            error_type(answer),
+            (status_code, name.to_owned()),
+            "case {number}"
+        );
+    }
+}
+
+#[test]
+fn answers_have_the_documented_form() {
+    let list = Answer::List(List {
+        revision: 17,
+        items: Vec::new(),
+    });
+    let answer = encode(&Ok(list));
+    assert_eq!(answer.status_code, 200);
+    assert_eq!(answer.body, br#"{"revision":17,"items":[]}"#);
+    let conflict = encode(&Err(ApiError::Conflict {
+        key: "region/gauteng".parse().expect("a valid key"),
+        current_version: 4,
+    }));
+    let value: Value = serde_json::from_slice(&conflict.body).expect("JSON");
+    assert_eq!(conflict.status_code, 409);
+    assert_eq!(value["error"]["type"], "conflict");
+    assert_eq!(
+        value["error"]["details"],
+        json!({"key": {"kind": "region", "name": "gauteng"}, "current_version": 4})
+    );
+}
--- a/crates/ctl/src/call.rs
+++ b/crates/ctl/src/call.rs
@@ -15,7 +15,7 @@
 use types::ApiError;
 
 /// How long one server may take to answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(7);
 
 const BACKOFF_MIN: Duration = Duration::from_millis(50);
 const BACKOFF_MAX: Duration = Duration::from_secs(1);
