Add the shell of a control replica

Cause: the core of the control replica needs a process: an actor that owns it, a thread that owns the data folder and answers each synced write, links to the other replicas, and the HTTP interface.

--- /dev/null
+++ b/crates/daemon/src/control/actor.rs
@@ -0,0 +1,249 @@
+//! The task that owns a control replica's core.
+
+use crate::{
+    clock::Clock,
+    control::{convert, metrics::ControlMetrics, storage::Storage},
+};
+use control::{Answer, Control, Input, Output, Request};
+use kameo::{
+    Actor,
+    actor::ActorRef,
+    error::Infallible,
+    message::{Context, Message},
+};
+use link::{Event, Outbound, Peer, Replies};
+use raft::{ReplicaId, Status};
+use slog::{Logger, crit, info};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+use tokio::sync::{oneshot, watch};
+use types::{ApiError, TimeUs};
+use wire::peer::{Frame, RaftMessage, frame::Body};
+
+/// What the actor is made of.
+#[derive(Debug)]
+pub struct ControlArgs {
+    /// The core.
+    pub core: Control,
+    /// The identity of this replica.
+    pub id: ReplicaId,
+    /// The clock.
+    pub clock: Clock,
+    /// Dialed links to the other replicas, by name.
+    pub replicas: BTreeMap<String, Outbound>,
+    /// The data folder.
+    pub storage: Storage,
+    /// The counters.
+    pub metrics: Arc<ControlMetrics>,
+    /// Told when the replica can't go on.
+    pub broken: watch::Sender<bool>,
+    /// The log.
+    pub log: Logger,
+}
+
+/// Owns a control replica's core.
+#[derive(Debug)]
+pub struct ControlActor {
+    args: ControlArgs,
+    requests: HashMap<u64, oneshot::Sender<Result<Answer, ApiError>>>,
+    polls: HashMap<u64, (u64, Replies)>,
+    next_request: u64,
+    outputs: Vec<Output>,
+}
+
+impl Actor for ControlActor {
+    type Args = ControlArgs;
+    type Error = Infallible;
+
+    async fn on_start(args: Self::Args, _: ActorRef<Self>) -> Result<Self, Self::Error> {
+        Ok(Self {
+            args,
+            requests: HashMap::new(),
+            polls: HashMap::new(),
+            next_request: 1,
+            outputs: Vec::new(),
+        })
+    }
+}
+
+/// Time has passed.
+#[derive(Clone, Copy, Debug)]
+pub struct Tick;
+
+/// A write is synced.
+#[derive(Clone, Copy, Debug)]
+pub struct Persisted {
+    /// Its ticket.
+    pub ticket: u64,
+}
+
+/// The data folder failed.
+#[derive(Clone, Copy, Debug)]
+pub struct StorageFailed;
+
+/// An operator's request.
+#[derive(Debug)]
+pub struct Ask {
+    /// What is asked.
+    pub body: Request,
+    /// Takes the answer.
+    pub answer: oneshot::Sender<Result<Answer, ApiError>>,
+}
+
+/// Asks for the whole state.
+#[derive(Clone, Copy, Debug)]
+pub struct Dump;
+
+/// An event of a link.
+#[derive(Debug)]
+pub struct Linked(pub Event);
+
+impl ControlActor {
+    fn now_us(&self) -> TimeUs {
+        self.args.clock.now_us()
+    }
+
+    fn step(&mut self, input: Input) {
+        let now_us = self.now_us();
+        self.args.core.step(now_us, input, &mut self.outputs);
+        for output in std::mem::take(&mut self.outputs) {
+            self.carry_out(output);
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Send { to, message } => {
+                if let Some(outbound) = self.args.replicas.get(&to.name) {
+                    let body = Some(Body::Raft(wire::raft_to_wire(&to, message)));
+                    let _ = outbound.try_send(Frame { serial: 0, body });
+                }
+            }
+            Output::Persist(persist) => {
+                self.args.metrics.persists.inc();
+                self.args.storage.persist(persist);
+            }
+            Output::Answer { request, answer } => {
+                if let Some(sender) = self.requests.remove(&request) {
+                    let _ = sender.send(answer);
+                }
+            }
+            Output::PollAnswer { poll, answer } => self.answer_poll(poll, &answer),
+            Output::Changed(status) => self.note_change(&status),
+            Output::Broken(error) => {
+                crit!(self.args.log, "this replica can't go on"; "error" => %error);
+                self.args.broken.send_replace(true);
+            }
+        }
+    }
+
+    fn answer_poll(&mut self, poll: u64, answer: &control::PollAnswer) {
+        let Some((serial, replies)) = self.polls.remove(&poll) else {
+            return;
+        };
+        if let Ok(answer) = convert::poll_answer(answer) {
+            let body = Some(Body::PollAnswer(answer));
+            let _ = replies.try_send(Frame { serial, body });
+        }
+    }
+
+    fn note_change(&self, status: &Status) {
+        self.args.metrics.note(status);
+        info!(self.args.log, "replica changed";
+            "role" => ?status.role,
+            "term" => status.term,
+            "leader" => status.leader.as_ref().map(ToString::to_string));
+    }
+
+    fn receive(&mut self, peer: &Peer, frame: Frame, replies: Replies) {
+        match frame.body {
+            Some(Body::Raft(message)) => self.receive_raft(peer, message),
+            Some(Body::Poll(poll)) => {
+                self.args.metrics.polls.inc();
+                let Ok(body) = convert::poll(&poll) else {
+                    self.args.metrics.malformed_frames.inc();
+                    return;
+                };
+                let poll = self.next_request;
+                self.next_request += 1;
+                self.polls.insert(poll, (frame.serial, replies));
+                self.step(Input::Poll { poll, body });
+                self.polls.remove(&poll);
+            }
+            _ => {
+                self.args.metrics.malformed_frames.inc();
+            }
+        }
+    }
+
+    fn receive_raft(&mut self, peer: &Peer, message: RaftMessage) {
+        let Ok((to, message)) = wire::raft_from_wire(message) else {
+            self.args.metrics.malformed_frames.inc();
+            return;
+        };
+        if to == self.args.id {
+            let from = ReplicaId { name: peer.node.clone(), incarnation: peer.incarnation };
+            self.step(Input::Receive { from, message });
+        }
+    }
+}
+
+impl Message<Tick> for ControlActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Tick, _: &mut Context<Self, Self::Reply>) {
+        self.step(Input::Tick);
+    }
+}
+
+impl Message<Persisted> for ControlActor {
+    type Reply = ();
+
+    async fn handle(
+        &mut self,
+        Persisted { ticket }: Persisted,
+        _: &mut Context<Self, Self::Reply>,
+    ) {
+        self.step(Input::Persisted { ticket });
+    }
+}
+
+impl Message<StorageFailed> for ControlActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: StorageFailed, _: &mut Context<Self, Self::Reply>) {
+        self.step(Input::StorageFailed);
+    }
+}
+
+impl Message<Ask> for ControlActor {
+    type Reply = ();
+
+    async fn handle(&mut self, Ask { body, answer }: Ask, _: &mut Context<Self, Self::Reply>) {
+        self.args.metrics.requests.inc();
+        let request = self.next_request;
+        self.next_request += 1;
+        self.requests.insert(request, answer);
+        self.step(Input::Request { request, body });
+    }
+}
+
+impl Message<Dump> for ControlActor {
+    type Reply = Result<serde_json::Value, serde_json::Error>;
+
+    async fn handle(&mut self, _: Dump, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        serde_json::to_value(self.args.core.dump())
+    }
+}
+
+impl Message<Linked> for ControlActor {
+    type Reply = ();
+
+    async fn handle(&mut self, Linked(event): Linked, _: &mut Context<Self, Self::Reply>) {
+        if let Event::Frame { peer, frame, replies, .. } = event {
+            self.receive(&peer, frame, replies);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/convert.rs
@@ -0,0 +1,51 @@
+//! Conversion between a control replica's core and the wire.
+
+use control::{Poll, PollAnswer, PollRejection};
+use state::Change;
+use types::{EntryName, InvalidName};
+use wire::peer;
+
+/// An entry's poll.
+///
+/// # Errors
+///
+/// When the entry's name is invalid.
+pub fn poll(poll: &peer::Poll) -> Result<Poll, InvalidName> {
+    let rejected = (poll.rejected_revision > 0).then(|| PollRejection {
+        revision: poll.rejected_revision,
+        reason: poll.rejected_reason.clone(),
+    });
+    let entry = EntryName::new(&poll.entry)?;
+    Ok(Poll { entry, applied_index: poll.applied_index, rejected })
+}
+
+/// The answer to a poll.
+///
+/// # Errors
+///
+/// When a resource can't be encoded.
+pub fn poll_answer(answer: &PollAnswer) -> Result<peer::PollAnswer, serde_json::Error> {
+    let changes = answer.changes.changes.iter().map(change).collect::<Result<_, _>>()?;
+    Ok(peer::PollAnswer {
+        last_index: answer.last_index,
+        applied_index: answer.applied_index,
+        membership_index: answer.membership_index,
+        voters: answer.voters,
+        votes: answer.votes,
+        complete: answer.changes.complete,
+        changes,
+    })
+}
+
+fn change(change: &Change) -> Result<peer::Change, serde_json::Error> {
+    let resource_json = match &change.resource {
+        Some(resource) => serde_json::to_vec(resource)?,
+        None => Vec::new(),
+    };
+    Ok(peer::Change {
+        revision: change.revision,
+        kind: change.key.kind.to_string(),
+        name: change.key.name.to_string(),
+        resource_json,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/control/http.rs
@@ -0,0 +1,117 @@
+//! The HTTP interface of a control replica.
+
+use crate::{
+    control::actor::{Ask, ControlActor, Dump},
+    http::{Body, error, json, read_body, text},
+};
+use api::{BODY_MAX_BYTES, HttpAnswer, HttpRequest, encode, parse};
+use bytes::Bytes;
+use control::Answer;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::Incoming,
+    header::{AUTHORIZATION, CONTENT_TYPE, HeaderValue},
+};
+use kameo::actor::ActorRef;
+use prometheus_client::registry::Registry;
+use serde_json::json;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+use types::ApiError;
+
+/// What the handlers of a control replica's interface need.
+#[derive(Clone, Debug)]
+pub struct ControlHttp {
+    /// The task that owns the core.
+    pub actor: ActorRef<ControlActor>,
+    /// Every counter of the process.
+    pub registry: Arc<Registry>,
+    /// The tokens that changes need one of; none when changes need no token.
+    pub tokens: Arc<[String]>,
+}
+
+impl ControlHttp {
+    /// Answers a request.
+    pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+        let answer = match request.uri().path() {
+            "/metrics" => self.metrics(),
+            "/ready" => self.ready().await,
+            "/dump" => self.dump().await,
+            _ => self.ask(request).await,
+        };
+        answer.unwrap_or_else(|failure| error(&failure))
+    }
+
+    async fn ask(&self, request: Request<Incoming>) -> Result<Response<Body>, ApiError> {
+        let (head, body) = request.into_parts();
+        if head.method != hyper::Method::GET {
+            self.authorize(&head.headers)?;
+        }
+        let body = read_body(body, BODY_MAX_BYTES).await?;
+        let body = parse(&HttpRequest {
+            method: head.method.as_str(),
+            path: head.uri.path(),
+            query: head.uri.query(),
+            body: &body,
+        })?;
+        let answer = self.answer(body).await;
+        Ok(response(encode(&answer)))
+    }
+
+    async fn answer(&self, body: control::Request) -> Result<Answer, ApiError> {
+        let (answer, answered) = oneshot::channel();
+        let told = self.actor.tell(Ask { body, answer }).await;
+        told.map_err(|_| ApiError::Unavailable)?;
+        answered.await.unwrap_or(Err(ApiError::Unavailable))
+    }
+
+    fn authorize(&self, headers: &HeaderMap) -> Result<(), ApiError> {
+        let token = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+        let token = token.and_then(|value| value.strip_prefix("Bearer ")).unwrap_or("");
+        let accepted = self.tokens.iter().any(|known| same(known.as_bytes(), token.as_bytes()));
+        if self.tokens.is_empty() || accepted {
+            return Ok(());
+        }
+        Err(ApiError::Unauthorized)
+    }
+
+    fn metrics(&self) -> Result<Response<Body>, ApiError> {
+        let mut encoded = String::new();
+        prometheus_client::encoding::text::encode(&mut encoded, &self.registry)
+            .map_err(|_| ApiError::TooBusy)?;
+        Ok(text("application/openmetrics-text; version=1.0.0; charset=utf-8", encoded))
+    }
+
+    async fn ready(&self) -> Result<Response<Body>, ApiError> {
+        let Ok(Answer::Replicas(replicas)) = self.answer(control::Request::Replicas).await else {
+            return Err(ApiError::Unavailable);
+        };
+        if replicas.leader.is_some() {
+            return Ok(json(StatusCode::OK, &json!({"ready": true})));
+        }
+        let body = json!({"ready": false, "reason": "no-leader"});
+        Ok(json(StatusCode::SERVICE_UNAVAILABLE, &body))
+    }
+
+    async fn dump(&self) -> Result<Response<Body>, ApiError> {
+        let dump = self.actor.ask(Dump).await.map_err(|_| ApiError::TooBusy)?;
+        Ok(json(StatusCode::OK, &dump))
+    }
+}
+
+fn response(answer: HttpAnswer) -> Response<Body> {
+    let body = Full::new(Bytes::from(answer.body)).map_err(|never| match never {}).boxed();
+    let mut response = Response::new(body);
+    *response.status_mut() =
+        StatusCode::from_u16(answer.status_code).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+/// Compares without telling by the time taken where the first difference is.
+fn same(a: &[u8], b: &[u8]) -> bool {
+    let different = a.iter().zip(b).fold(0, |different, (a, b)| different | (a ^ b));
+    a.len() == b.len() && different == 0
+}
--- /dev/null
+++ b/crates/daemon/src/control/metrics.rs
@@ -0,0 +1,47 @@
+//! The counters of a control replica.
+
+use prometheus_client::{
+    metrics::{counter::Counter, gauge::Gauge},
+    registry::Registry,
+};
+use raft::{Role, Status};
+
+/// The counters of a control replica.
+#[derive(Debug, Default)]
+pub struct ControlMetrics {
+    /// Requests of operators.
+    pub requests: Counter,
+    /// Polls of entries.
+    pub polls: Counter,
+    /// Writes to the data folder.
+    pub persists: Counter,
+    /// Frames that break their rules.
+    pub malformed_frames: Counter,
+    leads: Gauge,
+    term: Gauge,
+    commit_index: Gauge,
+}
+
+impl ControlMetrics {
+    /// Counters that start at zero, registered in `registry`.
+    pub fn new(registry: &mut Registry) -> Self {
+        let metrics = Self::default();
+        registry.register("requests", "Requests of operators", metrics.requests.clone());
+        registry.register("polls", "Polls of entries", metrics.polls.clone());
+        registry.register("persists", "Writes to the data folder", metrics.persists.clone());
+        let malformed = metrics.malformed_frames.clone();
+        registry.register("malformed_frames", "Frames that break their rules", malformed);
+        registry.register("leads", "1 while this replica leads", metrics.leads.clone());
+        registry.register("term", "Term of the replicated log", metrics.term.clone());
+        let commit = metrics.commit_index.clone();
+        registry.register("commit_index", "Last index known to be committed", commit);
+        metrics
+    }
+
+    /// Notes the replica's status.
+    pub fn note(&self, status: &Status) {
+        self.leads.set(i64::from(status.role == Role::Leader));
+        self.term.set(i64::try_from(status.term).unwrap_or(i64::MAX));
+        self.commit_index.set(i64::try_from(status.commit_index).unwrap_or(i64::MAX));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/mod.rs
@@ -0,0 +1,11 @@
+//! The shell of a control replica: its listeners, its links, its disk and the task that owns its
+//! core.
+
+mod actor;
+mod convert;
+mod http;
+mod metrics;
+mod start;
+mod storage;
+
+pub use self::{start::start, storage::found};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon: sockets, files and timers round the cores of an entry and a control replica.
 
 mod clock;
+mod control;
 mod entry;
 mod http;
 mod log;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,6 +1,6 @@
 //! From the command line to a running process.
 
-use crate::{entry, log, options};
+use crate::{control, entry, log, options};
 use lexopt::Parser;
 use link::Identity;
 use options::Action;
@@ -52,8 +52,8 @@
     }
 }
 
-fn found(_: &Settings) -> anyhow::Result<()> {
-    Ok(())
+fn found(settings: &Settings) -> anyhow::Result<()> {
+    control::found(settings, &log::logger(&settings.log, &settings.node.name))
 }
 
 fn run(settings: &Settings) -> anyhow::Result<()> {
@@ -71,13 +71,28 @@
         Some(own) => Some(entry::start(settings, own, identity(settings)?, &log).await?),
         None => None,
     };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    let mut replica = match &settings.control {
+        Some(own) => Some(control::start(settings, own, identity(settings)?, &log).await?),
+        None => None,
+    };
+    let broken = async {
+        match &mut replica {
+            Some(replica) => replica.broken().await,
+            None => std::future::pending().await,
+        }
+    };
+    let stopped_as_asked = tokio::select! {
+        _ = terminate.recv() => true,
+        _ = interrupt.recv() => true,
+        () = broken => false,
+    };
     if let Some(entry) = entry {
         entry.stop().await;
     }
+    if let Some(replica) = replica {
+        replica.stop().await;
+    }
+    anyhow::ensure!(stopped_as_asked, ReplicaBroken);
     Ok(())
 }
 
@@ -91,3 +106,8 @@
         keys: settings.deployment.keys.clone(),
     })
 }
+
+/// The control replica can't go on; the log tells why.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the control replica can't go on")]
+struct ReplicaBroken;
