Add the files of a control replica

The log is one file of records with checksums over header and body. Each record says how much of the file was synced before it, and a mark beside the log says so for the last write; a bad record below either is Corrupt, above both it is a torn tail only if it ends early or lacks a whole sector. A failed write or sync closes the store to writes. An emptied folder gets a new incarnation; a folder without its identity but with content is an error. Found by the random writes and mended: a log cut back after a compaction was taken for corrupt, since its header's synced length was used beside the mark's. Store::open takes the replica's name too, since an empty folder can't know it.

--- /dev/null
+++ b/crates/store/src/log_file.rs
@@ -0,0 +1,271 @@
+//! The file of the log.
+//!
+//! Entries are added at its end. It is written anew when a snapshot replaces its beginning, and cut
+//! back when a leader voids its end. Its header names the index before the first entry and how much
+//! of the file was synced before it got its name.
+
+use crate::{
+    disk::Disk,
+    error::StoreError,
+    frame::{self, Verdict},
+    mark::{Mark, MarkFile},
+    record::EntryRecord,
+    whole,
+};
+use prost::Message;
+use raft::Entry;
+use std::{
+    fs::{self, File},
+    path::Path,
+};
+
+pub(crate) const LOG_FILE: &str = "log";
+
+const MAGIC: [u8; 4] = *b"OWLG";
+const VERSION: u32 = 1;
+const HEADER_BYTES: usize = 28;
+
+/// An end of the log that was never synced and has been cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TornTail {
+    /// Where it started.
+    pub offset_bytes: u64,
+    /// How long it was.
+    pub lost_bytes: u64,
+}
+
+/// The log, open for writing.
+#[derive(Debug)]
+pub(crate) struct LogFile {
+    file: File,
+    mark: MarkFile,
+    base_index: u64,
+    /// Where each entry starts.
+    offsets: Vec<u64>,
+    end_bytes: u64,
+}
+
+/// What the log held.
+pub(crate) struct Read {
+    pub(crate) log: LogFile,
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) torn_tail: Option<TornTail>,
+}
+
+struct Scan {
+    base_index: u64,
+    synced_bytes: u64,
+    entries: Vec<Entry>,
+    offsets: Vec<u64>,
+    end: usize,
+}
+
+impl LogFile {
+    /// Writes an empty log.
+    pub(crate) fn create(disk: &mut dyn Disk, folder: &Path) -> Result<(), StoreError> {
+        let bytes = encode_header(0, HEADER_BYTES as u64);
+        whole::replace(disk, folder, LOG_FILE, &bytes).map(drop)
+    }
+
+    /// Whether there is a log with anything in it.
+    pub(crate) fn has_entries(folder: &Path) -> bool {
+        let length = fs::metadata(folder.join(LOG_FILE)).map_or(0, |m| m.len());
+        length > HEADER_BYTES as u64
+    }
+
+    /// Reads the log, and cuts off a torn tail.
+    pub(crate) fn open(disk: &mut dyn Disk, folder: &Path) -> Result<Read, StoreError> {
+        let path = folder.join(LOG_FILE);
+        if !path.exists() {
+            return Err(StoreError::Missing { file: LOG_FILE });
+        }
+        let (mark_file, mark) = MarkFile::open(folder)?;
+        let bytes = fs::read(&path).map_err(StoreError::io(LOG_FILE))?;
+        let scan = scan(&bytes, mark)?;
+        let file = File::options().read(true).write(true).open(&path);
+        let mut log = Self {
+            file: file.map_err(StoreError::io(LOG_FILE))?,
+            mark: mark_file,
+            base_index: scan.base_index,
+            offsets: scan.offsets,
+            end_bytes: scan.end as u64,
+        };
+        let lost_bytes = (bytes.len() - scan.end) as u64;
+        let torn_tail = (lost_bytes > 0).then_some(TornTail {
+            offset_bytes: scan.end as u64,
+            lost_bytes,
+        });
+        log.cut(disk)?;
+        Ok(Read {
+            log,
+            entries: scan.entries,
+            torn_tail,
+        })
+    }
+
+    pub(crate) fn base_index(&self) -> u64 {
+        self.base_index
+    }
+
+    pub(crate) fn last_index(&self) -> u64 {
+        self.base_index + self.offsets.len() as u64
+    }
+
+    /// Adds entries and syncs them.
+    pub(crate) fn append(
+        &mut self,
+        disk: &mut dyn Disk,
+        entries: &[Entry],
+    ) -> Result<(), StoreError> {
+        let mut bytes = Vec::new();
+        let mut offsets = Vec::new();
+        for entry in entries {
+            let last_index = self.last_index() + offsets.len() as u64;
+            if entry.index != last_index + 1 {
+                return Err(StoreError::Gap {
+                    index: entry.index,
+                    last_index,
+                });
+            }
+            offsets.push(self.end_bytes + bytes.len() as u64);
+            let body = EntryRecord::from(entry).encode_to_vec();
+            frame::encode(&body, self.end_bytes, &mut bytes);
+        }
+        disk.write(&self.file, &bytes, self.end_bytes)
+            .map_err(StoreError::io(LOG_FILE))?;
+        disk.sync(&self.file).map_err(StoreError::sync(LOG_FILE))?;
+        self.offsets.append(&mut offsets);
+        self.end_bytes += bytes.len() as u64;
+        self.mark.set(disk, self.current_mark())
+    }
+
+    /// Voids the entries from `index` on.
+    pub(crate) fn truncate_from(
+        &mut self,
+        disk: &mut dyn Disk,
+        index: u64,
+    ) -> Result<(), StoreError> {
+        let kept = index.saturating_sub(self.base_index + 1);
+        let kept = usize::try_from(kept).unwrap_or(usize::MAX);
+        let Some(end_bytes) = self.offsets.get(kept).copied() else {
+            return Ok(());
+        };
+        self.offsets.truncate(kept);
+        self.end_bytes = end_bytes;
+        self.cut(disk)
+    }
+
+    /// Drops the entries up to `index` and those from `truncate_from` on.
+    pub(crate) fn compact(
+        &mut self,
+        disk: &mut dyn Disk,
+        folder: &Path,
+        index: u64,
+        truncate_from: Option<u64>,
+    ) -> Result<(), StoreError> {
+        let old = fs::read(folder.join(LOG_FILE)).map_err(StoreError::io(LOG_FILE))?;
+        let dropped = usize::try_from(index.saturating_sub(self.base_index)).unwrap_or(usize::MAX);
+        let kept_end =
+            truncate_from.map_or(u64::MAX, |from| from.saturating_sub(self.base_index + 1));
+        let kept_end = usize::try_from(kept_end).unwrap_or(usize::MAX);
+        let kept_end = kept_end.min(self.offsets.len());
+        let kept = self.offsets.get(dropped..kept_end).unwrap_or(&[]);
+        let mut bytes = encode_header(index, 0);
+        let mut offsets = Vec::with_capacity(kept.len());
+        for offset in kept {
+            let start = usize::try_from(*offset).unwrap_or(usize::MAX);
+            let record = frame::decode(&old, start).ok_or(StoreError::corrupt(LOG_FILE, start))?;
+            offsets.push(bytes.len() as u64);
+            frame::encode(record.body, 0, &mut bytes);
+        }
+        let end_bytes = bytes.len() as u64;
+        bytes[..HEADER_BYTES].copy_from_slice(&encode_header(index, end_bytes));
+        self.file = whole::replace(disk, folder, LOG_FILE, &bytes)?;
+        self.base_index = index;
+        self.offsets = offsets;
+        self.end_bytes = end_bytes;
+        self.mark.set(disk, self.current_mark())
+    }
+
+    /// Makes the file end at the last entry. The mark goes first: it must never say that more was
+    /// synced than the file holds.
+    fn cut(&mut self, disk: &mut dyn Disk) -> Result<(), StoreError> {
+        self.mark.set_durably(disk, self.current_mark())?;
+        self.file
+            .set_len(self.end_bytes)
+            .map_err(StoreError::io(LOG_FILE))?;
+        disk.sync(&self.file).map_err(StoreError::sync(LOG_FILE))
+    }
+
+    fn current_mark(&self) -> Mark {
+        Mark {
+            base_index: self.base_index,
+            synced_bytes: self.end_bytes,
+        }
+    }
+}
+
+fn encode_header(base_index: u64, synced_bytes: u64) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(HEADER_BYTES);
+    bytes.extend_from_slice(&MAGIC);
+    bytes.extend_from_slice(&VERSION.to_le_bytes());
+    bytes.extend_from_slice(&base_index.to_le_bytes());
+    bytes.extend_from_slice(&synced_bytes.to_le_bytes());
+    let checksum = crc32c::crc32c(&bytes);
+    bytes.extend_from_slice(&checksum.to_le_bytes());
+    bytes
+}
+
+fn decode_header(bytes: &[u8]) -> Result<Scan, StoreError> {
+    let is_sound = bytes.len() >= HEADER_BYTES
+        && bytes[..4] == MAGIC
+        && frame::read_u32(bytes, 24) == crc32c::crc32c(&bytes[..24]);
+    if !is_sound {
+        return Err(StoreError::corrupt(LOG_FILE, 0));
+    }
+    let version = frame::read_u32(bytes, 4);
+    if version != VERSION {
+        return Err(StoreError::UnknownVersion {
+            file: LOG_FILE,
+            version,
+        });
+    }
+    Ok(Scan {
+        base_index: frame::read_u64(bytes, 8),
+        synced_bytes: frame::read_u64(bytes, 16),
+        entries: Vec::new(),
+        offsets: Vec::new(),
+        end: HEADER_BYTES,
+    })
+}
+
+/// Reads the entries up to the end or to a torn tail.
+///
+/// The header tells how much is synced only until the mark is of the same file: the log may have
+/// been cut back since.
+fn scan(bytes: &[u8], mark: Mark) -> Result<Scan, StoreError> {
+    let mut scan = decode_header(bytes)?;
+    if mark.base_index == scan.base_index {
+        scan.synced_bytes = mark.synced_bytes;
+    }
+    while scan.end < bytes.len() {
+        let Some(record) = frame::decode(bytes, scan.end) else {
+            match frame::judge(bytes, scan.end, scan.synced_bytes) {
+                Verdict::Torn => return Ok(scan),
+                Verdict::Corrupt => return Err(StoreError::corrupt(LOG_FILE, scan.end)),
+            }
+        };
+        let entry = EntryRecord::decode(record.body).map(Entry::from);
+        let index = scan.base_index + scan.entries.len() as u64 + 1;
+        match entry {
+            Ok(entry) if entry.index == index => scan.entries.push(entry),
+            _ => return Err(StoreError::corrupt(LOG_FILE, scan.end)),
+        }
+        scan.offsets.push(scan.end as u64);
+        scan.end = record.end;
+    }
+    if (scan.end as u64) < scan.synced_bytes {
+        return Err(StoreError::corrupt(LOG_FILE, scan.end));
+    }
+    Ok(scan)
+}
--- /dev/null
+++ b/crates/store/src/store.rs
@@ -0,0 +1,260 @@
+//! The data folder of a replica.
+
+use crate::{
+    disk::{Disk, OsDisk},
+    error::StoreError,
+    log_file::{LogFile, TornTail},
+    mark::MarkFile,
+    record::{HardStateRecord, Identity, SnapshotRecord},
+    whole,
+};
+use raft::{HardState, Membership, Persist, ReplicaId, Restored, Snapshot};
+use std::{
+    collections::BTreeSet,
+    fmt,
+    fs::{self, File, TryLockError},
+    path::{Path, PathBuf},
+};
+
+const LOCK_FILE: &str = "lock";
+const IDENTITY_FILE: &str = "identity";
+const HARD_STATE_FILE: &str = "hard-state";
+const SNAPSHOT_FILE: &str = "snapshot";
+
+/// The incarnation of the replicas that found a group.
+const FOUNDING_INCARNATION: u64 = 1;
+
+/// What a data folder held when it was opened.
+#[derive(Clone, Debug)]
+pub struct Opened {
+    /// The replica's identity.
+    pub id: ReplicaId,
+    /// What the log's core goes on from.
+    pub restored: Restored,
+    /// The unsynced end of the log that was cut off, if any.
+    pub torn_tail: Option<TornTail>,
+}
+
+/// The data folder, open for writing and closed to other processes.
+pub struct Store {
+    folder: PathBuf,
+    disk: Box<dyn Disk>,
+    log: LogFile,
+    is_failed: bool,
+    _lock: File,
+}
+
+impl fmt::Debug for Store {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Store")
+            .field("folder", &self.folder)
+            .field("log", &self.log)
+            .field("is_failed", &self.is_failed)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Store {
+    /// Makes an empty folder that of a founding replica.
+    ///
+    /// Only for the first start of a group: a replica that lost its disk must not found again.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::NotEmpty`] when the folder holds a replica; failures of its files.
+    pub fn found(folder: &Path, name: &str, founders: &[String]) -> Result<(), StoreError> {
+        let _lock = lock(folder)?;
+        if whole::read::<Identity>(folder, IDENTITY_FILE)?.is_some() || holds_remains(folder) {
+            return Err(StoreError::NotEmpty);
+        }
+        let identity = Identity {
+            name: name.to_owned(),
+            incarnation: FOUNDING_INCARNATION,
+            founders: founders.to_vec(),
+        };
+        create(&mut OsDisk, folder, &identity)
+    }
+
+    /// Opens the folder of the replica `name`; an empty one gets a new incarnation.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Locked`] when another process has it open, [`StoreError::Corrupt`] or
+    /// [`StoreError::Missing`] when something that was synced is damaged or gone; failures of its
+    /// files.
+    pub fn open(folder: &Path, name: &str) -> Result<(Self, Opened), StoreError> {
+        Self::open_with_disk(folder, name, Box::new(OsDisk))
+    }
+
+    /// Opens the folder through `disk`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::open`].
+    pub fn open_with_disk(
+        folder: &Path,
+        name: &str,
+        mut disk: Box<dyn Disk>,
+    ) -> Result<(Self, Opened), StoreError> {
+        let lock = lock(folder)?;
+        let identity = open_identity(disk.as_mut(), folder, name)?;
+        let hard_state = whole::read::<HardStateRecord>(folder, HARD_STATE_FILE)?;
+        let hard_state = hard_state.ok_or(StoreError::Missing {
+            file: HARD_STATE_FILE,
+        })?;
+        let snapshot = whole::read::<SnapshotRecord>(folder, SNAPSHOT_FILE)?;
+        let truncate_from = snapshot.as_ref().and_then(|s| s.truncate_from);
+        let snapshot = snapshot.map(Snapshot::from);
+        let read = LogFile::open(disk.as_mut(), folder)?;
+        let torn_tail = read.torn_tail;
+        let mut store = Self {
+            folder: folder.to_owned(),
+            disk,
+            log: read.log,
+            is_failed: false,
+            _lock: lock,
+        };
+        let snapshot_index = snapshot.as_ref().map_or(0, |s| s.index);
+        let mut entries = read.entries;
+        if store.log.base_index() > snapshot_index {
+            return Err(StoreError::Missing {
+                file: SNAPSHOT_FILE,
+            });
+        }
+        if store.log.base_index() < snapshot_index {
+            store.compact(snapshot_index, truncate_from)?;
+            let last_index = store.log.last_index();
+            entries.retain(|e| e.index > snapshot_index && e.index <= last_index);
+        }
+        let restored = Restored {
+            hard_state: HardState::from(hard_state),
+            snapshot,
+            entries,
+            founders: founding_membership(&identity),
+        };
+        let opened = Opened {
+            id: ReplicaId {
+                name: identity.name,
+                incarnation: identity.incarnation,
+            },
+            restored,
+            torn_tail,
+        };
+        Ok((store, opened))
+    }
+
+    /// Writes and syncs; once it returns, [`Persist::ticket`] may be answered.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Full`], [`StoreError::SyncFailed`] or another failure of the files. From then
+    /// on every write gives [`StoreError::Refused`]: what the disk holds is known only after the
+    /// folder is opened anew.
+    pub fn write(&mut self, persist: &Persist) -> Result<(), StoreError> {
+        if self.is_failed {
+            return Err(StoreError::Refused);
+        }
+        let written = self.write_parts(persist);
+        self.is_failed = written.is_err();
+        written
+    }
+
+    fn write_parts(&mut self, persist: &Persist) -> Result<(), StoreError> {
+        if let Some(snapshot) = &persist.snapshot {
+            self.write_snapshot(snapshot, persist.truncate_from)?;
+        } else if let Some(index) = persist.truncate_from {
+            self.log.truncate_from(self.disk.as_mut(), index)?;
+        }
+        if !persist.entries.is_empty() {
+            self.log.append(self.disk.as_mut(), &persist.entries)?;
+        }
+        if let Some(hard_state) = &persist.hard_state {
+            let record = HardStateRecord::from(hard_state);
+            whole::write(self.disk.as_mut(), &self.folder, HARD_STATE_FILE, &record)?;
+        }
+        Ok(())
+    }
+
+    /// The snapshot's file says which entries it voids, so that a crash before the log is written
+    /// anew leaves none of them behind.
+    fn write_snapshot(
+        &mut self,
+        snapshot: &Snapshot,
+        truncate_from: Option<u64>,
+    ) -> Result<(), StoreError> {
+        let record = SnapshotRecord::new(snapshot, truncate_from);
+        whole::write(self.disk.as_mut(), &self.folder, SNAPSHOT_FILE, &record)?;
+        self.compact(snapshot.index, truncate_from)
+    }
+
+    fn compact(&mut self, index: u64, truncate_from: Option<u64>) -> Result<(), StoreError> {
+        let disk = self.disk.as_mut();
+        self.log.compact(disk, &self.folder, index, truncate_from)
+    }
+}
+
+fn lock(folder: &Path) -> Result<File, StoreError> {
+    fs::create_dir_all(folder).map_err(StoreError::io(LOCK_FILE))?;
+    let file = File::create(folder.join(LOCK_FILE)).map_err(StoreError::io(LOCK_FILE))?;
+    match file.try_lock() {
+        Ok(()) => Ok(file),
+        Err(TryLockError::WouldBlock) => Err(StoreError::Locked {
+            folder: folder.to_owned(),
+        }),
+        Err(TryLockError::Error(error)) => Err(StoreError::io(LOCK_FILE)(error)),
+    }
+}
+
+/// Whether a folder without an identity held a replica once.
+fn holds_remains(folder: &Path) -> bool {
+    folder.join(SNAPSHOT_FILE).exists() || LogFile::has_entries(folder)
+}
+
+fn open_identity(disk: &mut dyn Disk, folder: &Path, name: &str) -> Result<Identity, StoreError> {
+    let Some(identity) = whole::read::<Identity>(folder, IDENTITY_FILE)? else {
+        return draw_identity(disk, folder, name);
+    };
+    if identity.name != name {
+        return Err(StoreError::OtherName {
+            stored: identity.name,
+            asked: name.to_owned(),
+        });
+    }
+    Ok(identity)
+}
+
+fn draw_identity(disk: &mut dyn Disk, folder: &Path, name: &str) -> Result<Identity, StoreError> {
+    if holds_remains(folder) {
+        return Err(StoreError::Missing {
+            file: IDENTITY_FILE,
+        });
+    }
+    let identity = Identity {
+        name: name.to_owned(),
+        incarnation: rand::random_range(FOUNDING_INCARNATION + 1..=u64::MAX),
+        founders: Vec::new(),
+    };
+    create(disk, folder, &identity)?;
+    Ok(identity)
+}
+
+/// Writes the files of a new replica. The identity goes last: with it, all the others must be there.
+fn create(disk: &mut dyn Disk, folder: &Path, identity: &Identity) -> Result<(), StoreError> {
+    LogFile::create(disk, folder)?;
+    MarkFile::create(disk, folder)?;
+    let hard_state = HardStateRecord::from(&HardState::default());
+    whole::write(disk, folder, HARD_STATE_FILE, &hard_state)?;
+    whole::write(disk, folder, IDENTITY_FILE, identity)
+}
+
+fn founding_membership(identity: &Identity) -> Option<Membership> {
+    let founder = |name: &String| ReplicaId {
+        name: name.clone(),
+        incarnation: FOUNDING_INCARNATION,
+    };
+    let voters: BTreeSet<_> = identity.founders.iter().map(founder).collect();
+    (!voters.is_empty()).then_some(Membership {
+        voters,
+        learners: BTreeSet::new(),
+    })
+}
--- /dev/null
+++ b/crates/store/tests/files/mod.rs
@@ -0,0 +1,146 @@
+//! Data folders for tests, and a disk that fails on demand.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use raft::{Entry, HardState, Membership, Payload, Persist, ReplicaId, Restored, Snapshot};
+use std::{
+    fs::{self, File},
+    io,
+    path::Path,
+};
+use store::{Disk, Opened, OsDisk, Store, StoreError};
+use tempfile::TempDir;
+
+pub fn founded() -> TempDir {
+    let folder = tempfile::tempdir().unwrap();
+    let founders = ["vm-0", "vm-1", "vm-2"].map(str::to_owned);
+    Store::found(folder.path(), "vm-0", &founders).unwrap();
+    folder
+}
+
+pub fn open(folder: &Path) -> Result<(Store, Opened), StoreError> {
+    Store::open(folder, "vm-0")
+}
+
+pub fn entry(index: u64, term: u64, size_bytes: usize) -> Entry {
+    let payload = match index % 5 {
+        0 => Payload::Noop,
+        _ => Payload::Command(vec![0xa5; size_bytes]),
+    };
+    Entry {
+        index,
+        term,
+        payload,
+    }
+}
+
+pub fn with_entries(first: u64, last: u64, size_bytes: usize) -> Persist {
+    Persist {
+        entries: (first..=last).map(|i| entry(i, 1, size_bytes)).collect(),
+        ..Persist::default()
+    }
+}
+
+pub fn snapshot(index: u64, size_bytes: usize) -> Snapshot {
+    Snapshot {
+        index,
+        term: 1,
+        membership: Membership {
+            voters: [voter()].into(),
+            learners: [].into(),
+        },
+        data: vec![0x5a; size_bytes],
+    }
+}
+
+pub fn voter() -> ReplicaId {
+    ReplicaId {
+        name: "vm-0".to_owned(),
+        incarnation: 1,
+    }
+}
+
+/// What the folder must hold after each part of a write, in the order of the contract.
+pub fn stages(held: &Restored, persist: &Persist) -> Vec<Restored> {
+    let mut stages = vec![held.clone()];
+    let mut next = held.clone();
+    if let Some(snapshot) = &persist.snapshot {
+        next.snapshot = Some(snapshot.clone());
+        next.entries.retain(|e| e.index > snapshot.index);
+    }
+    if let Some(index) = persist.truncate_from {
+        next.entries.retain(|e| e.index < index);
+    }
+    stages.push(next.clone());
+    for entry in &persist.entries {
+        next.entries.push(entry.clone());
+        stages.push(next.clone());
+    }
+    if let Some(hard_state) = &persist.hard_state {
+        next.hard_state = hard_state.clone();
+    }
+    stages.push(next);
+    stages
+}
+
+pub fn is_same(a: &Restored, b: &Restored) -> bool {
+    a.hard_state == b.hard_state && a.snapshot == b.snapshot && a.entries == b.entries
+}
+
+pub fn hard_state(term: u64) -> HardState {
+    HardState {
+        term,
+        voted_for: Some(voter()),
+    }
+}
+
+/// Flips one bit of a file.
+pub fn flip(path: &Path, position: usize) {
+    let mut bytes = fs::read(path).unwrap();
+    bytes[position] ^= 1 << (position % 8);
+    fs::write(path, bytes).unwrap();
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// No space is left after half of the bytes that lengthen a file. Bytes written in place, of
+    /// which the mark is the only case, fit into a sector and reach the disk whole or not at all.
+    Full,
+    /// A sync fails.
+    Sync,
+}
+
+/// Fails the operation of the fault's kind after `left` good ones, and each one after it.
+pub struct FaultyDisk {
+    pub fault: Fault,
+    pub left: usize,
+}
+
+impl FaultyDisk {
+    fn fails(&mut self, fault: Fault) -> bool {
+        if self.fault != fault {
+            return false;
+        }
+        let fails = self.left == 0;
+        self.left = self.left.saturating_sub(1);
+        fails
+    }
+}
+
+impl Disk for FaultyDisk {
+    fn write(&mut self, file: &File, bytes: &[u8], offset_bytes: u64) -> io::Result<()> {
+        if self.fails(Fault::Full) {
+            if offset_bytes >= file.metadata()?.len() {
+                OsDisk.write(file, &bytes[..bytes.len() / 2], offset_bytes)?;
+            }
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        OsDisk.write(file, bytes, offset_bytes)
+    }
+
+    fn sync(&mut self, _file: &File) -> io::Result<()> {
+        if self.fails(Fault::Sync) {
+            return Err(io::ErrorKind::Other.into());
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/store/tests/writes.rs
@@ -0,0 +1,107 @@
+//! Random writes, crashes in the midst of them, and what a reopened folder holds.
+
+mod files;
+
+use files::{Fault, FaultyDisk, entry, founded, hard_state, is_same, open, snapshot, stages};
+use proptest::{collection::vec, prelude::*};
+use raft::{Persist, Restored};
+use store::{Store, StoreError};
+
+#[derive(Clone, Debug)]
+struct Step {
+    add: u64,
+    truncate: Option<u64>,
+    compact: Option<u64>,
+    /// The snapshot comes from a leader and reaches beyond the log.
+    install: bool,
+    vote: bool,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let few = || proptest::option::weighted(0.3, 0_u64..6);
+    (0_u64..5, few(), few(), any::<bool>(), any::<bool>()).prop_map(
+        |(add, truncate, compact, install, vote)| Step {
+            add,
+            truncate,
+            compact,
+            install,
+            vote,
+        },
+    )
+}
+
+/// A write that the core could ask for when the folder holds `held`.
+fn persist(held: &Restored, step: &Step, term: u64) -> Persist {
+    let base = held.snapshot.as_ref().map_or(0, |s| s.index);
+    let last = held.entries.last().map_or(base, |e| e.index);
+    let mut persist = Persist::default();
+    let mut end = last;
+    if let Some(ahead) = step.compact {
+        let index = if step.install {
+            last + ahead
+        } else {
+            last.min(base + 1 + ahead)
+        };
+        if index > base {
+            persist.snapshot = Some(snapshot(index, 700));
+            end = last.max(index);
+        }
+    }
+    let floor = persist.snapshot.as_ref().map_or(base, |s| s.index);
+    if let Some(back) = step.truncate.filter(|_| end > floor) {
+        let from = (end - back.min(end - floor - 1)).max(floor + 1);
+        persist.truncate_from = Some(from);
+        end = from - 1;
+    }
+    persist.entries = (end + 1..=end + step.add)
+        .map(|index| entry(index, term, 300))
+        .collect();
+    persist.hard_state = step.vote.then(|| hard_state(term));
+    persist
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 60, ..ProptestConfig::default() })]
+
+    #[test]
+    fn reopened_folder_holds_what_was_written(steps in vec(step(), 1..12)) {
+        let folder = founded();
+        let mut held = Restored::default();
+        for (term, step) in steps.iter().enumerate() {
+            let (mut store, opened) = open(folder.path()).unwrap();
+            prop_assert!(is_same(&opened.restored, &held), "{:?}", opened.restored);
+            let persist = persist(&held, step, term as u64 + 1);
+            store.write(&persist).unwrap();
+            held = stages(&held, &persist).pop().unwrap();
+        }
+    }
+
+    #[test]
+    fn crash_within_a_write_leaves_a_state_between(
+        steps in vec(step(), 1..12),
+        full in any::<bool>(),
+        left in 0_usize..60,
+    ) {
+        let folder = founded();
+        let fault = if full { Fault::Full } else { Fault::Sync };
+        let disk = Box::new(FaultyDisk { fault, left });
+        let opened = Store::open_with_disk(folder.path(), "vm-0", disk);
+        let Ok((mut store, _)) = opened else { return Ok(()) };
+        let mut held = Restored::default();
+        let mut between = vec![held.clone()];
+        for (term, step) in steps.iter().enumerate() {
+            let persist = persist(&held, step, term as u64 + 1);
+            between = stages(&held, &persist);
+            if store.write(&persist).is_err() {
+                prop_assert!(matches!(store.write(&persist), Err(StoreError::Refused)));
+                break;
+            }
+            held = between.pop().unwrap();
+            between = vec![held.clone()];
+        }
+        drop(store);
+        let (_, opened) = open(folder.path()).unwrap();
+        let is_between = between.iter().any(|state| is_same(state, &opened.restored));
+        prop_assert!(is_between, "{:?}", opened.restored);
+    }
+}
