--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -184,7 +184,10 @@
             return;
         };
         if to == self.args.id {
-            let from = ReplicaId { name: peer.node.clone(), incarnation: peer.incarnation };
+            let from = ReplicaId {
+                name: peer.node.clone(),
+                incarnation: peer.incarnation,
+            };
             self.step(Input::Receive { from, message });
         }
     }
@@ -242,7 +245,13 @@
     type Reply = ();
 
     async fn handle(&mut self, Linked(event): Linked, _: &mut Context<Self, Self::Reply>) {
-        if let Event::Frame { peer, frame, replies, .. } = event {
+        if let Event::Frame {
+            peer,
+            frame,
+            replies,
+            ..
+        } = event
+        {
             self.receive(&peer, frame, replies);
         }
     }
--- a/crates/daemon/src/control/convert.rs
+++ b/crates/daemon/src/control/convert.rs
@@ -16,7 +16,11 @@
         reason: poll.rejected_reason.clone(),
     });
     let entry = EntryName::new(&poll.entry)?;
-    Ok(Poll { entry, applied_index: poll.applied_index, rejected })
+    Ok(Poll {
+        entry,
+        applied_index: poll.applied_index,
+        rejected,
+    })
 }
 
 /// The answer to a poll.
@@ -25,7 +29,12 @@
 ///
 /// When a resource can't be encoded.
 pub fn poll_answer(answer: &PollAnswer) -> Result<peer::PollAnswer, serde_json::Error> {
-    let changes = answer.changes.changes.iter().map(change).collect::<Result<_, _>>()?;
+    let changes = answer
+        .changes
+        .changes
+        .iter()
+        .map(change)
+        .collect::<Result<_, _>>()?;
     Ok(peer::PollAnswer {
         last_index: answer.last_index,
         applied_index: answer.applied_index,
--- a/crates/daemon/src/control/http.rs
+++ b/crates/daemon/src/control/http.rs
@@ -67,9 +67,16 @@
     }
 
     fn authorize(&self, headers: &HeaderMap) -> Result<(), ApiError> {
-        let token = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
-        let token = token.and_then(|value| value.strip_prefix("Bearer ")).unwrap_or("");
-        let accepted = self.tokens.iter().any(|known| same(known.as_bytes(), token.as_bytes()));
+        let token = headers
+            .get(AUTHORIZATION)
+            .and_then(|value| value.to_str().ok());
+        let token = token
+            .and_then(|value| value.strip_prefix("Bearer "))
+            .unwrap_or("");
+        let accepted = self
+            .tokens
+            .iter()
+            .any(|known| same(known.as_bytes(), token.as_bytes()));
         if self.tokens.is_empty() || accepted {
             return Ok(());
         }
@@ -80,7 +87,10 @@
         let mut encoded = String::new();
         prometheus_client::encoding::text::encode(&mut encoded, &self.registry)
             .map_err(|_| ApiError::TooBusy)?;
-        Ok(text("application/openmetrics-text; version=1.0.0; charset=utf-8", encoded))
+        Ok(text(
+            "application/openmetrics-text; version=1.0.0; charset=utf-8",
+            encoded,
+        ))
     }
 
     async fn ready(&self) -> Result<Response<Body>, ApiError> {
@@ -101,7 +111,9 @@
 }
 
 fn response(answer: HttpAnswer) -> Response<Body> {
-    let body = Full::new(Bytes::from(answer.body)).map_err(|never| match never {}).boxed();
+    let body = Full::new(Bytes::from(answer.body))
+        .map_err(|never| match never {})
+        .boxed();
     let mut response = Response::new(body);
     *response.status_mut() =
         StatusCode::from_u16(answer.status_code).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
@@ -112,6 +124,9 @@
 
 /// Compares without telling by the time taken where the first difference is.
 fn same(a: &[u8], b: &[u8]) -> bool {
-    let different = a.iter().zip(b).fold(0, |different, (a, b)| different | (a ^ b));
+    let different = a
+        .iter()
+        .zip(b)
+        .fold(0, |different, (a, b)| different | (a ^ b));
     a.len() == b.len() && different == 0
 }
--- a/crates/daemon/src/control/metrics.rs
+++ b/crates/daemon/src/control/metrics.rs
@@ -26,11 +26,23 @@
     /// Counters that start at zero, registered in `registry`.
     pub fn new(registry: &mut Registry) -> Self {
         let metrics = Self::default();
-        registry.register("requests", "Requests of operators", metrics.requests.clone());
+        registry.register(
+            "requests",
+            "Requests of operators",
+            metrics.requests.clone(),
+        );
         registry.register("polls", "Polls of entries", metrics.polls.clone());
-        registry.register("persists", "Writes to the data folder", metrics.persists.clone());
+        registry.register(
+            "persists",
+            "Writes to the data folder",
+            metrics.persists.clone(),
+        );
         let malformed = metrics.malformed_frames.clone();
-        registry.register("malformed_frames", "Frames that break their rules", malformed);
+        registry.register(
+            "malformed_frames",
+            "Frames that break their rules",
+            malformed,
+        );
         registry.register("leads", "1 while this replica leads", metrics.leads.clone());
         registry.register("term", "Term of the replicated log", metrics.term.clone());
         let commit = metrics.commit_index.clone();
@@ -41,7 +53,9 @@
     /// Notes the replica's status.
     pub fn note(&self, status: &Status) {
         self.leads.set(i64::from(status.role == Role::Leader));
-        self.term.set(i64::try_from(status.term).unwrap_or(i64::MAX));
-        self.commit_index.set(i64::try_from(status.commit_index).unwrap_or(i64::MAX));
+        self.term
+            .set(i64::try_from(status.term).unwrap_or(i64::MAX));
+        self.commit_index
+            .set(i64::try_from(status.commit_index).unwrap_or(i64::MAX));
     }
 }
--- a/crates/daemon/src/control/start.rs
+++ b/crates/daemon/src/control/start.rs
@@ -95,7 +95,10 @@
     let (store, opened) = storage::open(settings, own)?;
     storage::log_opened(&opened, log);
     let id = opened.id;
-    let identity = Identity { incarnation: id.incarnation, ..identity };
+    let identity = Identity {
+        incarnation: id.incarnation,
+        ..identity
+    };
     let (inbox, events) = mpsc::channel(LINK_EVENTS);
     let listener = listen(own.peer_listen, identity.clone(), inbox.clone()).await?;
     let mut registry = Registry::with_prefix("oleanderwell_control");
@@ -120,11 +123,20 @@
     tokio::spawn(pass_events(events, actor.clone()));
     let timer = tokio::spawn(tick(actor.clone()));
     let tokens = own.operator_tokens.clone().into();
-    let http = ControlHttp { actor, registry: Arc::new(registry), tokens };
+    let http = ControlHttp {
+        actor,
+        registry: Arc::new(registry),
+        tokens,
+    };
     let server = serve(own.listen, move |request, _| http.clone().handle(request)).await?;
     info!(log, "control replica started";
         "listen" => %own.listen, "peer_listen" => %own.peer_listen);
-    Ok(ControlReplica { server, listener, timer, broken })
+    Ok(ControlReplica {
+        server,
+        listener,
+        timer,
+        broken,
+    })
 }
 
 fn config(settings: &Settings, id: &ReplicaId) -> anyhow::Result<ControlConfig> {
@@ -152,7 +164,10 @@
     identity: &Identity,
     inbox: &mpsc::Sender<Event>,
 ) -> Result<BTreeMap<String, Outbound>, LinkError> {
-    let others = settings.replicas.iter().filter(|r| r.name.as_str() != settings.node.name);
+    let others = settings
+        .replicas
+        .iter()
+        .filter(|r| r.name.as_str() != settings.node.name);
     others
         .map(|replica| {
             let name = replica.name.as_str();
--- a/crates/daemon/src/control/storage.rs
+++ b/crates/daemon/src/control/storage.rs
@@ -46,12 +46,21 @@
                 let _ = actor.tell(StorageFailed).blocking_send();
                 return;
             }
-            if actor.tell(Persisted { ticket: persist.ticket }).blocking_send().is_err() {
+            if actor
+                .tell(Persisted {
+                    ticket: persist.ticket,
+                })
+                .blocking_send()
+                .is_err()
+            {
                 return;
             }
         }
     };
-    thread::Builder::new().name("storage".to_owned()).spawn(write).map(drop)
+    thread::Builder::new()
+        .name("storage".to_owned())
+        .spawn(write)
+        .map(drop)
 }
 
 /// Founds the data folder of a new deployment's replica.
@@ -61,8 +70,11 @@
 /// When the folder is in use or can't be written, or this process is no control replica.
 pub fn found(settings: &Settings, log: &Logger) -> anyhow::Result<()> {
     let own = settings.control.as_ref().ok_or(NoControlRole)?;
-    let founders: Vec<String> =
-        settings.replicas.iter().map(|replica| replica.name.to_string()).collect();
+    let founders: Vec<String> = settings
+        .replicas
+        .iter()
+        .map(|replica| replica.name.to_string())
+        .collect();
     Store::found(&own.data, &settings.node.name, &founders)?;
     info!(log, "data folder founded"; "replicas" => founders.len());
     Ok(())
@@ -90,6 +102,9 @@
 /// # Errors
 ///
 /// When it is in use, corrupt or can't be read.
-pub fn open(settings: &Settings, own: &settings::ControlSettings) -> Result<(Store, store::Opened), StoreError> {
+pub fn open(
+    settings: &Settings,
+    own: &settings::ControlSettings,
+) -> Result<(Store, store::Opened), StoreError> {
     Store::open(&own.data, &settings.node.name)
 }
--- a/crates/daemon/src/entry/convert.rs
+++ b/crates/daemon/src/entry/convert.rs
@@ -24,6 +24,7 @@
     Body::Poll(Poll {
         entry: entry.to_string(),
         applied_index,
+        ..Poll::default()
     })
 }
 
--- a/crates/link/tests/support/mod.rs
+++ b/crates/link/tests/support/mod.rs
@@ -35,6 +35,7 @@
     frame(Body::Poll(Poll {
         entry: String::new(),
         applied_index: index,
+        ..Poll::default()
     }))
 }
 
