Add stand-ins for callers and upstreams, a relay, children and the checker

Each upstream and each pool of callers is a set of tasks that own their sockets and state and talk by messages.

--- /dev/null
+++ b/crates/standin/src/caller/lookup.rs
@@ -0,0 +1,125 @@
+//! A caller's cache of look-up answers.
+
+use crate::http::{HttpError, get};
+use hyper::StatusCode;
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+use thiserror::Error;
+use tokio::time::Instant;
+use types::{EntryName, LookupAnswer, LookupEntry, ServiceName};
+
+/// How long an entry may take to answer a look-up.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Why no entry is known.
+#[derive(Debug, Error)]
+pub(super) enum LookupError {
+    #[error(transparent)]
+    Http(#[from] HttpError),
+    #[error("the entry answered {0}")]
+    Status(StatusCode),
+    #[error("the answer is no look-up answer")]
+    Answer(#[from] serde_json::Error),
+}
+
+#[derive(Debug)]
+struct Cached {
+    answer: LookupAnswer,
+    expires: Instant,
+    failed: BTreeSet<EntryName>,
+}
+
+#[derive(Debug)]
+pub(super) struct LookupCache {
+    service: ServiceName,
+    entries: Vec<SocketAddr>,
+    asked: usize,
+    cached: Option<Cached>,
+}
+
+impl LookupCache {
+    pub(super) fn new(service: &ServiceName, entries: &[SocketAddr], first: usize) -> Self {
+        Self {
+            service: service.clone(),
+            entries: entries.to_vec(),
+            asked: first,
+            cached: None,
+        }
+    }
+
+    /// An entry to send through, by weight.
+    pub(super) async fn choose(&mut self) -> Option<LookupEntry> {
+        let fresh = self.cached.as_ref().is_some_and(Cached::usable);
+        if !fresh {
+            self.refresh().await;
+        }
+        let cached = self.cached.as_ref()?;
+        pick(&cached.answer.entries, &cached.failed, rand::random()).cloned()
+    }
+
+    /// Leaves an entry out until the next look-up.
+    pub(super) fn avoid(&mut self, entry: &EntryName) {
+        if let Some(cached) = self.cached.as_mut() {
+            cached.failed.insert(entry.clone());
+        }
+    }
+
+    /// Asks one entry after another until one answers.
+    async fn refresh(&mut self) {
+        self.cached = None;
+        for _ in 0..self.entries.len() {
+            let address = self.entries[self.asked % self.entries.len()];
+            if let Ok(answer) = look_up(address, &self.service).await {
+                self.cached = Some(Cached::new(answer));
+                return;
+            }
+            self.asked += 1;
+        }
+    }
+}
+
+impl Cached {
+    fn new(answer: LookupAnswer) -> Self {
+        Self {
+            expires: Instant::now() + Duration::from_millis(answer.lifetime_ms),
+            answer,
+            failed: BTreeSet::new(),
+        }
+    }
+
+    fn usable(&self) -> bool {
+        let left = self.answer.entries.iter();
+        Instant::now() < self.expires
+            && left
+                .filter(|entry| !self.failed.contains(&entry.name))
+                .any(|entry| entry.weight > 0)
+    }
+}
+
+async fn look_up(address: SocketAddr, service: &ServiceName) -> Result<LookupAnswer, LookupError> {
+    let path = format!("/v1/lookup/{service}");
+    let (status, body) = get(address, &path, ANSWER_TIMEOUT).await?;
+    if status != StatusCode::OK {
+        return Err(LookupError::Status(status));
+    }
+    Ok(serde_json::from_value(body)?)
+}
+
+/// Chooses by weight among the entries that have not failed.
+#[must_use]
+pub fn pick<'a>(
+    entries: &'a [LookupEntry],
+    failed: &BTreeSet<EntryName>,
+    roll: u64,
+) -> Option<&'a LookupEntry> {
+    let usable = || entries.iter().filter(|entry| !failed.contains(&entry.name));
+    let total: u64 = usable().map(|entry| u64::from(entry.weight)).sum();
+    let mut rest = roll.checked_rem(total)?;
+    for entry in usable() {
+        let weight = u64::from(entry.weight);
+        if rest < weight {
+            return Some(entry);
+        }
+        rest -= weight;
+    }
+    None
+}
--- /dev/null
+++ b/crates/standin/src/caller/sender.rs
@@ -0,0 +1,173 @@
+//! One caller: sends one request after another and records each.
+
+use crate::{
+    answer::{path_of, verify},
+    caller::{Load, lookup::LookupCache},
+    clock::Clock,
+    http::{Connection, HttpError},
+    record::{Attempt, AttemptId, Request, RequestNumber, Told},
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Method, Response, body::Incoming, header::HOST};
+use std::{collections::BTreeMap, net::SocketAddr, str::FromStr, time::Duration};
+use tokio::time::{Instant, sleep_until, timeout};
+use types::{LookupEntry, Outcome, Refusal, TimeUs};
+
+/// How much longer than its deadline a caller waits for an entry to say what became of a request.
+const ANSWER_GRACE: Duration = Duration::from_secs(1);
+/// The pause before a request that did not run is sent again.
+const RESEND_PAUSE: Duration = Duration::from_millis(20);
+
+/// The header that names how long the caller waits.
+const DEADLINE: &str = "ow-deadline-ms";
+/// The header that keeps a request from running twice.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// The answer header that tells what became of a request.
+const OUTCOME: &str = "ow-outcome";
+/// The answer header that tells why a request did not run.
+const REFUSAL: &str = "ow-refusal";
+
+#[derive(Debug)]
+pub(super) struct Sender {
+    load: Load,
+    lookups: LookupCache,
+    connections: BTreeMap<SocketAddr, Connection>,
+    clock: Clock,
+    next: RequestNumber,
+}
+
+impl Sender {
+    pub(super) fn new(
+        load: &Load,
+        entries: &[SocketAddr],
+        clock: Clock,
+        first: RequestNumber,
+    ) -> Self {
+        let first_entry = usize::try_from(first.0 >> 32).unwrap_or(0);
+        Self {
+            load: load.clone(),
+            lookups: LookupCache::new(&load.service, entries, first_entry),
+            connections: BTreeMap::new(),
+            clock,
+            next: first,
+        }
+    }
+
+    /// Sends the next request until it ends otherwise than without a run.
+    pub(super) async fn send_next(&mut self) -> Request {
+        let number = self.next;
+        self.next = RequestNumber(number.0 + 1);
+        let mut attempts = Vec::new();
+        for _ in 0..self.load.attempts_max {
+            let id = AttemptId {
+                request: number,
+                attempt: u32::try_from(attempts.len()).map_or(u32::MAX, |count| count + 1),
+            };
+            if let Some(entry) = self.lookups.choose().await {
+                let record = self.attempt(&entry, id).await;
+                let again = may_resend(record.told);
+                attempts.push(record);
+                if !again {
+                    break;
+                }
+                self.lookups.avoid(&entry.name);
+            }
+            sleep_until(Instant::now() + RESEND_PAUSE).await;
+        }
+        Request {
+            number,
+            service: self.load.service.clone(),
+            idempotent: self.load.idempotent,
+            attempts,
+        }
+    }
+
+    async fn attempt(&mut self, entry: &LookupEntry, id: AttemptId) -> Attempt {
+        let started_us = self.clock.now_us();
+        let limit = self.load.deadline + ANSWER_GRACE;
+        let told = match timeout(limit, self.exchange(entry, id)).await {
+            Ok(Ok(told)) => told,
+            Ok(Err(error)) if error.not_sent() => Told::NotSent,
+            Ok(Err(_)) => Told::Broken,
+            Err(_) => Told::TimedOut,
+        };
+        if matches!(told, Told::Broken | Told::TimedOut) {
+            self.connections.remove(&entry.address);
+            self.lookups.avoid(&entry.name);
+        }
+        Attempt {
+            entry: entry.name.clone(),
+            started_us,
+            deadline_us: self.deadline_after(started_us),
+            ended_us: self.clock.now_us(),
+            told,
+        }
+    }
+
+    fn deadline_after(&self, started_us: TimeUs) -> TimeUs {
+        started_us.after_us(u64::try_from(self.load.deadline.as_micros()).unwrap_or(u64::MAX))
+    }
+
+    async fn exchange(&mut self, entry: &LookupEntry, id: AttemptId) -> Result<Told, HttpError> {
+        let request = request(&self.load, entry.address, id)?;
+        let size_bytes = self.load.answer_bytes;
+        let connection = self
+            .connections
+            .entry(entry.address)
+            .or_insert_with(|| Connection::new(entry.address));
+        let response = connection.send(request).await?;
+        read_answer(response, id, size_bytes).await
+    }
+}
+
+fn request(
+    load: &Load,
+    address: SocketAddr,
+    id: AttemptId,
+) -> Result<hyper::Request<Full<Bytes>>, HttpError> {
+    let method = if load.idempotent {
+        Method::GET
+    } else {
+        Method::POST
+    };
+    let mut builder = hyper::Request::builder()
+        .method(method)
+        .uri(format!("/s/{}{}", load.service, path_of(id)))
+        .header(HOST, address.to_string())
+        .header(DEADLINE, load.deadline.as_millis().to_string());
+    if !load.idempotent {
+        builder = builder.header(IDEMPOTENCY_KEY, format!("request-{}", id.request.0));
+    }
+    Ok(builder.body(Full::default())?)
+}
+
+async fn read_answer(
+    response: Response<Incoming>,
+    id: AttemptId,
+    size_bytes: usize,
+) -> Result<Told, HttpError> {
+    let refusal = header(response.headers(), REFUSAL);
+    let told = match header(response.headers(), OUTCOME) {
+        Some(Outcome::Finished) => None,
+        Some(Outcome::DidNotRun) => Some(Told::DidNotRun(refusal)),
+        Some(Outcome::Unknown) | None => Some(Told::Unknown(refusal)),
+    };
+    let bytes = response.into_body().collect().await?.to_bytes();
+    Ok(told.unwrap_or_else(|| Told::Finished(verify(&bytes, id, size_bytes))))
+}
+
+fn header<T: FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// Whether the request certainly did not run and another entry may still run it.
+const fn may_resend(told: Told) -> bool {
+    match told {
+        Told::NotSent => true,
+        Told::DidNotRun(refusal) => {
+            !matches!(refusal, Some(Refusal::Duplicate | Refusal::Deadline))
+        }
+        Told::Finished(_) | Told::Unknown(_) | Told::Broken | Told::TimedOut => false,
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,13 @@
 //! Stand-ins for callers and upstreams, the demo and the checks over real processes.
+
+pub mod answer;
+pub mod caller;
+pub mod checker;
+pub mod clock;
+pub mod condition;
+pub mod deployment;
+pub mod http;
+pub mod process;
+pub mod record;
+pub mod relay;
+pub mod upstream;
--- /dev/null
+++ b/crates/standin/src/upstream/server.rs
@@ -0,0 +1,99 @@
+//! The HTTP server of an upstream.
+
+use crate::{
+    answer::{Answer, attempt_of},
+    upstream::{UpstreamSpec, body::AnswerBody, owner::Message},
+};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use std::{convert::Infallible, sync::Arc};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{mpsc, oneshot},
+    task::JoinSet,
+    time::sleep,
+};
+
+/// The header by which an upstream states that it did not run a request.
+const DID_NOT_RUN: &str = "ow-did-not-run";
+
+pub(super) async fn serve(
+    listener: TcpListener,
+    spec: UpstreamSpec,
+    inbox: mpsc::UnboundedSender<Message>,
+) {
+    let spec = Arc::new(spec);
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    connections.spawn(serve_connection(stream, Arc::clone(&spec), inbox.clone()));
+                }
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    spec: Arc<UpstreamSpec>,
+    inbox: mpsc::UnboundedSender<Message>,
+) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let (spec, inbox) = (Arc::clone(&spec), inbox.clone());
+        async move { Ok::<_, Infallible>(answer(request, &spec, inbox).await) }
+    });
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    spec: &UpstreamSpec,
+    inbox: mpsc::UnboundedSender<Message>,
+) -> Response<AnswerBody> {
+    let Some(attempt) = request.uri().query().and_then(attempt_of) else {
+        return empty(StatusCode::BAD_REQUEST);
+    };
+    if request.into_body().collect().await.is_err() {
+        return empty(StatusCode::BAD_REQUEST);
+    }
+    let (reply, admitted) = oneshot::channel();
+    let begun = inbox.send(Message::Begin { attempt, reply });
+    let Some(guard) = begun.ok().and(admitted.await.ok().flatten()) else {
+        return refusal();
+    };
+    sleep(spec.service_time).await;
+    let bytes = Bytes::from(Answer::encode(attempt, &spec.name, spec.answer_bytes));
+    let mut response = Response::new(AnswerBody::new(bytes, guard));
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+fn empty(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::empty());
+    *response.status_mut() = status;
+    response
+}
+
+fn refusal() -> Response<AnswerBody> {
+    let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
+    response
+        .headers_mut()
+        .insert(DID_NOT_RUN, HeaderValue::from_static("true"));
+    response
+}
