--- /dev/null
+++ b/crates/standin/src/deployment/control.rs
@@ -0,0 +1,107 @@
+//! What a deployment's control replicas are asked.
+
+use crate::{
+    condition::{Pending, wait_until},
+    deployment::{CONTROL_VMS, Deployment, DeploymentError},
+    http::Connection,
+    process::run_command,
+};
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+use std::{net::SocketAddr, time::Duration};
+
+/// How long a request to a control replica may take.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(5);
+
+impl Deployment {
+    /// The VM of the control replica that leads.
+    ///
+    /// # Errors
+    ///
+    /// [`DeploymentError::NotInTime`] when none does within `bound`.
+    pub async fn leader(&self, bound: Duration) -> Result<u8, DeploymentError> {
+        let leader = wait_until("a leading control replica", bound, || async {
+            let mut seen = Pending::new("no replica answers as leader");
+            for vm in CONTROL_VMS {
+                match leads(self.network.control(vm)).await {
+                    Ok(()) => return Ok(vm),
+                    Err(pending) => seen = pending,
+                }
+            }
+            Err(seen)
+        })
+        .await?;
+        Ok(leader)
+    }
+
+    /// Waits until every declared resource is in force, and returns how many there are.
+    ///
+    /// # Errors
+    ///
+    /// [`DeploymentError::NotInTime`] when one isn't within `bound`.
+    pub async fn in_force(&self, bound: Duration) -> Result<usize, DeploymentError> {
+        let count = wait_until("every resource in force", bound, || async {
+            let list = self.read("/v1/resources").await?;
+            let items = list["items"].as_array().map_or(&[][..], Vec::as_slice);
+            match items
+                .iter()
+                .find(|item| item["status"]["state"] != "in_force")
+            {
+                Some(item) => Err(Pending::new(item)),
+                None if items.is_empty() => Err(Pending::new("no resources")),
+                None => Ok(items.len()),
+            }
+        })
+        .await?;
+        Ok(count)
+    }
+
+    /// Reads a path from the first control replica that answers it.
+    ///
+    /// # Errors
+    ///
+    /// [`Pending`] with what the last replica answered.
+    pub async fn read(&self, path: &str) -> Result<Value, Pending> {
+        let mut seen = Pending::new("no control replica answers");
+        for address in self.network.controls() {
+            let answer = Connection::new(address)
+                .json::<()>(Method::GET, path, None, CONTROL_TIMEOUT)
+                .await;
+            match answer {
+                Ok((StatusCode::OK, body)) => return Ok(body),
+                Ok((status, body)) => seen = Pending::new(format!("{status} {body}")),
+                Err(error) => seen = error.into(),
+            }
+        }
+        Err(seen)
+    }
+
+    /// Runs the operators' command line against every control replica.
+    ///
+    /// # Errors
+    ///
+    /// [`DeploymentError::Process`] when it fails.
+    pub async fn ctl(&self, arguments: &[&str]) -> Result<String, DeploymentError> {
+        let controls: Vec<String> = self
+            .network
+            .controls()
+            .iter()
+            .map(SocketAddr::to_string)
+            .collect();
+        let servers = controls.join(",");
+        let mut all = vec!["--control", &*servers];
+        all.extend_from_slice(arguments);
+        Ok(run_command(&self.binaries.ctl(), &all).await?)
+    }
+}
+
+async fn leads(control: SocketAddr) -> Result<(), Pending> {
+    let nothing = json!({"request_id": "leader", "prune": false, "dry_run": true, "changes": []});
+    let (status, body) = Connection::new(control)
+        .json(Method::POST, "/v1/apply", Some(&nothing), CONTROL_TIMEOUT)
+        .await?;
+    if status == StatusCode::OK {
+        return Ok(());
+    }
+    Err(Pending::new(format!("{status} {body}")))
+}
