--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -17,7 +17,7 @@
     task::JoinSet,
     time::{Instant, sleep_until, timeout},
 };
-use types::{Outcome, ServiceName};
+use types::{LookupEntry, Outcome, ServiceName};
 
 /// What the callers of a service send.
 #[derive(Clone, Debug)]
@@ -36,11 +36,15 @@
     pub answer_bytes: usize,
     /// How often a request may be sent when it did not run.
     pub attempts_max: u32,
+    /// The one entry to send through, instead of those that look-ups name.
+    pub through: Option<LookupEntry>,
 }
 
 /// How far the callers are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Progress {
+    /// Callers that began their first request.
+    pub begun: u64,
     /// Requests that ended.
     pub ended: u64,
     /// Those of them that finished.
@@ -117,6 +121,24 @@
         })
     }
 
+    /// Waits until every caller has begun its first request.
+    ///
+    /// # Errors
+    ///
+    /// [`NoProgress`] when one has not within `bound`.
+    pub async fn all_sent(&self, bound: Duration) -> Result<(), NoProgress> {
+        let mut progress = self.progress.clone();
+        let wanted = self.senders.len() as u64;
+        let reached = progress.wait_for(|progress| progress.begun >= wanted);
+        if matches!(timeout(bound, reached).await, Ok(Ok(_))) {
+            return Ok(());
+        }
+        Err(NoProgress {
+            finished: 0,
+            wanted,
+        })
+    }
+
     /// Lets each caller end its request and returns every record.
     pub async fn stop(mut self) -> Vec<Request> {
         self.stop.send_replace(true);
@@ -133,16 +155,26 @@
     RequestNumber(u64::from(series) << 48 | u64::from(caller) << 32)
 }
 
+/// What a caller tells the collector.
+#[derive(Debug)]
+enum Record {
+    /// It begins its first request.
+    Begun,
+    /// A request has ended.
+    Ended(Request),
+}
+
 async fn call(
     mut sender: Sender,
     pause: Duration,
     mut stopping: watch::Receiver<bool>,
-    records: mpsc::UnboundedSender<Request>,
+    records: mpsc::UnboundedSender<Record>,
 ) {
+    let _ = records.send(Record::Begun);
     loop {
         let next = Instant::now() + pause;
         let request = sender.send_next().await;
-        if records.send(request).is_err() {
+        if records.send(Record::Ended(request)).is_err() {
             return;
         }
         tokio::select! {
@@ -153,16 +185,22 @@
 }
 
 async fn collect(
-    mut recorded: mpsc::UnboundedReceiver<Request>,
+    mut recorded: mpsc::UnboundedReceiver<Record>,
     progress: watch::Sender<Progress>,
 ) -> Vec<Request> {
     let mut requests = Vec::new();
-    while let Some(request) = recorded.recv().await {
-        progress.send_modify(|progress| {
-            progress.ended += 1;
-            progress.finished += u64::from(request.outcome() == Outcome::Finished);
-        });
-        requests.push(request);
+    while let Some(record) = recorded.recv().await {
+        match record {
+            Record::Begun => progress.send_modify(|progress| progress.begun += 1),
+            Record::Ended(request) => {
+                let finished = request.outcome() == Outcome::Finished;
+                progress.send_modify(|progress| {
+                    progress.ended += 1;
+                    progress.finished += u64::from(finished);
+                });
+                requests.push(request);
+            }
+        }
     }
     requests
 }
--- a/crates/standin/src/caller/sender.rs
+++ b/crates/standin/src/caller/sender.rs
@@ -64,7 +64,7 @@
                 request: number,
                 attempt: u32::try_from(attempts.len()).map_or(u32::MAX, |count| count + 1),
             };
-            if let Some(entry) = self.lookups.choose().await {
+            if let Some(entry) = self.choose().await {
                 let record = self.attempt(&entry, id).await;
                 let again = may_resend(record.told);
                 attempts.push(record);
@@ -83,6 +83,13 @@
         }
     }
 
+    async fn choose(&mut self) -> Option<LookupEntry> {
+        match &self.load.through {
+            Some(entry) => Some(entry.clone()),
+            None => self.lookups.choose().await,
+        }
+    }
+
     async fn attempt(&mut self, entry: &LookupEntry, id: AttemptId) -> Attempt {
         let started_us = self.clock.now_us();
         let limit = self.load.deadline + ANSWER_GRACE;
--- a/crates/standin/src/deployment/control.rs
+++ b/crates/standin/src/deployment/control.rs
@@ -2,13 +2,13 @@
 
 use crate::{
     condition::{Pending, wait_until},
-    deployment::{CONTROL_VMS, Deployment, DeploymentError},
+    deployment::{CONTROL_VMS, Deployment, DeploymentError, file_error, write},
     http::Connection,
     process::run_command,
 };
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
-use std::{net::SocketAddr, time::Duration};
+use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
 /// How long a request to a control replica may take.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(5);
@@ -23,7 +23,7 @@
         let leader = wait_until("a leading control replica", bound, || async {
             let mut seen = Pending::new("no replica answers as leader");
             for vm in CONTROL_VMS {
-                match leads(self.network.control(vm)).await {
+                match leads(self.network().control(vm)).await {
                     Ok(()) => return Ok(vm),
                     Err(pending) => seen = pending,
                 }
@@ -63,7 +63,7 @@
     /// [`Pending`] with what the last replica answered.
     pub async fn read(&self, path: &str) -> Result<Value, Pending> {
         let mut seen = Pending::new("no control replica answers");
-        for address in self.network.controls() {
+        for address in self.network().controls() {
             let answer = Connection::new(address)
                 .json::<()>(Method::GET, path, None, CONTROL_TIMEOUT)
                 .await;
@@ -76,6 +76,25 @@
         Err(seen)
     }
 
+    /// Applies a folder of declarations, with its addresses translated to this network's.
+    ///
+    /// # Errors
+    ///
+    /// [`DeploymentError`] when they can't be read or are rejected.
+    pub async fn apply(&self, declarations: &Path) -> Result<(), DeploymentError> {
+        let folder = self.folder().join("declarations");
+        fs::create_dir_all(&folder).map_err(file_error(&folder))?;
+        for file in fs::read_dir(declarations).map_err(file_error(declarations))? {
+            let path = file.map_err(file_error(declarations))?.path();
+            let text = fs::read_to_string(&path).map_err(file_error(&path))?;
+            let copy = folder.join(path.file_name().unwrap_or_default());
+            write(&copy, &self.network().translate(&text))?;
+        }
+        self.ctl(&["apply", "-f", &*folder.to_string_lossy()])
+            .await?;
+        Ok(())
+    }
+
     /// Runs the operators' command line against every control replica.
     ///
     /// # Errors
@@ -89,7 +108,7 @@
             .map(SocketAddr::to_string)
             .collect();
         let servers = controls.join(",");
-        let mut all = vec!["--control", &*servers];
+        let mut all = vec!["--servers", &*servers];
         all.extend_from_slice(arguments);
         Ok(run_command(&self.binaries.ctl(), &all).await?)
     }
--- a/crates/standin/src/deployment/network.rs
+++ b/crates/standin/src/deployment/network.rs
@@ -11,6 +11,8 @@
 const ENTRY_PORT: u16 = 8080;
 /// The port of an entry for the system's own processes.
 const ENTRY_PEER_PORT: u16 = 7080;
+/// The port of a relay before [`ENTRY_PEER_PORT`].
+const ENTRY_PEER_RELAY_PORT: u16 = 7081;
 /// The port of a control replica for operators.
 const CONTROL_PORT: u16 = 8090;
 /// The port of a control replica for the system's own processes.
@@ -49,6 +51,12 @@
         self.address(0, vm, ENTRY_PEER_PORT)
     }
 
+    /// Where a relay before an entry's address for the system's own processes listens.
+    #[must_use]
+    pub const fn entry_peer_relay(self, vm: u8) -> SocketAddr {
+        self.address(0, vm, ENTRY_PEER_RELAY_PORT)
+    }
+
     /// A control replica's address for operators.
     #[must_use]
     pub const fn control(self, vm: u8) -> SocketAddr {
--- a/crates/standin/src/deployment/wirecraft.rs
+++ b/crates/standin/src/deployment/wirecraft.rs
@@ -92,6 +92,7 @@
             deadline: self.deadline,
             answer_bytes: self.answer_bytes,
             attempts_max: ATTEMPTS_MAX,
+            through: None,
         })
     }
 
--- /dev/null
+++ b/crates/standin/tests/failures/real.rs
@@ -0,0 +1,87 @@
+//! What the tests over the real processes share.
+
+use standin::{
+    caller::Load,
+    checker::Verdict,
+    deployment::{Deployment, Network, Workload, entry_name},
+    process::Binaries,
+    stage::Stage,
+};
+use std::{
+    path::{Path, PathBuf},
+    time::Duration,
+};
+use types::{EntryName, LookupEntry};
+
+/// The bound of each wait.
+pub const BOUND: Duration = Duration::from_secs(20);
+
+/// Two services, one of them not idempotent.
+pub const WORKLOADS: [Workload; 2] = [
+    Workload {
+        service: "browse",
+        upstreams: 6,
+        idempotent: true,
+        answer_bytes: 16_384,
+        service_time: Duration::from_millis(5),
+        callers: 4,
+        deadline: Duration::from_secs(2),
+    },
+    Workload {
+        service: "order",
+        upstreams: 6,
+        idempotent: false,
+        answer_bytes: 1_024,
+        service_time: Duration::from_millis(20),
+        callers: 4,
+        deadline: Duration::from_secs(5),
+    },
+];
+
+/// The folder of the Wirecraft declarations.
+pub fn declarations() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/wirecraft")
+}
+
+/// A deployment on its own addresses, not started yet.
+pub async fn deployment(second: u8) -> Deployment {
+    let binaries = Binaries::find().unwrap();
+    Deployment::new(binaries, Network::new(second, 1))
+        .await
+        .unwrap()
+}
+
+/// A deployment with its declarations in force.
+pub async fn stage(second: u8) -> Stage {
+    let deployment = deployment(second).await;
+    Stage::set(deployment, &declarations(), &WORKLOADS)
+        .await
+        .unwrap()
+}
+
+/// Loads that go through the entry on a VM whatever look-ups say.
+pub fn loads_through(stage: &Stage, vm: u8) -> Vec<Load> {
+    let entry = LookupEntry {
+        name: EntryName::new(&entry_name(vm)).unwrap(),
+        address: stage.deployment.network().entry(vm),
+        weight: 1,
+    };
+    let load = |workload: &Workload| Load {
+        through: Some(entry.clone()),
+        ..workload.load().unwrap()
+    };
+    WORKLOADS.iter().map(load).collect()
+}
+
+/// Fails with what was violated.
+pub fn assert_holds(verdict: &Verdict) {
+    assert!(
+        verdict.holds(),
+        "finished {} of {}, did not run {}, unknown {}; violations {:?}",
+        verdict.finished,
+        verdict.sent,
+        verdict.not_run,
+        verdict.unknown,
+        verdict.violations
+    );
+}
--- a/crates/standin/tests/standins.rs
+++ b/crates/standin/tests/standins.rs
@@ -42,6 +42,7 @@
         deadline: Duration::from_secs(2),
         answer_bytes: ANSWER_BYTES,
         attempts_max: 1,
+        through: None,
     }
 }
 
