--- /dev/null
+++ b/crates/standin/src/deployment.rs
@@ -0,0 +1,236 @@
+//! A deployment of real processes on loopback addresses, one for each VM.
+
+mod control;
+mod network;
+mod settings;
+mod wirecraft;
+
+pub use crate::deployment::{
+    network::{CONTROL_VMS, ENTRY_VMS, Network, control_name, entry_name},
+    wirecraft::{WIRECRAFT, Workload, all_loads, all_upstreams},
+};
+
+use crate::{
+    condition::NotInTime,
+    http::HttpError,
+    process::{Binaries, Daemon, ProcessError, run_command},
+};
+use std::{
+    collections::BTreeMap,
+    fs, io,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+use tempfile::TempDir;
+use thiserror::Error;
+
+/// Why a deployment could not do what it was told.
+#[derive(Debug, Error)]
+pub enum DeploymentError {
+    /// A process could not be started or told.
+    #[error(transparent)]
+    Process(#[from] ProcessError),
+    /// A file could not be written or read.
+    #[error("could not use {path}")]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        #[source]
+        source: io::Error,
+    },
+    /// A condition did not come true.
+    #[error(transparent)]
+    NotInTime(#[from] NotInTime),
+    /// A control replica did not answer.
+    #[error(transparent)]
+    Http(#[from] HttpError),
+    /// No such process runs.
+    #[error("{name} does not run")]
+    NotRunning {
+        /// Its name.
+        name: String,
+    },
+}
+
+/// The real processes of a deployment; dropping it kills them and removes their files.
+#[derive(Debug)]
+pub struct Deployment {
+    network: Network,
+    binaries: Binaries,
+    daemons: BTreeMap<String, Daemon>,
+    folder: TempDir,
+}
+
+impl Deployment {
+    /// Writes settings and keys into a folder of its own and founds the control replicas.
+    ///
+    /// # Errors
+    ///
+    /// [`DeploymentError`] when files can't be written or founding fails.
+    pub async fn new(binaries: Binaries, network: Network) -> Result<Self, DeploymentError> {
+        let folder =
+            TempDir::with_prefix("oleanderwell-").map_err(|source| DeploymentError::File {
+                path: std::env::temp_dir(),
+                source,
+            })?;
+        let deployment = Self {
+            network,
+            binaries,
+            daemons: BTreeMap::new(),
+            folder,
+        };
+        deployment.write_files()?;
+        for vm in CONTROL_VMS {
+            deployment.found(vm).await?;
+        }
+        Ok(deployment)
+    }
+
+    /// Its addresses.
+    #[must_use]
+    pub const fn network(&self) -> Network {
+        self.network
+    }
+
+    /// The folder with its settings, logs and data.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Leaves its files in place, and returns their folder.
+    pub fn keep(&mut self) -> &Path {
+        self.folder.disable_cleanup(true);
+        self.folder()
+    }
+
+    fn write_files(&self) -> Result<(), DeploymentError> {
+        let key = self.folder().join("key");
+        write(&key, settings::KEY)?;
+        for vm in ENTRY_VMS {
+            let text = settings::entry(self.network, vm, &key);
+            write(&self.settings(&entry_name(vm)), &text)?;
+        }
+        for vm in CONTROL_VMS {
+            let data = self.data(vm);
+            fs::create_dir(&data).map_err(file_error(&data))?;
+            let text = settings::control(self.network, vm, &key, &data);
+            write(&self.settings(&control_name(vm)), &text)?;
+        }
+        Ok(())
+    }
+
+    async fn found(&self, vm: u8) -> Result<(), DeploymentError> {
+        let settings = self.settings(&control_name(vm));
+        let settings = settings.to_string_lossy();
+        let arguments = ["--settings", &*settings, "--found"];
+        run_command(&self.binaries.daemon(), &arguments).await?;
+        Ok(())
+    }
+
+    /// The settings file of a process.
+    #[must_use]
+    pub fn settings(&self, name: &str) -> PathBuf {
+        self.folder().join(format!("{name}.ini"))
+    }
+
+    /// The data folder of the control replica on a VM.
+    #[must_use]
+    pub fn data(&self, vm: u8) -> PathBuf {
+        self.folder().join(format!("data-{vm}"))
+    }
+
+    /// Empties the data folder of the control replica on a VM.
+    ///
+    /// # Errors
+    ///
+    /// [`DeploymentError::File`] when it can't be emptied.
+    pub fn empty_data(&self, vm: u8) -> Result<(), DeploymentError> {
+        let data = self.data(vm);
+        fs::remove_dir_all(&data).map_err(file_error(&data))?;
+        fs::create_dir(&data).map_err(file_error(&data))
+    }
+
+    /// Starts every process.
+    ///
+    /// # Errors
+    ///
+    /// [`DeploymentError::Process`] when one can't be started.
+    pub fn start_all(&mut self) -> Result<(), DeploymentError> {
+        for vm in CONTROL_VMS {
+            self.start(&control_name(vm))?;
+        }
+        for vm in ENTRY_VMS {
+            self.start(&entry_name(vm))?;
+        }
+        Ok(())
+    }
+
+    /// Starts a process, or starts it again.
+    ///
+    /// # Errors
+    ///
+    /// [`DeploymentError::Process`] when it can't be started.
+    pub fn start(&mut self, name: &str) -> Result<(), DeploymentError> {
+        let log = self.folder().join(format!("{name}.log"));
+        let daemon = Daemon::start(&self.binaries, name, &self.settings(name), &log)?;
+        self.daemons.insert(name.to_owned(), daemon);
+        Ok(())
+    }
+
+    /// A running process.
+    ///
+    /// # Errors
+    ///
+    /// [`DeploymentError::NotRunning`] when it doesn't run.
+    pub fn daemon(&self, name: &str) -> Result<&Daemon, DeploymentError> {
+        self.daemons.get(name).ok_or_else(|| not_running(name))
+    }
+
+    fn take(&mut self, name: &str) -> Result<Daemon, DeploymentError> {
+        self.daemons.remove(name).ok_or_else(|| not_running(name))
+    }
+
+    /// Kills a process.
+    ///
+    /// # Errors
+    ///
+    /// [`DeploymentError`] when it doesn't run or can't be killed.
+    pub async fn kill(&mut self, name: &str) -> Result<(), DeploymentError> {
+        Ok(self.take(name)?.kill().await?)
+    }
+
+    /// Stops a process and returns whether it ended with exit code 0.
+    ///
+    /// # Errors
+    ///
+    /// [`DeploymentError`] when it doesn't run or doesn't end within `bound`.
+    pub async fn stop(&mut self, name: &str, bound: Duration) -> Result<bool, DeploymentError> {
+        let status = self.take(name)?.stop(bound).await?;
+        Ok(status.success())
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("files kept in {}", self.keep().display());
+        }
+    }
+}
+
+fn not_running(name: &str) -> DeploymentError {
+    DeploymentError::NotRunning {
+        name: name.to_owned(),
+    }
+}
+
+fn file_error(path: &Path) -> impl FnOnce(io::Error) -> DeploymentError {
+    let path = path.to_owned();
+    move |source| DeploymentError::File { path, source }
+}
+
+fn write(path: &Path, text: &str) -> Result<(), DeploymentError> {
+    fs::write(path, text).map_err(file_error(path))
+}
