--- a/crates/control/src/entries.rs
+++ b/crates/control/src/entries.rs
@@ -4,31 +4,11 @@
 use serde::Serialize;
 use state::{RejectedBy, ResourceState, ResourceStatus, State, WaitingEntry};
 use std::collections::{BTreeMap, VecDeque};
-use types::{EntryName, Key, Kind, ResourceName, TimeUs};
-
-/// How long an entry takes work without a confirmation by a majority, in milliseconds.
-pub const CONFIG_LEASE_MS: u64 = 3_000;
+use types::{CONFIG_LEASE_MS, EntryName, Key, Kind, ResourceName, TimeUs};
 
 /// What is added to the lease before an entry counts as fenced, in milliseconds.
 pub const CONFIG_LEASE_MARGIN_MS: u64 = 1_000;
 
-/// The shortest period of an entry's polls, in milliseconds.
-const POLL_MIN_MS: u64 = 250;
-
-/// The longest period of an entry's polls, in milliseconds; one may be lost within a lease.
-const POLL_MAX_MS: u64 = 1_450;
-
-/// By how much each declared entry lengthens the period, in milliseconds.
-const POLL_STEP_MS: u64 = 2;
-
-/// The period of an entry's polls of each replica, so that all entries together cost a replica
-/// about the same at any size.
-#[must_use]
-pub fn poll_interval_ms(declared_entries: usize) -> u64 {
-    let step_ms = POLL_STEP_MS.saturating_mul(declared_entries as u64);
-    step_ms.clamp(POLL_MIN_MS, POLL_MAX_MS)
-}
-
 /// After a pause between two events as long as this, silence before it says nothing.
 const PAUSE_MAX_US: u64 = 1_000_000;
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,5 +19,5 @@
     },
     core::Control,
     dump::ControlDump,
-    entries::{CONFIG_LEASE_MARGIN_MS, CONFIG_LEASE_MS, EntryDump, poll_interval_ms},
+    entries::{CONFIG_LEASE_MARGIN_MS, EntryDump},
 };
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -69,6 +69,7 @@
     pub poll_answers: BTreeMap<u64, PollAnswer>,
     pub sent: Vec<(ReplicaId, Message)>,
     pub cut: BTreeSet<ReplicaId>,
+    heartbeat_us: u64,
     founders: Membership,
     in_flight: VecDeque<InFlight>,
     next_request: u64,
@@ -83,9 +84,14 @@
 
 impl Cluster {
     pub fn new(size: u32) -> Self {
+        Self::with_heartbeat_us(size, 50_000)
+    }
+
+    pub fn with_heartbeat_us(size: u32, heartbeat_us: u64) -> Self {
         let voters = (1..=size).map(|n| id(&format!("control-{n}"), 1)).collect();
         let mut cluster = Self {
             now_us: 0,
+            heartbeat_us,
             replicas: BTreeMap::new(),
             disks: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -119,8 +125,8 @@
         let config = ControlConfig {
             raft: RaftConfig {
                 id: replica.clone(),
-                heartbeat_us: 50_000,
-                election_us: 300_000,
+                heartbeat_us: self.heartbeat_us,
+                election_us: 6 * self.heartbeat_us,
                 append_max_bytes: 64 * 1024,
                 snapshot_part_bytes: 64 * 1024,
                 seed: seed * 31 + replica.name.bytes().map(u64::from).sum::<u64>(),
--- a/crates/control/tests/cost.rs
+++ b/crates/control/tests/cost.rs
@@ -3,9 +3,10 @@
 mod cluster;
 
 use cluster::{Cluster, entry_spec, item, put, region};
-use control::{PollAnswer, poll_interval_ms};
+use control::PollAnswer;
 use prost::Message;
 use raft::ReplicaId;
+use types::poll_interval_ms;
 use wire::{peer, raft_to_wire};
 
 /// What a daemon may spend on control at the size to design for, in bytes a second.
@@ -13,6 +14,9 @@
 const ENTRIES: usize = 720;
 const REPLICAS: usize = 5;
 
+/// The period of a leader's heartbeats in the daemon.
+const HEARTBEAT_US: u64 = 150_000;
+
 /// What a frame takes besides its message, in bytes.
 const FRAME_HEAD_BYTES: usize = 4;
 
@@ -29,6 +33,7 @@
 
 fn poll_bytes(applied_index: u64) -> usize {
     frame_bytes(peer::frame::Body::Poll(peer::Poll {
+        entry: format!("entry-{ENTRIES}"),
         applied_index,
         ..peer::Poll::default()
     }))
@@ -75,7 +80,7 @@
 
 /// A cluster whose log has as many entries as some months of changes leave behind.
 fn aged_cluster() -> (Cluster, ReplicaId, u64) {
-    let mut cluster = Cluster::new(REPLICAS as u32);
+    let mut cluster = Cluster::with_heartbeat_us(REPLICAS as u32, HEARTBEAT_US);
     let leader = cluster.wait_for_leader();
     item(cluster.settle(&put("a", "gauteng", region(9, "gauteng-a"), 0)));
     let entry = item(cluster.settle(&put("b", "entry-1", entry_spec(1), 0)));
--- a/crates/control/tests/status.rs
+++ b/crates/control/tests/status.rs
@@ -3,9 +3,10 @@
 mod cluster;
 
 use cluster::{Cluster, entry_spec, item, key, put, region};
-use control::{Answer, CONFIG_LEASE_MARGIN_MS, CONFIG_LEASE_MS, PollRejection, Request};
+use control::{Answer, CONFIG_LEASE_MARGIN_MS, PollRejection, Request};
 use raft::ReplicaId;
 use state::{ResourceState, ResourceStatus};
+use types::CONFIG_LEASE_MS;
 
 const POLL_MS: u64 = 500;
 const FENCED_AFTER_MS: u64 = CONFIG_LEASE_MS + CONFIG_LEASE_MARGIN_MS;
--- /dev/null
+++ b/crates/types/src/lease.rs
@@ -0,0 +1,21 @@
+//! The configuration lease, which entries and control replicas reckon with alike.
+
+/// How long an entry takes work without a confirmation by a majority, in milliseconds.
+pub const CONFIG_LEASE_MS: u64 = 3_000;
+
+/// The shortest period of an entry's polls, in milliseconds.
+const POLL_MIN_MS: u64 = 250;
+
+/// The longest period of an entry's polls, in milliseconds; one may be lost within a lease.
+const POLL_MAX_MS: u64 = 1_450;
+
+/// By how much each declared entry lengthens the period, in milliseconds.
+const POLL_STEP_MS: u64 = 2;
+
+/// The period of an entry's polls of each replica, so that all entries together cost a replica
+/// about the same at any size.
+#[must_use]
+pub fn poll_interval_ms(declared_entries: usize) -> u64 {
+    let step_ms = POLL_STEP_MS.saturating_mul(declared_entries as u64);
+    step_ms.clamp(POLL_MIN_MS, POLL_MAX_MS)
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod announcement;
 mod error;
+mod lease;
 mod lookup;
 mod name;
 mod outcome;
@@ -13,6 +14,7 @@
 pub use crate::{
     announcement::{AnnounceAnswer, Announcement, UpstreamState},
     error::{ApiError, ErrorBody},
+    lease::{CONFIG_LEASE_MS, poll_interval_ms},
     lookup::{LookupAnswer, LookupEntry},
     name::{
         DomainName, EntryName, InvalidName, RegionName, ReplicaName, ResourceName, ServiceName,
