Add claims: at most one run for each idempotency key

A caller that resends to another entry must never cause a second run, also when entries lose their memory, are cut off, or the declared entries change. Holders of a key grant it to one attempt; a claimant runs only on a majority of each entry set that counts.

Ruled out: recovering a key only when it is asked for, which needs the two other holders just when they suffice without the third. Ruled out: incarnations compared for equality, since a holder that let the horizon pass would never be counted beside one that knew an older run.

--- /dev/null
+++ b/crates/claim/src/layout.rs
@@ -0,0 +1,113 @@
+//! Which entries hold the claims of a key.
+
+use crate::key::ClaimKey;
+use serde::{Deserialize, Serialize};
+use std::{cmp::Reverse, collections::BTreeSet};
+use types::{DomainName, EntryName, RegionName};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Entries that hold the claims of one key.
+pub const HOLDERS: usize = 3;
+
+/// Where a declared entry stands.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Place {
+    /// The entry.
+    pub entry: EntryName,
+    /// Its region.
+    pub region: RegionName,
+    /// Its failure domain.
+    pub failure_domain: DomainName,
+}
+
+/// Entries that were declared together.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct EntrySet {
+    places: BTreeSet<Place>,
+}
+
+impl EntrySet {
+    /// A set of declared entries.
+    #[must_use]
+    pub fn new(places: impl IntoIterator<Item = Place>) -> Self {
+        Self {
+            places: places.into_iter().collect(),
+        }
+    }
+
+    /// The declared entries.
+    pub fn entries(&self) -> impl Iterator<Item = &EntryName> {
+        self.places.iter().map(|place| &place.entry)
+    }
+
+    /// The key's holders: the entries with the highest scores, in distinct regions as far as there
+    /// are any, then in distinct failure domains.
+    #[must_use]
+    pub fn holders(&self, key: &ClaimKey) -> Vec<&EntryName> {
+        let bytes = key.hashed_bytes();
+        let score =
+            |place: &Place| xxh3_64_with_seed(&bytes, xxh3_64(place.entry.as_str().as_bytes()));
+        let mut ranked: Vec<&Place> = self.places.iter().collect();
+        ranked.sort_by_cached_key(|place| Reverse((score(place), &place.entry)));
+        let mut chosen: Vec<&Place> = Vec::with_capacity(HOLDERS);
+        for spread in [Spread::Regions, Spread::Domains, Spread::Any] {
+            for place in &ranked {
+                if chosen.len() < HOLDERS && spread.allows(&chosen, place) {
+                    chosen.push(place);
+                }
+            }
+        }
+        chosen.into_iter().map(|place| &place.entry).collect()
+    }
+}
+
+/// How far apart the next holder must stand from those chosen.
+#[derive(Clone, Copy)]
+enum Spread {
+    Regions,
+    Domains,
+    Any,
+}
+
+impl Spread {
+    fn allows(self, chosen: &[&Place], place: &Place) -> bool {
+        chosen.iter().all(|other| match self {
+            Self::Regions => other.region != place.region,
+            Self::Domains => {
+                other.region != place.region || other.failure_domain != place.failure_domain
+            }
+            Self::Any => other.entry != place.entry,
+        })
+    }
+}
+
+/// The entry sets that count at a configuration revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Layout {
+    /// Rises with every change of `sets`.
+    pub epoch: u64,
+    /// The present set, and every earlier one that was replaced less than
+    /// [`Timing::window_us`](crate::Timing::window_us) ago. A claim needs a majority in each.
+    pub sets: Vec<EntrySet>,
+}
+
+impl Layout {
+    /// The key's holders in each set that has any.
+    #[must_use]
+    pub fn holders(&self, key: &ClaimKey) -> Vec<Vec<EntryName>> {
+        self.sets
+            .iter()
+            .map(|set| set.holders(key).into_iter().cloned().collect::<Vec<_>>())
+            .filter(|holders| !holders.is_empty())
+            .collect()
+    }
+
+    /// The key's holders in any set.
+    #[must_use]
+    pub fn all_holders(&self, key: &ClaimKey) -> BTreeSet<EntryName> {
+        self.holders(key).into_iter().flatten().collect()
+    }
+}
--- /dev/null
+++ b/crates/claim/src/table.rs
@@ -0,0 +1,231 @@
+//! The records of one holder, bounded in number and size.
+
+use crate::{
+    key::ClaimKey,
+    message::{Attempt, Ending, HeldClaim, HeldRecord, Progress},
+    timing::Limits,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops::Bound,
+};
+use types::TimeUs;
+
+/// Records and answer bytes that one message of a recovery carries.
+const CHUNK_RECORDS: usize = 256;
+const CHUNK_ANSWER_BYTES: usize = 256 * 1024;
+
+/// What is kept of one key.
+#[derive(Debug, Default)]
+struct Record {
+    claims: Vec<HeldClaim>,
+    /// An attempt that was given up; a late claim of it is not granted.
+    released: Option<Attempt>,
+    expires_us: TimeUs,
+}
+
+/// Whose a key is.
+pub(crate) enum Owner<'a> {
+    /// Nobody's.
+    None,
+    /// Nobody's, but this attempt gave it up.
+    Released(&'a Attempt),
+    /// The only claim.
+    One(&'a HeldClaim),
+    /// Several claims of which one may have won elsewhere.
+    Contested(&'a [HeldClaim]),
+}
+
+/// The keys that a holder keeps, until they expire.
+#[derive(Debug)]
+pub(crate) struct Table {
+    limits: Limits,
+    records: BTreeMap<ClaimKey, Record>,
+    expiries: BTreeSet<(TimeUs, ClaimKey)>,
+    answer_bytes: usize,
+}
+
+fn answer_bytes(progress: &Progress) -> usize {
+    match progress {
+        Progress::Finished {
+            answer: Some(answer),
+            ..
+        } => answer.len(),
+        Progress::Finished { answer: None, .. } | Progress::Claimed | Progress::Unknown => 0,
+    }
+}
+
+impl Table {
+    pub(crate) const fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            records: BTreeMap::new(),
+            expiries: BTreeSet::new(),
+            answer_bytes: 0,
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    pub(crate) const fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
+    pub(crate) fn next_expiry_us(&self) -> Option<TimeUs> {
+        self.expiries.first().map(|(expires_us, _)| *expires_us)
+    }
+
+    /// Forgets what has expired.
+    pub(crate) fn expire(&mut self, now_us: TimeUs) {
+        while let Some((expires_us, _)) = self.expiries.first()
+            && expires_us.reached(now_us)
+            && let Some((_, key)) = self.expiries.pop_first()
+            && let Some(record) = self.records.remove(&key)
+        {
+            let freed = record
+                .claims
+                .iter()
+                .map(|claim| answer_bytes(&claim.progress));
+            self.answer_bytes -= freed.sum::<usize>();
+        }
+    }
+
+    pub(crate) fn owner(&self, key: &ClaimKey) -> Owner<'_> {
+        let Some(record) = self.records.get(key) else {
+            return Owner::None;
+        };
+        match (record.claims.as_slice(), &record.released) {
+            ([], Some(attempt)) => Owner::Released(attempt),
+            ([], None) => Owner::None,
+            ([claim], _) => Owner::One(claim),
+            (claims, _) => Owner::Contested(claims),
+        }
+    }
+
+    /// Keeps a key until `expires_us` at least; false when there is no room.
+    fn keep(&mut self, key: &ClaimKey, expires_us: TimeUs) -> bool {
+        if let Some(record) = self.records.get_mut(key) {
+            if record.expires_us < expires_us {
+                self.expiries.remove(&(record.expires_us, key.clone()));
+                self.expiries.insert((expires_us, key.clone()));
+                record.expires_us = expires_us;
+            }
+            return true;
+        }
+        if self.records.len() >= self.limits.keys {
+            return false;
+        }
+        let record = Record {
+            expires_us,
+            ..Record::default()
+        };
+        self.records.insert(key.clone(), record);
+        self.expiries.insert((expires_us, key.clone()));
+        true
+    }
+
+    /// Adds a claim, or takes over its progress when that is further; false when there is no room.
+    pub(crate) fn put(&mut self, key: &ClaimKey, claim: HeldClaim, expires_us: TimeUs) -> bool {
+        if !self.keep(key, expires_us) {
+            return false;
+        }
+        let progress = self.without_excess(claim.progress);
+        let Some(record) = self.records.get_mut(key) else {
+            return false;
+        };
+        if record.released.as_ref() == Some(&claim.attempt) && !progress.is_ended() {
+            return true;
+        }
+        let known = record
+            .claims
+            .iter_mut()
+            .find(|known| known.attempt == claim.attempt);
+        match known {
+            Some(known) if progress > known.progress => {
+                self.answer_bytes += answer_bytes(&progress);
+                self.answer_bytes -= answer_bytes(&known.progress);
+                known.progress = progress;
+            }
+            Some(_) => {}
+            None => {
+                self.answer_bytes += answer_bytes(&progress);
+                let attempt = claim.attempt;
+                record.claims.push(HeldClaim { attempt, progress });
+            }
+        }
+        true
+    }
+
+    /// The progress without an answer that there is no room for.
+    fn without_excess(&self, progress: Progress) -> Progress {
+        let room_bytes = self.limits.answer_bytes.saturating_sub(self.answer_bytes);
+        match progress {
+            Progress::Finished { status, answer } => Progress::Finished {
+                status,
+                answer: answer.filter(|answer| answer.len() <= room_bytes),
+            },
+            Progress::Claimed | Progress::Unknown => progress,
+        }
+    }
+
+    /// Takes in how an attempt ended; false when there is no room.
+    pub(crate) fn end(
+        &mut self,
+        key: &ClaimKey,
+        attempt: &Attempt,
+        ending: Ending,
+        expires_us: TimeUs,
+    ) -> bool {
+        let progress = match ending {
+            Ending::DidNotRun => return self.release(key, attempt, expires_us),
+            Ending::Unknown => Progress::Unknown,
+            Ending::Finished { status, answer } => Progress::Finished { status, answer },
+        };
+        let attempt = attempt.clone();
+        self.put(key, HeldClaim { attempt, progress }, expires_us)
+    }
+
+    fn release(&mut self, key: &ClaimKey, attempt: &Attempt, expires_us: TimeUs) -> bool {
+        if !self.keep(key, expires_us) {
+            return false;
+        }
+        if let Some(record) = self.records.get_mut(key) {
+            record.claims.retain(|claim| claim.attempt != *attempt);
+            record.released = Some(attempt.clone());
+        }
+        true
+    }
+
+    /// The records after `after` whose key `wanted` names, and whether they are the last.
+    pub(crate) fn chunk(
+        &self,
+        now_us: TimeUs,
+        after: Option<&ClaimKey>,
+        wanted: impl Fn(&ClaimKey) -> bool,
+    ) -> (Vec<HeldRecord>, bool) {
+        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut bytes = 0;
+        let mut chunk = Vec::new();
+        for (key, record) in self.records.range::<ClaimKey, _>((start, Bound::Unbounded)) {
+            if record.claims.is_empty() || !wanted(key) {
+                continue;
+            }
+            if chunk.len() >= CHUNK_RECORDS || bytes >= CHUNK_ANSWER_BYTES {
+                return (chunk, false);
+            }
+            let answers = record
+                .claims
+                .iter()
+                .map(|claim| answer_bytes(&claim.progress));
+            bytes += answers.sum::<usize>();
+            chunk.push(HeldRecord {
+                key: key.clone(),
+                claims: record.claims.clone(),
+                remaining_us: record.expires_us.since_us(now_us),
+            });
+        }
+        (chunk, true)
+    }
+}
--- /dev/null
+++ b/crates/claim/tests/rules.rs
@@ -0,0 +1,373 @@
+//! Each rule of the claims under the fault that it is there for.
+
+mod support;
+
+use crate::support::{TIMING, World, entry, index_of, key, set};
+use claim::{ClaimKey, Decision, Ending, HeldClaim, Limits, Peer, Progress, Unavailable};
+use std::collections::BTreeSet;
+
+const ENTRIES: usize = 5;
+
+/// The key's holders among all entries, and an entry that holds it not.
+fn roles(key: &ClaimKey) -> ([usize; 3], usize) {
+    let set = set(0..ENTRIES);
+    let holders: Vec<usize> = set.holders(key).into_iter().map(index_of).collect();
+    let outsider = (0..ENTRIES).find(|index| !holders.contains(index));
+    let holders = holders.try_into().expect("three holders");
+    (holders, outsider.expect("an entry that holds the key not"))
+}
+
+fn finished() -> Ending {
+    Ending::Finished {
+        status: 201,
+        answer: Some(b"paid".to_vec()),
+    }
+}
+
+fn claimed_by(decision: Option<&Decision>) -> &HeldClaim {
+    match decision {
+        Some(Decision::AlreadyClaimed { claim }) => claim,
+        other => panic!("expected AlreadyClaimed, got {other:?}"),
+    }
+}
+
+/// Requests a key at an entry and delivers everything.
+fn settled_request(world: &mut World, index: usize, key: &ClaimKey) -> (Peer, u64) {
+    let attempt = world.request(index, key);
+    world.settle(&[]);
+    attempt
+}
+
+fn no_majority(world: &World, attempt: &(Peer, u64)) -> bool {
+    let reason = Unavailable::NoMajority;
+    world.decision(attempt) == Some(&Decision::Unavailable { reason })
+}
+
+#[test]
+fn a_resend_to_another_entry_gets_the_first_answer() {
+    let mut world = World::declared(ENTRIES);
+    let first = settled_request(&mut world, 0, &key(1));
+    assert!(world.ran(&first));
+    let early = settled_request(&mut world, 1, &key(1));
+    let claim = claimed_by(world.decision(&early));
+    assert_eq!(claim.progress, Progress::Claimed);
+    assert_eq!(claim.attempt.claimant, first.0);
+
+    world.end(&first, finished());
+    world.settle(&[]);
+    let late = settled_request(&mut world, 2, &key(1));
+    let progress = &claimed_by(world.decision(&late)).progress;
+    let answer = Some(b"paid".to_vec());
+    assert_eq!(
+        *progress,
+        Progress::Finished {
+            status: 201,
+            answer
+        }
+    );
+}
+
+#[test]
+fn a_request_proved_not_run_frees_its_key() {
+    let mut world = World::declared(ENTRIES);
+    let first = settled_request(&mut world, 0, &key(1));
+    world.end(&first, Ending::DidNotRun);
+    world.settle(&[]);
+    let second = settled_request(&mut world, 1, &key(1));
+    assert!(world.ran(&second));
+    world.check();
+}
+
+#[test]
+fn a_late_claim_of_a_released_attempt_is_not_granted() {
+    let mut world = World::declared(ENTRIES);
+    let ([holder, ..], outsider) = roles(&key(1));
+    let first = world.request(outsider, &key(1));
+    let late = world.intercept(outsider, holder);
+    world.settle(&[]);
+    world.end(&first, Ending::DidNotRun);
+    world.settle(&[]);
+    late.into_iter()
+        .for_each(|envelope| world.deliver(envelope));
+    world.settle(&[]);
+    let second = settled_request(&mut world, outsider, &key(1));
+    assert!(world.ran(&second));
+    assert_eq!(world.nodes[outsider].claimant.attempts(), 1);
+}
+
+#[test]
+fn one_lost_holder_does_no_harm() {
+    let mut world = World::declared(ENTRIES);
+    let ([lost, ..], outsider) = roles(&key(1));
+    let attempt = world.request(outsider, &key(1));
+    world.settle(&[lost]);
+    assert!(world.ran(&attempt));
+}
+
+#[test]
+fn without_a_majority_nothing_runs() {
+    let mut world = World::declared(ENTRIES);
+    let ([a, b, _], outsider) = roles(&key(1));
+    let attempt = world.request(outsider, &key(1));
+    world.settle(&[a, b]);
+    assert_eq!(world.decision(&attempt), None);
+    world.advance(TIMING.decide_us);
+    assert!(no_majority(&world, &attempt));
+}
+
+#[test]
+fn a_restarted_holder_grants_only_what_it_recovered() {
+    let mut world = World::declared(ENTRIES);
+    let ([a, b, c], outsider) = roles(&key(1));
+    let first = world.request(outsider, &key(1));
+    world.settle(&[c]);
+    assert!(world.ran(&first));
+
+    world.restart(a);
+    world.confirm_all();
+    let recovery = world.intercept(a, b);
+    let blank = world.request(outsider, &key(1));
+    world.settle(&[b]);
+    assert_eq!(
+        world.decision(&blank),
+        None,
+        "no majority of a blank holder"
+    );
+
+    recovery
+        .into_iter()
+        .for_each(|envelope| world.deliver(envelope));
+    world.settle(&[]);
+    assert!(world.nodes[a].holder.status().missing.is_empty());
+    world.advance(TIMING.decide_us);
+    world.confirm_all();
+    world.network.clear();
+    let known = world.request(outsider, &key(1));
+    world.settle(&[b]);
+    assert!(!world.ran(&known), "the recovered holder knows the claim");
+    let other = world.request(outsider, &key(2));
+    world.settle(&[]);
+    assert!(world.ran(&other));
+}
+
+#[test]
+fn a_grant_of_an_earlier_run_joins_no_majority_with_later_ones() {
+    let mut world = World::declared(ENTRIES);
+    let ([a, b, c], outsider) = roles(&key(1));
+    let stale = world.request(outsider, &key(1));
+    let delayed = world.intercept(outsider, b);
+    world.intercept(outsider, c);
+    world.settle(&[]);
+
+    world.restart(a);
+    world.confirm_all();
+    world.settle(&[]);
+    let second = world.request(a, &key(1));
+    world.intercept(a, b);
+    world.settle(&[]);
+    assert!(
+        world.ran(&second),
+        "by the restarted holder and {}",
+        entry(c)
+    );
+
+    delayed
+        .into_iter()
+        .for_each(|envelope| world.deliver(envelope));
+    world.settle(&[]);
+    assert!(!world.ran(&stale));
+    world.check();
+}
+
+#[test]
+fn holders_that_granted_different_attempts_leave_a_recovered_one_neutral() {
+    let mut world = World::declared(ENTRIES);
+    let ([a, b, c], outsider) = roles(&key(1));
+    let first = world.request(outsider, &key(1));
+    world.intercept(outsider, c);
+    let second = world.request(c, &key(1));
+    world.intercept(c, a);
+    world.intercept(c, b);
+    world.settle(&[]);
+    assert!(world.ran(&first));
+    assert!(!world.ran(&second));
+
+    world.restart(a);
+    world.confirm_all();
+    world.settle(&[]);
+    world.advance(TIMING.decide_us / 2);
+    world.settle(&[]);
+    assert!(!world.ran(&second));
+    world.check();
+}
+
+#[test]
+fn two_lost_memories_wait_for_the_horizon() {
+    let mut world = World::declared(ENTRIES);
+    let ([a, b, c], outsider) = roles(&key(1));
+    let first = world.request(outsider, &key(1));
+    world.settle(&[c]);
+    assert!(world.ran(&first));
+    world.restart(a);
+    world.restart(b);
+    world.confirm_all();
+    world.settle(&[]);
+    let resend = settled_request(&mut world, outsider, &key(1));
+    assert!(!world.ran(&resend), "nobody remembers the claim");
+    world.advance(TIMING.decide_us);
+    assert!(no_majority(&world, &resend));
+
+    world.advance(TIMING.keep_us());
+    world.confirm_all();
+    world.network.clear();
+    let late = settled_request(&mut world, outsider, &key(1));
+    assert!(world.ran(&late));
+    world.check();
+}
+
+#[test]
+fn a_second_loss_after_a_repair_does_no_harm() {
+    let mut world = World::declared(ENTRIES);
+    let ([a, b, c], outsider) = roles(&key(1));
+    let first = world.request(outsider, &key(1));
+    world.settle(&[c]);
+    assert!(world.ran(&first));
+    for lost in [a, b] {
+        world.restart(lost);
+        world.confirm_all();
+        world.settle(&[]);
+        assert!(world.nodes[lost].holder.status().missing.is_empty());
+    }
+    let resend = settled_request(&mut world, outsider, &key(1));
+    assert_eq!(
+        claimed_by(world.decision(&resend)).attempt.claimant,
+        first.0
+    );
+    let other = settled_request(&mut world, outsider, &key(2));
+    assert!(world.ran(&other));
+}
+
+#[test]
+fn a_changed_set_of_entries_keeps_the_old_majority() {
+    let mut world = World::declared(ENTRIES);
+    let ([a, b, _], outsider) = roles(&key(1));
+    let first = settled_request(&mut world, outsider, &key(1));
+    assert!(world.ran(&first));
+    world.declare(set((0..ENTRIES).filter(|index| ![a, b].contains(index))));
+    world.confirm_all();
+    let resend = settled_request(&mut world, outsider, &key(1));
+    assert_eq!(
+        claimed_by(world.decision(&resend)).attempt.claimant,
+        first.0
+    );
+    let other = settled_request(&mut world, outsider, &key(2));
+    assert!(world.ran(&other));
+}
+
+#[test]
+fn a_holder_that_is_ahead_refuses_an_older_configuration() {
+    let mut world = World::declared(ENTRIES);
+    let ([a, b, c], outsider) = roles(&key(1));
+    let grown = set((0..ENTRIES).filter(|index| *index != a));
+    world.declare(grown);
+    for index in [a, b, c] {
+        world.confirm(index);
+    }
+    let behind = settled_request(&mut world, outsider, &key(1));
+    assert_eq!(world.decision(&behind), None);
+    world.confirm(outsider);
+    world.settle(&[]);
+    world.confirm_all();
+    world.advance(300_000);
+    world.settle(&[]);
+    assert!(world.ran(&behind));
+}
+
+#[test]
+fn a_holder_without_a_lease_grants_nothing() {
+    let mut world = World::declared(ENTRIES);
+    world.advance(TIMING.lease_us);
+    let attempt = settled_request(&mut world, 0, &key(1));
+    assert_eq!(world.decision(&attempt), None);
+    world.advance(TIMING.decide_us);
+    assert!(no_majority(&world, &attempt));
+}
+
+#[test]
+fn a_full_holder_refuses_and_forgets_nothing() {
+    let limits = Limits {
+        keys: 1,
+        ..Limits::default()
+    };
+    let mut world = World::new(3, limits);
+    world.declare(set(0..3));
+    world.confirm_all();
+    let first = settled_request(&mut world, 0, &key(1));
+    assert!(world.ran(&first));
+    let second = settled_request(&mut world, 0, &key(2));
+    assert_eq!(world.decision(&second), None);
+    let resend = settled_request(&mut world, 1, &key(1));
+    assert!(matches!(
+        world.decision(&resend),
+        Some(Decision::AlreadyClaimed { .. })
+    ));
+    assert_eq!(world.nodes[1].holder.status().keys, 1);
+}
+
+#[test]
+fn too_large_answers_are_left_out_of_what_is_kept() {
+    let limits = Limits {
+        answer_bytes: 3,
+        ..Limits::default()
+    };
+    let mut world = World::new(3, limits);
+    world.declare(set(0..3));
+    world.confirm_all();
+    let first = settled_request(&mut world, 0, &key(1));
+    world.end(&first, finished());
+    world.settle(&[]);
+    let resend = settled_request(&mut world, 1, &key(1));
+    let progress = &claimed_by(world.decision(&resend)).progress;
+    let answer = None;
+    assert_eq!(
+        *progress,
+        Progress::Finished {
+            status: 201,
+            answer
+        }
+    );
+    assert_eq!(world.nodes[0].holder.status().answer_bytes, 0);
+}
+
+#[test]
+fn expired_keys_leave_no_memory() {
+    let mut world = World::declared(ENTRIES);
+    for number in 0..50 {
+        let attempt = settled_request(&mut world, 0, &key(number));
+        world.end(&attempt, finished());
+        world.settle(&[]);
+    }
+    world.advance(TIMING.keep_us() + 1);
+    for node in &world.nodes {
+        assert_eq!(node.holder.status().keys, 0);
+        assert_eq!(node.holder.status().answer_bytes, 0);
+        assert_eq!(node.claimant.attempts(), 0);
+    }
+}
+
+#[test]
+fn holders_stand_in_distinct_regions_and_few_keys_move() {
+    let all = set(0..9);
+    let fewer = set(0..8);
+    let mut moved = 0;
+    for number in 0..300 {
+        let holders = all.holders(&key(number));
+        let regions: BTreeSet<usize> = holders.iter().map(|holder| index_of(holder) % 3).collect();
+        assert_eq!(regions.len(), 3);
+        moved += usize::from(holders != fewer.holders(&key(number)));
+        if !holders.contains(&&entry(8)) {
+            assert_eq!(holders, fewer.holders(&key(number)));
+        }
+    }
+    assert!((60..=140).contains(&moved), "{moved} of 300 keys moved");
+}
--- /dev/null
+++ b/crates/claim/tests/support/mod.rs
@@ -0,0 +1,311 @@
+//! Entries that exchange messages over a network that the test steers.
+#![allow(dead_code)]
+
+use claim::{
+    ClaimKey, Claimant, ClaimantInput, ClaimantOutput, Decision, Ending, EntrySet, Holder,
+    HolderInput, Layout, Limits, Message, Outgoing, Peer, Place, Receiver, Timing,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use types::{DomainName, EntryName, RegionName, ServiceName, TimeUs};
+
+pub const TIMING: Timing = Timing {
+    horizon_us: 100_000_000,
+    decide_us: 5_000_000,
+    lease_us: 3_000_000,
+};
+/// Clocks of two entries differ by this much.
+const CLOCK_OFFSET_US: u64 = 7_000_000_000;
+
+pub fn entry(index: usize) -> EntryName {
+    EntryName::new(&format!("entry-{index}")).expect("a name")
+}
+
+pub fn index_of(entry: &EntryName) -> usize {
+    let (_, index) = entry.as_str().split_once('-').expect("a numbered entry");
+    index.parse().expect("a number")
+}
+
+pub fn key(index: usize) -> ClaimKey {
+    let service = ServiceName::new("payout").expect("a name");
+    ClaimKey::new(&service, &format!("key-{index}")).expect("a key")
+}
+
+/// Entries in three regions of two failure domains each.
+pub fn set(entries: impl IntoIterator<Item = usize>) -> EntrySet {
+    let place = |index: usize| Place {
+        entry: entry(index),
+        region: RegionName::new(&format!("region-{}", index % 3)).expect("a name"),
+        failure_domain: DomainName::new(&format!("domain-{}", index % 6)).expect("a name"),
+    };
+    EntrySet::new(entries.into_iter().map(place))
+}
+
+pub struct Envelope {
+    pub from: Peer,
+    pub to: EntryName,
+    pub message: Message,
+}
+
+pub struct Node {
+    pub peer: Peer,
+    pub claimant: Claimant,
+    pub holder: Holder,
+}
+
+#[derive(Debug)]
+pub struct Run {
+    pub at_us: u64,
+    pub peer: Peer,
+    pub serial: u64,
+    pub proved_not_run: bool,
+}
+
+pub struct World {
+    pub now_us: u64,
+    pub limits: Limits,
+    pub nodes: Vec<Node>,
+    pub network: Vec<Envelope>,
+    pub runs: BTreeMap<ClaimKey, Vec<Run>>,
+    pub decisions: BTreeMap<(Peer, u64), Decision>,
+    keys: BTreeMap<(Peer, u64), ClaimKey>,
+    sets: Vec<(EntrySet, Option<u64>)>,
+    committed: Layout,
+}
+
+impl World {
+    /// Entries that start before anything is declared.
+    pub fn new(entries: usize, limits: Limits) -> Self {
+        let mut world = Self {
+            now_us: 1_000_000,
+            limits,
+            nodes: Vec::new(),
+            network: Vec::new(),
+            runs: BTreeMap::new(),
+            decisions: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            sets: Vec::new(),
+            committed: Layout::default(),
+        };
+        for index in 0..entries {
+            let node = world.start(index, 1);
+            world.nodes.push(node);
+            world.confirm(index);
+        }
+        world
+    }
+
+    /// Entries of which all are declared and in service.
+    pub fn declared(entries: usize) -> Self {
+        let mut world = Self::new(entries, Limits::default());
+        world.declare(set(0..entries));
+        (0..entries).for_each(|index| world.confirm(index));
+        world
+    }
+
+    fn start(&self, index: usize, incarnation: u64) -> Node {
+        let peer = Peer {
+            entry: entry(index),
+            incarnation,
+        };
+        Node {
+            claimant: Claimant::new(&peer, TIMING, self.limits),
+            holder: Holder::new(&peer, self.clock(index), TIMING, self.limits),
+            peer,
+        }
+    }
+
+    /// The entry's own clock.
+    pub fn clock(&self, index: usize) -> TimeUs {
+        TimeUs(self.now_us + index as u64 * CLOCK_OFFSET_US)
+    }
+
+    /// Declares the entries anew.
+    pub fn declare(&mut self, set: EntrySet) {
+        if let Some((_, replaced_us)) = self.sets.last_mut() {
+            *replaced_us = Some(self.now_us);
+        }
+        self.sets.push((set, None));
+        self.commit();
+    }
+
+    fn commit(&mut self) {
+        let now_us = self.now_us;
+        let counts = |replaced_us: &Option<u64>| {
+            replaced_us.is_none_or(|replaced_us| replaced_us + TIMING.window_us() > now_us)
+        };
+        self.sets.retain(|(_, replaced_us)| counts(replaced_us));
+        let sets: Vec<EntrySet> = self.sets.iter().map(|(set, _)| set.clone()).collect();
+        if sets != self.committed.sets {
+            let epoch = self.committed.epoch + 1;
+            self.committed = Layout { epoch, sets };
+        }
+    }
+
+    /// The entry learns the latest configuration and renews its lease.
+    pub fn confirm(&mut self, index: usize) {
+        let layout = self.committed.clone();
+        let until_us = self.clock(index).after_us(TIMING.lease_us);
+        self.holder_step(index, HolderInput::Layout(layout.clone()));
+        self.holder_step(index, HolderInput::Lease { until_us });
+        self.claimant_step(index, ClaimantInput::Layout(layout));
+    }
+
+    pub fn confirm_all(&mut self) {
+        (0..self.nodes.len()).for_each(|index| self.confirm(index));
+    }
+
+    /// The entry loses its memory and starts anew; it knows no configuration yet.
+    pub fn restart(&mut self, index: usize) {
+        let incarnation = self.nodes[index].peer.incarnation + 1;
+        self.nodes[index] = self.start(index, incarnation);
+    }
+
+    pub fn advance(&mut self, us: u64) {
+        self.now_us += us;
+        self.commit();
+        for index in 0..self.nodes.len() {
+            self.holder_step(index, HolderInput::Tick);
+            self.claimant_step(index, ClaimantInput::Tick);
+        }
+    }
+
+    pub fn request(&mut self, index: usize, key: &ClaimKey) -> (Peer, u64) {
+        let now_us = self.clock(index);
+        let mut outputs = Vec::new();
+        let node = &mut self.nodes[index];
+        let deadline_us = now_us.after_us(TIMING.decide_us * 2);
+        let serial = node
+            .claimant
+            .request(now_us, key, deadline_us, &mut outputs);
+        let attempt = (node.peer.clone(), serial);
+        self.keys.insert(attempt.clone(), key.clone());
+        self.carry_out(index, outputs);
+        attempt
+    }
+
+    /// The request of an attempt has ended.
+    pub fn end(&mut self, attempt: &(Peer, u64), ending: Ending) {
+        let index = index_of(&attempt.0.entry);
+        if self.nodes[index].peer != attempt.0 {
+            return;
+        }
+        let not_run = matches!(ending, Ending::DidNotRun);
+        for run in self.runs.values_mut().flatten() {
+            if (&run.peer, run.serial) == (&attempt.0, attempt.1) {
+                run.proved_not_run |= not_run;
+            }
+        }
+        let serial = attempt.1;
+        self.claimant_step(index, ClaimantInput::Ended { serial, ending });
+    }
+
+    fn claimant_step(&mut self, index: usize, input: ClaimantInput) {
+        let now_us = self.clock(index);
+        let mut outputs = Vec::new();
+        self.nodes[index].claimant.step(now_us, input, &mut outputs);
+        self.carry_out(index, outputs);
+    }
+
+    fn holder_step(&mut self, index: usize, input: HolderInput) {
+        let now_us = self.clock(index);
+        let mut outputs = Vec::new();
+        self.nodes[index].holder.step(now_us, input, &mut outputs);
+        for Outgoing { to, message } in outputs {
+            self.send(index, to, message);
+        }
+    }
+
+    fn send(&mut self, index: usize, to: EntryName, message: Message) {
+        let from = self.nodes[index].peer.clone();
+        self.network.push(Envelope { from, to, message });
+    }
+
+    fn carry_out(&mut self, index: usize, outputs: Vec<ClaimantOutput>) {
+        for output in outputs {
+            match output {
+                ClaimantOutput::Send { to, message } => self.send(index, to, message),
+                ClaimantOutput::Decided { serial, decision } => {
+                    self.decided(index, serial, decision);
+                }
+            }
+        }
+    }
+
+    fn decided(&mut self, index: usize, serial: u64, decision: Decision) {
+        let peer = self.nodes[index].peer.clone();
+        let attempt = (peer.clone(), serial);
+        if let (Decision::Run { .. }, Some(key)) = (&decision, self.keys.get(&attempt)) {
+            let run = Run {
+                at_us: self.now_us,
+                peer,
+                serial,
+                proved_not_run: false,
+            };
+            self.runs.entry(key.clone()).or_default().push(run);
+        }
+        let earlier = self.decisions.insert(attempt, decision);
+        assert!(earlier.is_none(), "an attempt is decided once");
+    }
+
+    pub fn decision(&self, attempt: &(Peer, u64)) -> Option<&Decision> {
+        self.decisions.get(attempt)
+    }
+
+    pub fn ran(&self, attempt: &(Peer, u64)) -> bool {
+        matches!(self.decision(attempt), Some(Decision::Run { .. }))
+    }
+
+    /// Delivers a message to whichever run of its receiver stands.
+    pub fn deliver(&mut self, envelope: Envelope) {
+        let Envelope { from, to, message } = envelope;
+        let index = index_of(&to);
+        match message.receiver() {
+            Receiver::Claimant => {
+                self.claimant_step(index, ClaimantInput::Message { from, message });
+            }
+            Receiver::Holder => self.holder_step(index, HolderInput::Message { from, message }),
+        }
+    }
+
+    /// Delivers everything, also what is sent meanwhile, between entries outside `cut`.
+    pub fn settle(&mut self, cut: &[usize]) {
+        let cut: BTreeSet<EntryName> = cut.iter().map(|index| entry(*index)).collect();
+        for _ in 0..10_000 {
+            if self.network.is_empty() {
+                return;
+            }
+            let envelope = self.network.remove(0);
+            let is_cut = cut.contains(&envelope.to) || cut.contains(&envelope.from.entry);
+            if !is_cut || envelope.to == envelope.from.entry {
+                self.deliver(envelope);
+            }
+        }
+        panic!("the entries never fall silent");
+    }
+
+    /// Takes the waiting messages from one entry to another out of the network.
+    pub fn intercept(&mut self, from: usize, to: usize) -> Vec<Envelope> {
+        let (from, to) = (entry(from), entry(to));
+        let all = std::mem::take(&mut self.network);
+        let (taken, kept) = all
+            .into_iter()
+            .partition(|envelope| envelope.from.entry == from && envelope.to == to);
+        self.network = kept;
+        taken
+    }
+
+    /// Panics when a key ran twice within the horizon and the first was not proved not run.
+    pub fn check(&self) {
+        for (key, runs) in &self.runs {
+            for (position, later) in runs.iter().enumerate() {
+                for earlier in &runs[..position] {
+                    let apart = later.at_us - earlier.at_us >= TIMING.horizon_us;
+                    assert!(
+                        earlier.proved_not_run || apart,
+                        "{key:?} ran twice: {earlier:?}, {later:?}"
+                    );
+                }
+            }
+        }
+    }
+}
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -18,4 +18,10 @@
         /// The field.
         field: &'static str,
     },
+    /// A field holds a value outside its set.
+    #[error("a message holds an invalid value in its field {field}")]
+    Invalid {
+        /// The field.
+        field: &'static str,
+    },
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Only this crate knows the encoding; the cores work on their own types.
 
+mod claim_message;
 mod codec;
 mod error;
 mod raft_message;
@@ -13,6 +14,7 @@
 }
 
 pub use crate::{
+    claim_message::{claim_from_wire, claim_to_wire},
     codec::{FRAME_MAX_BYTES, FrameCodec},
     error::WireError,
     raft_message::{raft_from_wire, raft_to_wire},
