Add the adaptive policy

Cause: entries share workers without seeing one another's requests; the baselines keep colliding there (1.5 to 1.8 attempts a request at 80%) and lose slots to the way.

Slots of the region's upstreams are dealt to its entries; an entry fills its own first, borrows others under the retry budget, and goes afar only when the wait here is longer than the way. New upstreams start slowly, outliers are ejected under a floor, refusals close an upstream for a short time.

--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -171,6 +171,11 @@
                 .with_policy(Policy::LeastReportedLoad)
                 .with_fallback(Fallback::Zero)
         },
+        Policy::Adaptive => |config| {
+            config
+                .with_policy(Policy::Adaptive)
+                .with_fallback(Fallback::Zero)
+        },
         Policy::PowerOfTwo => |config| {
             config
                 .with_policy(Policy::PowerOfTwo)
--- a/crates/route/src/attempt.rs
+++ b/crates/route/src/attempt.rs
@@ -19,6 +19,7 @@
         outputs: &mut Vec<Output>,
     ) {
         self.counters.arrived += 1;
+        self.budget.earn(self.config.limits.retry_percent);
         let service = self.table.service_id(service);
         let Some(service) = service.filter(|&id| self.table.services[id].declared) else {
             self.refuse(id, Refusal::UnknownService, outputs);
@@ -88,10 +89,12 @@
             since_us: now_us,
             answering: false,
         };
+        let service = &mut self.table.services[request.service];
+        service.in_flight += 1;
         upstream.in_flight += 1;
         region.room.in_flight += 1;
         if upstream.region != OWN_REGION {
-            let bytes = self.table.services[request.service].answer_bytes;
+            let bytes = service.answer_bytes;
             region.link.take(now_us, bytes);
         }
         outputs.push(Output::Forward {
@@ -128,16 +131,18 @@
         let Stage::Forwarded {
             upstream,
             region,
+            since_us,
             answering,
-            ..
         } = request.stage
         else {
             self.ended_in_queue(id, ending);
             return;
         };
-        let idempotent = request.idempotent;
+        let (request_service, idempotent) = (request.service, request.idempotent);
         request.may_have_run |= ending == Ending::Broken;
-        self.release(upstream, region);
+        self.release(request_service, upstream, region);
+        self.observe(now_us, upstream, since_us, ending);
+        self.table.forget_upstream(upstream);
         match ending {
             Ending::Finished { .. } => self.finish(id),
             Ending::CutShort => self.drop_request(id),
@@ -147,8 +152,11 @@
                 self.drop_request(id);
             }
             Ending::NotSent => self.retry(now_us, id, Refusal::NoUpstream, outputs),
-            Ending::Refused => self.retry(now_us, id, Refusal::UpstreamRefused, outputs),
-            Ending::Broken if idempotent && !answering => {
+            Ending::Refused => {
+                self.budget.spend();
+                self.retry(now_us, id, Refusal::UpstreamRefused, outputs);
+            }
+            Ending::Broken if idempotent && !answering && self.budget.spend() => {
                 self.retry(now_us, id, Refusal::UpstreamRefused, outputs);
             }
             Ending::Broken => self.settle(id, Refusal::UpstreamRefused, outputs),
@@ -163,11 +171,11 @@
         }
     }
 
-    fn release(&mut self, upstream: usize, region: usize) {
+    fn release(&mut self, service: usize, upstream: usize, region: usize) {
+        self.table.services[service].in_flight -= 1;
         self.table.regions[region].room.in_flight -= 1;
         self.table.upstreams[upstream].in_flight -= 1;
         self.table.refresh(upstream);
-        self.table.forget_upstream(upstream);
     }
 
     fn retry(
@@ -188,13 +196,15 @@
             true => self.choose(now_us, &request),
             false => Err(refusal),
         };
+        let queued = self.table.services[request.service].queue.len();
+        let queue_full = queued >= self.config.limits.queue_requests;
         self.requests.insert(id, request);
         match choice {
             Ok(upstream) => {
                 self.counters.retried += 1;
                 self.forward(now_us, id, upstream, outputs);
             }
-            Err(Refusal::Overloaded | Refusal::NoCapacity) => self.enqueue(id),
+            Err(Refusal::Overloaded | Refusal::NoCapacity) if !queue_full => self.enqueue(id),
             Err(_) => self.settle(id, refusal, outputs),
         }
     }
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -4,7 +4,8 @@
     Policy,
     request::Request,
     router::Router,
-    table::{Group, OWN_REGION},
+    service::{Group, Service},
+    table::OWN_REGION,
     upstream::Upstream,
 };
 use rand::{Rng, rngs::SmallRng};
@@ -13,28 +14,67 @@
 /// Random draws before every upstream with room is looked at.
 const DRAWS: u32 = 4;
 
+/// Which upstreams with room are looked at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pass {
+    /// Those with a free slot that was dealt to this entry.
+    Home,
+    /// All others.
+    Borrow,
+}
+
 impl Router {
     /// The upstream for a request, or why there is none now.
     pub(crate) fn choose(&mut self, now_us: TimeUs, request: &Request) -> Result<usize, Refusal> {
-        let Self {
-            config,
-            table,
-            rng,
-            counters,
-            ..
-        } = self;
-        let service = &mut table.services[request.service];
+        let service = &self.table.services[request.service];
         let usable = service.usable();
         if usable == 0 {
             return Err(Refusal::NoUpstream);
         }
-        if request.tried.len() >= usable {
+        let adaptive = self.config.policy == Policy::Adaptive;
+        if !adaptive && request.tried.len() >= usable {
             return Err(Refusal::UpstreamRefused);
         }
+        let reach_us = match adaptive {
+            true => reach_us(service),
+            false => u64::MAX,
+        };
         let mut blocked = Refusal::Overloaded;
-        for group in &mut service.groups {
+        for pass in [Pass::Home, Pass::Borrow] {
+            if pass == Pass::Borrow && adaptive && !self.budget.has_token() {
+                break;
+            }
+            match self.choose_in_pass(now_us, request, pass, reach_us) {
+                Ok(Some(chosen)) => return Ok(chosen),
+                Ok(None) => {}
+                Err(refusal) => blocked = refusal,
+            }
+        }
+        Err(blocked)
+    }
+
+    fn choose_in_pass(
+        &mut self,
+        now_us: TimeUs,
+        request: &Request,
+        pass: Pass,
+        reach_us: u64,
+    ) -> Result<Option<usize>, Refusal> {
+        let Self {
+            config,
+            table,
+            rng,
+            counters,
+            ..
+        } = self;
+        let mut blocked = None;
+        for group in &mut table.services[request.service].groups {
             counters.steps += 1;
-            if group.open.is_empty() {
+            let list_empty = match pass {
+                Pass::Home => group.home.is_empty(),
+                Pass::Borrow => group.open.is_empty(),
+            };
+            if list_empty || group.cost_us > reach_us || !group.closed_until_us.reached(now_us) {
                 continue;
             }
             let region = &table.regions[group.region];
@@ -43,7 +83,7 @@
                     .link
                     .has_room(now_us, config.fallback, config.limits.link_burst_us);
             if !link_open || !region.room.has_room(now_us, config.fallback) {
-                blocked = Refusal::NoCapacity;
+                blocked = Some(Refusal::NoCapacity);
                 continue;
             }
             let mut draw = Draw {
@@ -52,11 +92,22 @@
                 rng,
                 steps: &mut counters.steps,
             };
-            if let Some(chosen) = draw.pick(config.policy, group) {
-                return Ok(chosen);
+            if let Some(chosen) = draw.pick(config.policy, pass, group) {
+                return Ok(Some(chosen));
             }
         }
-        Err(blocked)
+        blocked.map_or(Ok(None), Err)
+    }
+}
+
+/// The cost up to which a group is worth its way: the way there and back must be shorter than the
+/// wait for a nearer slot.
+fn reach_us(service: &Service) -> u64 {
+    let nearest = service.groups.iter().find(|group| group.usable > 0);
+    let nearest_us = nearest.map_or(0, |group| group.cost_us);
+    match service.wait_us() {
+        Some(wait_us) => nearest_us + (wait_us / 2).max(1),
+        None => u64::MAX,
     }
 }
 
@@ -69,11 +120,12 @@
 }
 
 impl Draw<'_> {
-    fn pick(&mut self, policy: Policy, group: &mut Group) -> Option<usize> {
-        match policy {
-            Policy::NearestRoundRobin => self.next_in_turn(group),
-            Policy::LeastReportedLoad => self.least_reported(&group.open),
-            Policy::PowerOfTwo => self.less_loaded_of_two(&group.open),
+    fn pick(&mut self, policy: Policy, pass: Pass, group: &mut Group) -> Option<usize> {
+        match (policy, pass) {
+            (Policy::NearestRoundRobin, _) => self.next_in_turn(group),
+            (Policy::LeastReportedLoad, _) => self.least_reported(&group.open),
+            (Policy::Adaptive, Pass::Home) => self.less_loaded_of_two(&group.home),
+            (Policy::PowerOfTwo | Policy::Adaptive, _) => self.less_loaded_of_two(&group.open),
         }
     }
 
--- a/crates/route/src/config.rs
+++ b/crates/route/src/config.rs
@@ -15,6 +15,9 @@
     LeastReportedLoad,
     /// Of two drawn at random, the one with fewer requests in flight from this entry.
     PowerOfTwo,
+    /// Slots dealt to this entry first, then borrowed ones, far ones when the wait here is longer
+    /// than the way; with slow start, ejection and closures by the entry's own evidence.
+    Adaptive,
 }
 
 /// What holds where no share of a capacity has ever been given.
@@ -37,6 +40,10 @@
     pub attempts: u32,
     /// Of the grants made while both wait, the part for browsing.
     pub browse_percent: u32,
+    /// Of a service's usable upstreams, the part that may be ejected at once.
+    pub eject_percent: u32,
+    /// Retries after a broken or refused attempt for each hundred arrivals.
+    pub retry_percent: u32,
     /// Traffic that a link's share may start at once, as time at the share's rate.
     pub link_burst_us: u64,
 }
@@ -45,8 +52,10 @@
     fn default() -> Self {
         Self {
             queue_requests: 256,
-            attempts: 8,
+            attempts: 16,
             browse_percent: 20,
+            eject_percent: 34,
+            retry_percent: 20,
             link_burst_us: 20_000,
         }
     }
@@ -80,7 +89,7 @@
             entry,
             region,
             failure_domain,
-            policy: Policy::PowerOfTwo,
+            policy: Policy::Adaptive,
             limits: Limits::default(),
             fallback: Fallback::Unlimited,
             seed: 0,
--- a/crates/route/src/declare.rs
+++ b/crates/route/src/declare.rs
@@ -1,8 +1,11 @@
 //! Declared resources and announcements.
 
-use crate::{Output, request::Stage, router::Router, upstream::Upstream};
+use crate::{
+    Output, Policy, evidence::Evidence, request::Stage, router::Router, upstream::Upstream,
+};
 use types::{
-    Announcement, DrainTarget, Refusal, Resource, ResourceName, ServiceName, Spec, UpstreamName,
+    Announcement, DrainTarget, EntryName, EntrySpec, Refusal, Resource, ResourceName, ServiceName,
+    Spec, UpstreamName,
 };
 
 impl Router {
@@ -25,8 +28,14 @@
                 self.drains.insert(resource.name.clone(), target);
                 self.apply_drains();
             }
-            Spec::Region(_) | Spec::Entry(_) | Spec::Shift(_) => {}
+            Spec::Entry(spec) => {
+                if let Some(name) = entry_name(&resource.name) {
+                    self.entries.insert(name, spec.clone());
+                }
+            }
+            Spec::Region(_) | Spec::Shift(_) => {}
         }
+        self.deal_homes();
         self.settle_stranded(outputs);
     }
 
@@ -46,8 +55,14 @@
                 self.drains.remove(&resource.name);
                 self.apply_drains();
             }
-            Spec::Region(_) | Spec::Entry(_) | Spec::Shift(_) => {}
+            Spec::Entry(_) => {
+                if let Some(name) = entry_name(&resource.name) {
+                    self.entries.remove(&name);
+                }
+            }
+            Spec::Region(_) | Spec::Shift(_) => {}
         }
+        self.deal_homes();
         self.settle_stranded(outputs);
     }
 
@@ -55,9 +70,15 @@
         let region = self.table.region_id(&announcement.region);
         let mut upstream = Upstream::new(name, announcement, region);
         upstream.drained = self.is_drained(&upstream);
+        let fresh = match self.config.policy {
+            Policy::Adaptive => Evidence::fresh(),
+            _ => Evidence::new(),
+        };
+        upstream.evidence = fresh.clone();
         let Some(id) = self.table.upstream_id(name) else {
             let id = self.table.insert_upstream(upstream);
             self.table.list(id);
+            self.deal_homes();
             return;
         };
         let known = &mut self.table.upstreams[id];
@@ -68,16 +89,24 @@
             && known.present;
         if same_place {
             known.address = announcement.address;
-            known.slots = announcement.slots;
             known.reported_load = announcement.load;
-            known.epoch_ms = announcement.epoch_ms;
+            if known.epoch_ms != announcement.epoch_ms {
+                known.epoch_ms = announcement.epoch_ms;
+                known.evidence = fresh;
+            }
+            let resized = known.slots != announcement.slots;
+            known.slots = announcement.slots;
             self.table.refresh(id);
+            if resized {
+                self.deal_homes();
+            }
             return;
         }
         self.table.unlist(id);
         upstream.in_flight = self.table.upstreams[id].in_flight;
         self.table.upstreams[id] = upstream;
         self.table.list(id);
+        self.deal_homes();
     }
 
     pub(crate) fn upstream_gone(&mut self, name: &UpstreamName) {
@@ -87,6 +116,7 @@
         self.table.unlist(id);
         self.table.upstreams[id].present = false;
         self.table.forget_upstream(id);
+        self.deal_homes();
     }
 
     /// Settles requests that wait for a service that is no longer declared.
@@ -115,6 +145,16 @@
         }
     }
 
+    /// Whether a drain names an entry or where it stands.
+    pub(crate) fn is_entry_drained(&self, entry: &EntryName, spec: &EntrySpec) -> bool {
+        self.drains.values().any(|target| match target {
+            DrainTarget::Entry(name) => name == entry,
+            DrainTarget::FailureDomain(name) => *name == spec.failure_domain,
+            DrainTarget::Region(name) => *name == spec.region,
+            DrainTarget::Upstream(_) => false,
+        })
+    }
+
     fn is_drained(&self, upstream: &Upstream) -> bool {
         self.drains.values().any(|target| match target {
             DrainTarget::Upstream(name) => *name == upstream.name,
@@ -125,6 +165,10 @@
     }
 }
 
+fn entry_name(name: &ResourceName) -> Option<EntryName> {
+    EntryName::new(name.as_str()).ok()
+}
+
 fn service_name(name: &ResourceName) -> Option<ServiceName> {
     ServiceName::new(name.as_str()).ok()
 }
--- /dev/null
+++ b/crates/route/src/homes.rs
@@ -0,0 +1,83 @@
+//! Deals the slots of a region's upstreams to the region's entries.
+//!
+//! Entries don't see one another's requests. Each entry fills the slots dealt to it first, which no
+//! other entry does, and borrows other slots only when those are taken.
+
+use types::{DomainName, EntryName, UpstreamName};
+
+/// An entry that takes part.
+#[derive(Clone, Debug)]
+pub(crate) struct Dealt<'a> {
+    /// Its name.
+    pub(crate) name: &'a EntryName,
+    /// Its failure domain.
+    pub(crate) domain: &'a DomainName,
+}
+
+/// An upstream whose slots are dealt.
+#[derive(Clone, Debug)]
+pub(crate) struct Source<'a> {
+    /// Its index.
+    pub(crate) id: usize,
+    /// Its name.
+    pub(crate) name: &'a UpstreamName,
+    /// Its failure domain.
+    pub(crate) domain: &'a DomainName,
+    /// Its slots.
+    pub(crate) slots: u32,
+}
+
+/// The slots of each upstream that go to `own`; every entry computes the same deal.
+pub(crate) fn deal(
+    own: &EntryName,
+    mut entries: Vec<Dealt<'_>>,
+    mut sources: Vec<Source<'_>>,
+) -> Vec<(usize, u32)> {
+    entries.sort_by_key(|entry| entry.name);
+    sources.sort_by_key(|source| source.name);
+    let Some(own) = entries.iter().position(|entry| entry.name == own) else {
+        return sources.iter().map(|source| (source.id, 0)).collect();
+    };
+    let mut left = quotas(
+        entries.len(),
+        sources.iter().map(|source| source.slots).sum(),
+    );
+    let mut own_slots = vec![0; sources.len()];
+    let mut undealt = vec![0; sources.len()];
+    let mut next = 0;
+    for (index, source) in sources.iter().enumerate() {
+        for _ in 0..source.slots {
+            let near = |entry: usize| entries[entry].domain == source.domain;
+            match take(&mut left, &mut next, near) {
+                Some(entry) => own_slots[index] += u32::from(entry == own),
+                None => undealt[index] += 1,
+            }
+        }
+    }
+    for (index, &slots) in undealt.iter().enumerate() {
+        for _ in 0..slots {
+            let entry = take(&mut left, &mut next, |_| true);
+            own_slots[index] += u32::from(entry == Some(own));
+        }
+    }
+    let ids = sources.iter().map(|source| source.id);
+    ids.zip(own_slots).collect()
+}
+
+fn quotas(entries: usize, slots: u32) -> Vec<u32> {
+    let count = entries as u32;
+    (0..count)
+        .map(|entry| slots / count + u32::from(entry < slots % count))
+        .collect()
+}
+
+/// The next entry in turn that fits and has quota left.
+fn take(left: &mut [u32], next: &mut usize, fits: impl Fn(usize) -> bool) -> Option<usize> {
+    let count = left.len();
+    let entry = (0..count)
+        .map(|step| (*next + step) % count)
+        .find(|&entry| left[entry] > 0 && fits(entry))?;
+    left[entry] -= 1;
+    *next = (entry + 1) % count;
+    Some(entry)
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -2,13 +2,18 @@
 
 mod api;
 mod attempt;
+mod budget;
 mod choose;
 mod config;
 mod declare;
+mod evidence;
+mod homes;
+mod observe;
 mod queue;
 mod request;
 mod room;
 mod router;
+mod service;
 mod snapshot;
 mod table;
 mod upstream;
--- /dev/null
+++ b/crates/route/src/observe.rs
@@ -0,0 +1,106 @@
+//! What the router learns from the end of an attempt.
+
+use crate::{Ending, Policy, evidence::Verdict, router::Router, table::OWN_REGION};
+use types::TimeUs;
+
+/// The first status code that counts as a failure of the upstream.
+const FAILURE_STATUS: u16 = 500;
+/// How long a refusal from afar closes a group at first; doubled by each refusal in a row.
+const GROUP_CLOSED_US: u64 = 10_000;
+/// Doublings of a group's closure at most.
+const GROUP_DOUBLINGS: u32 = 6;
+
+impl Router {
+    /// Learns from the end of an attempt.
+    pub(crate) fn observe(
+        &mut self,
+        now_us: TimeUs,
+        upstream_id: usize,
+        since_us: TimeUs,
+        ending: Ending,
+    ) {
+        let Some(place) = self.table.upstreams[upstream_id].place else {
+            return;
+        };
+        let upstream = &mut self.table.upstreams[upstream_id];
+        let service = &mut self.table.services[place.service];
+        let way_us = match upstream.region {
+            OWN_REGION => 0,
+            region => 2 * self.table.regions[region].delay_us.unwrap_or(0),
+        };
+        let latency_us = now_us.since_us(since_us).saturating_sub(way_us);
+        let group = &mut service.groups[place.group];
+        match ending {
+            Ending::Finished { status } if status < FAILURE_STATUS => {
+                let service_us = service.latency_us.get();
+                group.refusals_in_row = 0;
+                service.latency_us.add(latency_us);
+                upstream
+                    .evidence
+                    .answered(latency_us, upstream.slots, service_us);
+            }
+            Ending::Finished { .. } | Ending::Broken | Ending::CutShort => {
+                upstream.evidence.failed();
+            }
+            Ending::NotSent => {
+                upstream.evidence.failed();
+                self.close_for_a_while(now_us, upstream_id);
+            }
+            Ending::Refused => {
+                if upstream.region != OWN_REGION {
+                    let doublings = group.refusals_in_row.min(GROUP_DOUBLINGS);
+                    group.refusals_in_row += 1;
+                    group.closed_until_us = now_us.after_us(GROUP_CLOSED_US << doublings);
+                }
+                self.close_for_a_while(now_us, upstream_id);
+            }
+            Ending::Cancelled => return,
+        }
+        self.judge(now_us, upstream_id, place.service);
+        self.table.refresh(upstream_id);
+    }
+
+    /// Opens upstreams whose closure or ejection has ended.
+    pub(crate) fn wake(&mut self, now_us: TimeUs) {
+        while let Some(&(until_us, id)) = self.wakeups.first() {
+            if !until_us.reached(now_us) {
+                return;
+            }
+            self.wakeups.remove(&(until_us, id));
+            let evidence = &mut self.table.upstreams[id].evidence;
+            evidence.cooling_until_us = evidence.cooling_until_us.filter(|&t| !t.reached(now_us));
+            evidence.ejected_until_us = evidence.ejected_until_us.filter(|&t| !t.reached(now_us));
+            self.table.refresh(id);
+        }
+    }
+
+    fn close_for_a_while(&mut self, now_us: TimeUs, id: usize) {
+        if self.config.policy == Policy::Adaptive {
+            let until_us = self.table.upstreams[id].evidence.refused(now_us);
+            self.wakeups.insert((until_us, id));
+        }
+    }
+
+    /// Ejects an upstream that stands out, while enough others remain.
+    fn judge(&mut self, now_us: TimeUs, id: usize, service_id: usize) {
+        let service = &self.table.services[service_id];
+        let evidence = &self.table.upstreams[id].evidence;
+        if self.config.policy != Policy::Adaptive
+            || evidence.ejected_until_us.is_some()
+            || evidence.verdict(service.latency_us.get()) == Verdict::Good
+        {
+            return;
+        }
+        let members = service.groups.iter().flat_map(|group| &group.members);
+        let ejected = members
+            .filter(|&&id| self.table.upstreams[id].is_ejected())
+            .count();
+        if (ejected + 1) * 100 > service.usable() * self.config.limits.eject_percent as usize {
+            self.counters.ejections_held += 1;
+            return;
+        }
+        let until_us = self.table.upstreams[id].evidence.eject(now_us);
+        self.wakeups.insert((until_us, id));
+        self.counters.ejections += 1;
+    }
+}
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,14 +1,16 @@
 //! The router: one step for each event.
 
 use crate::{
-    Input, Output, RequestId, RouterConfig,
+    Input, Output, Policy, RequestId, RouterConfig,
+    budget::RetryBudget,
+    homes::{self, Dealt, Source},
     request::{Request, Stage},
     snapshot::Counters,
-    table::Table,
+    table::{OWN_REGION, Table},
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use types::{DrainTarget, Priority, Refusal, ResourceName, TimeUs};
+use types::{DrainTarget, EntryName, EntrySpec, Priority, Refusal, ResourceName, TimeUs};
 
 /// Grants are counted in rounds of this many to keep browsing its part.
 const ROUND_PERCENT: u32 = 100;
@@ -20,6 +22,10 @@
     pub(crate) table: Table,
     pub(crate) requests: HashMap<RequestId, Request>,
     pub(crate) drains: BTreeMap<ResourceName, DrainTarget>,
+    pub(crate) entries: BTreeMap<EntryName, EntrySpec>,
+    pub(crate) budget: RetryBudget,
+    /// Ends of closures and ejections.
+    pub(crate) wakeups: BTreeSet<(TimeUs, usize)>,
     pub(crate) rng: SmallRng,
     pub(crate) counters: Counters,
     /// Services with requests that wait.
@@ -40,6 +46,9 @@
             config,
             requests: HashMap::new(),
             drains: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            budget: RetryBudget::new(),
+            wakeups: BTreeSet::new(),
             counters: Counters::default(),
             waiting: BTreeSet::new(),
             deadlines: BTreeSet::new(),
@@ -50,6 +59,7 @@
     /// Takes one event and adds what follows from it to `outputs`.
     pub fn step(&mut self, now_us: TimeUs, input: Input<'_>, outputs: &mut Vec<Output>) {
         self.expire(now_us, outputs);
+        self.wake(now_us);
         match input {
             Input::Declared(resource) => self.declared(resource, outputs),
             Input::Withdrawn(resource) => self.withdrawn(resource, outputs),
@@ -104,6 +114,7 @@
             return;
         };
         request.stage = Stage::Queued;
+        request.tried.clear();
         let queue = &mut self.table.services[request.service].queue;
         if request.attempts == 0 {
             queue.push_back(id);
@@ -200,6 +211,45 @@
         }
     }
 
+    /// Deals the slots of the entry's own region anew.
+    pub(crate) fn deal_homes(&mut self) {
+        if self.config.policy != Policy::Adaptive {
+            return;
+        }
+        let dealt = |entry: (&EntryName, &EntrySpec)| -> bool {
+            entry.1.region == self.config.region && !self.is_entry_drained(entry.0, entry.1)
+        };
+        let mut deals = Vec::new();
+        for service in &self.table.services {
+            let groups = service
+                .groups
+                .iter()
+                .filter(|group| group.region == OWN_REGION);
+            let source = |&id: &usize| {
+                let upstream = &self.table.upstreams[id];
+                Source {
+                    id,
+                    name: &upstream.name,
+                    domain: &upstream.failure_domain,
+                    slots: upstream.slots,
+                }
+            };
+            let sources = groups
+                .flat_map(|group| &group.members)
+                .map(source)
+                .collect();
+            let entries = self.entries.iter().filter(|&entry| dealt(entry));
+            let entries = entries.map(|(name, spec)| Dealt {
+                name,
+                domain: &spec.failure_domain,
+            });
+            deals.extend(homes::deal(&self.config.entry, entries.collect(), sources));
+        }
+        for (id, home_slots) in deals {
+            self.table.set_home_slots(id, home_slots);
+        }
+    }
+
     fn expire(&mut self, now_us: TimeUs, outputs: &mut Vec<Output>) {
         while let Some(&(deadline_us, id)) = self.deadlines.first() {
             if !deadline_us.reached(now_us) {
--- a/crates/route/src/snapshot.rs
+++ b/crates/route/src/snapshot.rs
@@ -1,6 +1,6 @@
 //! The router's state as the process dump and the metrics show it.
 
-use crate::{router::Router, upstream::Upstream};
+use crate::{router::Router, service::Service, table::Region, upstream::Upstream};
 use serde::Serialize;
 use std::collections::BTreeMap;
 use types::{RegionName, ServiceName, TimeUs, UpstreamName};
@@ -23,6 +23,10 @@
     pub unknown: u64,
     /// Requests that did not run, by refusal.
     pub refused: BTreeMap<&'static str, u64>,
+    /// Ejections.
+    pub ejections: u64,
+    /// Ejections that the floor kept from happening.
+    pub ejections_held: u64,
     /// Groups and upstreams looked at to choose.
     pub steps: u64,
 }
@@ -79,21 +83,27 @@
     pub in_flight: u32,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// Of these, those dealt to this entry.
+    pub home_slots: u32,
+    /// Requests that may be in flight there from this entry now.
+    pub limit_slots: u32,
     /// Whether it takes new work.
     pub usable: bool,
+    /// Whether it gets none because it stood out.
+    pub ejected: bool,
 }
 
 impl Router {
     /// The state at this moment.
     #[must_use]
     pub fn snapshot(&self, now_us: TimeUs) -> Snapshot {
-        let region = |region: &crate::table::Region| RegionSnapshot {
+        let region = |region: &Region| RegionSnapshot {
             name: region.name.clone(),
             in_flight: region.room.in_flight,
             allowed_slots: Some(region.room.allowed_slots(now_us, self.config.fallback))
                 .filter(|&slots| slots != u32::MAX),
         };
-        let service = |service: &crate::table::Service| ServiceSnapshot {
+        let service = |service: &Service| ServiceSnapshot {
             name: service.name.clone(),
             declared: service.declared,
             queued: service.queue.len(),
@@ -103,7 +113,10 @@
             name: upstream.name.clone(),
             in_flight: upstream.in_flight,
             slots: upstream.slots,
+            home_slots: upstream.home_slots,
+            limit_slots: upstream.limit_slots(),
             usable: upstream.is_usable(),
+            ejected: upstream.is_ejected(),
         };
         Snapshot {
             counters: self.counters.clone(),
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -1,14 +1,12 @@
 //! Services, regions and upstreams, by index.
 
 use crate::{
-    queue::Queue,
     room::{LinkRoom, RegionRoom},
-    upstream::{Place, Upstream},
+    service::{Group, Service},
+    upstream::{Open, Place, Upstream},
 };
 use std::collections::BTreeMap;
-use types::{
-    DomainName, Priority, RegionName, ResourceName, ServiceName, ServiceSpec, UpstreamName,
-};
+use types::{DomainName, RegionName, ResourceName, ServiceName, ServiceSpec, UpstreamName};
 
 /// The cost of another failure domain of the entry's own region, as a delay.
 const OWN_REGION_COST_US: u64 = 1;
@@ -28,51 +26,6 @@
     pub(crate) delay_us: Option<u64>,
 }
 
-/// Upstreams of one service that cost the entry the same.
-#[derive(Debug)]
-pub(crate) struct Group {
-    /// The region's index.
-    pub(crate) region: usize,
-    /// Whether it is the entry's own failure domain.
-    pub(crate) own_domain: bool,
-    /// The order of choice.
-    pub(crate) cost_us: u64,
-    /// All upstreams.
-    pub(crate) members: Vec<usize>,
-    /// Those that take one more request.
-    pub(crate) open: Vec<usize>,
-    /// Those that take new work at all.
-    pub(crate) usable: usize,
-    /// Where the next round begins.
-    pub(crate) cursor: usize,
-}
-
-/// A service.
-#[derive(Debug)]
-pub(crate) struct Service {
-    /// Its name.
-    pub(crate) name: ServiceName,
-    /// Whether it is declared now.
-    pub(crate) declared: bool,
-    /// Its place under overload.
-    pub(crate) priority: Priority,
-    /// The size of an answer for which room on a link is kept.
-    pub(crate) answer_bytes: u64,
-    /// The regions that may run it.
-    pub(crate) regions: Vec<usize>,
-    /// Its upstreams, nearest first.
-    pub(crate) groups: Vec<Group>,
-    /// Requests that wait.
-    pub(crate) queue: Queue,
-}
-
-impl Service {
-    /// Upstreams that take new work at all.
-    pub(crate) fn usable(&self) -> usize {
-        self.groups.iter().map(|group| group.usable).sum()
-    }
-}
-
 /// Services, regions and upstreams, by index.
 #[derive(Debug)]
 pub(crate) struct Table {
@@ -145,15 +98,7 @@
         let id = self.service_ids.get(name).copied().unwrap_or_else(|| {
             let id = self.services.len();
             self.service_ids.insert(name.clone(), id);
-            self.services.push(Service {
-                name: name.clone(),
-                declared: true,
-                priority: spec.priority,
-                answer_bytes: 0,
-                regions: Vec::new(),
-                groups: Vec::new(),
-                queue: Queue::new(),
-            });
+            self.services.push(Service::new(name));
             id
         });
         let service = &mut self.services[id];
@@ -195,6 +140,12 @@
         }
     }
 
+    /// Sets how many slots of an upstream are dealt to this entry.
+    pub(crate) fn set_home_slots(&mut self, id: usize, home_slots: u32) {
+        self.upstreams[id].home_slots = home_slots;
+        self.refresh(id);
+    }
+
     /// Sets the delays that the declared links give and orders every service's groups.
     pub(crate) fn apply_links(&mut self) {
         for region in &mut self.regions {
@@ -223,15 +174,11 @@
                 OWN_REGION => vec![(true, 0), (false, OWN_REGION_COST_US)],
                 _ => vec![(false, delay_us)],
             };
-            groups.extend(costs.into_iter().map(|(own_domain, cost_us)| Group {
-                region,
-                own_domain,
-                cost_us,
-                members: Vec::new(),
-                open: Vec::new(),
-                usable: 0,
-                cursor: 0,
-            }));
+            groups.extend(
+                costs
+                    .into_iter()
+                    .map(|(own_domain, cost_us)| Group::new(region, own_domain, cost_us)),
+            );
         }
         groups.sort_by_key(|group| (group.cost_us, group.region));
         self.services[service].groups = groups;
@@ -283,36 +230,38 @@
         group.usable -= usable;
     }
 
-    /// Puts an upstream on or off its group's list of those with room.
+    /// Puts an upstream on the list that its room calls for, or on none.
     pub(crate) fn refresh(&mut self, id: usize) {
         let upstream = &self.upstreams[id];
         let Some(place) = upstream.place else { return };
-        match (upstream.has_room(), place.open) {
-            (true, None) => {
-                let open = &mut self.services[place.service].groups[place.group].open;
-                open.push(id);
-                let position = open.len() - 1;
-                self.upstreams[id].place = Some(Place {
-                    open: Some(position),
-                    ..place
-                });
-            }
-            (false, Some(_)) => self.close(id),
-            _ => {}
+        let home = upstream.has_room().then(|| upstream.has_home_room());
+        if place.open.map(|open| open.home) == home {
+            return;
         }
+        self.close(id);
+        let Some(home) = home else { return };
+        let list = self.services[place.service].groups[place.group].list_mut(home);
+        list.push(id);
+        let position = list.len() - 1;
+        self.upstreams[id].place = Some(Place {
+            open: Some(Open { home, position }),
+            ..place
+        });
     }
 
     fn close(&mut self, id: usize) {
         let Some(place) = self.upstreams[id].place else {
             return;
         };
-        let Some(position) = place.open else { return };
-        let open = &mut self.services[place.service].groups[place.group].open;
-        open.swap_remove(position);
-        if let Some(&moved) = open.get(position)
+        let Some(Open { home, position }) = place.open else {
+            return;
+        };
+        let list = self.services[place.service].groups[place.group].list_mut(home);
+        list.swap_remove(position);
+        if let Some(&moved) = list.get(position)
             && let Some(moved_place) = &mut self.upstreams[moved].place
         {
-            moved_place.open = Some(position);
+            moved_place.open = Some(Open { home, position });
         }
         self.upstreams[id].place = Some(Place {
             open: None,
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -1,5 +1,6 @@
 //! What the router knows of one upstream.
 
+use crate::evidence::Evidence;
 use std::net::SocketAddr;
 use types::{Announcement, DomainName, ServiceName, UpstreamName, UpstreamState};
 
@@ -30,6 +31,10 @@
     pub(crate) drained: bool,
     /// Requests in flight there from this entry.
     pub(crate) in_flight: u32,
+    /// Of its slots, those dealt to this entry.
+    pub(crate) home_slots: u32,
+    /// What the entry has seen of it.
+    pub(crate) evidence: Evidence,
     /// The group that lists it, and its place among those with room.
     pub(crate) place: Option<Place>,
 }
@@ -41,8 +46,17 @@
     pub(crate) service: usize,
     /// The group's index within the service.
     pub(crate) group: usize,
-    /// The place in the group's list of upstreams with room.
-    pub(crate) open: Option<usize>,
+    /// The place in one of the group's lists of upstreams with room.
+    pub(crate) open: Option<Open>,
+}
+
+/// A place among upstreams with room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Open {
+    /// Whether a slot dealt to this entry is free.
+    pub(crate) home: bool,
+    /// The place in the list.
+    pub(crate) position: usize,
 }
 
 impl Upstream {
@@ -61,6 +75,8 @@
             present: true,
             drained: false,
             in_flight: 0,
+            home_slots: 0,
+            evidence: Evidence::new(),
             place: None,
         }
     }
@@ -72,6 +88,22 @@
 
     /// Whether it takes one more request now.
     pub(crate) fn has_room(&self) -> bool {
-        self.is_usable() && self.in_flight < self.slots
+        self.is_usable() && !self.evidence.is_closed() && self.in_flight < self.limit_slots()
+    }
+
+    /// Requests that may be in flight there from this entry now.
+    pub(crate) fn limit_slots(&self) -> u32 {
+        let start_limit = self.evidence.start_limit.unwrap_or(u32::MAX);
+        self.slots.min(start_limit)
+    }
+
+    /// Whether it is usable but ejected.
+    pub(crate) fn is_ejected(&self) -> bool {
+        self.is_usable() && self.evidence.ejected_until_us.is_some()
+    }
+
+    /// Whether a slot dealt to this entry is free.
+    pub(crate) const fn has_home_room(&self) -> bool {
+        self.in_flight < self.home_slots
     }
 }
