Add the cap on what leaves a region, and shifts under it

Cause: neither a declared shift nor a spill-over, drain or loss may move more of a service's traffic within an interval than the operators' cap.

One ledger a service and entry counts every request that goes to another region than the nearest; arrivals earn its credit. The ceiling rises by at most the cap above what really moved, and only when the receiving region's failures and latency stayed near the usual. A declared shift steps under that ceiling, pauses, and goes back by itself. Since each entry keeps to a part of its own traffic, the sum over entries keeps to it without messages; a count handed out by the leader was ruled out.

Tests of the other rules now run with a cap of 100%, so that it doesn't hide them.

--- a/crates/route/src/attempt.rs
+++ b/crates/route/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Ending, Output, RequestId, Settled,
-    choose::ALL_PASSES,
+    choose::{ALL_PASSES, Block},
     request::{Request, Stage},
     router::Router,
     table::OWN_REGION,
@@ -35,6 +35,8 @@
             deadline_us,
             idempotent,
             may_have_run: false,
+            sent_to: self.table.services[service].mover.arrived(now_us),
+            moved: false,
             attempts: 0,
             tried: Vec::new(),
             blocked: Refusal::Overloaded,
@@ -51,7 +53,7 @@
         outputs: &mut Vec<Output>,
     ) {
         let choice = match self.is_waiting(request.service) {
-            true => Err(Refusal::Overloaded),
+            true => Err(Block::Wait(Refusal::Overloaded)),
             false => self.choose(now_us, &request, &ALL_PASSES),
         };
         let service = &self.table.services[request.service];
@@ -61,17 +63,15 @@
                 self.requests.insert(id, request);
                 self.forward(now_us, id, upstream, outputs);
             }
-            Err(Refusal::Overloaded | Refusal::NoCapacity)
-                if self.would_be_too_late(now_us, &request) =>
-            {
+            Err(Block::Wait(_)) if self.would_be_too_late(now_us, &request) => {
                 self.refuse(id, Refusal::Deadline, outputs);
             }
-            Err(refusal @ (Refusal::Overloaded | Refusal::NoCapacity)) if !queue_full => {
+            Err(Block::Wait(refusal)) if !queue_full => {
                 request.blocked = refusal;
                 self.requests.insert(id, request);
                 self.enqueue(id);
             }
-            Err(refusal) => self.refuse(id, refusal, outputs),
+            Err(Block::Wait(refusal) | Block::Refuse(refusal)) => self.refuse(id, refusal, outputs),
         }
     }
 
@@ -98,6 +98,10 @@
         };
         let service = &mut self.table.services[request.service];
         service.in_flight += 1;
+        if Some(upstream.region) != service.home_region() && !request.moved {
+            request.moved = true;
+            service.mover.moved();
+        }
         upstream.in_flight += 1;
         region.room.in_flight += 1;
         if upstream.region != OWN_REGION {
@@ -202,7 +206,7 @@
             && !request.deadline_us.reached(now_us);
         let choice = match may_go_on {
             true => self.choose(now_us, &request, &ALL_PASSES),
-            false => Err(refusal),
+            false => Err(Block::Refuse(refusal)),
         };
         let queued = self.table.services[request.service].queue.len();
         let queue_full = queued >= self.config.limits.queue_requests;
@@ -212,7 +216,7 @@
                 self.counters.retried += 1;
                 self.forward(now_us, id, upstream, outputs);
             }
-            Err(Refusal::Overloaded | Refusal::NoCapacity) if !queue_full => self.enqueue(id),
+            Err(Block::Wait(_)) if !queue_full => self.enqueue(id),
             Err(_) => self.settle(id, refusal, outputs),
         }
     }
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -19,8 +19,19 @@
 pub(crate) enum Pass {
     /// Those with a free slot that was dealt to this entry.
     Home,
-    /// All others.
+    /// The others.
     Borrow,
+    /// Those in the region that a declared shift sends the request to.
+    Shift,
+}
+
+/// Why a request can't be forwarded now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Block {
+    /// It may wait; the refusal is what it gets when the wait ends without room.
+    Wait(Refusal),
+    /// Waiting doesn't help.
+    Refuse(Refusal),
 }
 
 /// All passes, in their order.
@@ -33,32 +44,42 @@
         now_us: TimeUs,
         request: &Request,
         passes: &[Pass],
-    ) -> Result<usize, Refusal> {
+    ) -> Result<usize, Block> {
         let service = &self.table.services[request.service];
         let usable = service.usable();
         if usable == 0 {
-            return Err(Refusal::NoUpstream);
+            return Err(Block::Refuse(Refusal::NoUpstream));
         }
         let adaptive = self.config.policy == Policy::Adaptive;
         if !adaptive && request.tried.len() >= usable {
-            return Err(Refusal::UpstreamRefused);
+            return Err(Block::Refuse(Refusal::UpstreamRefused));
         }
         let reach_us = match adaptive {
             true => reach_us(service),
             false => u64::MAX,
         };
+        let may_move = request.moved || service.mover.may_move();
+        if !may_move && !service.is_home_usable() {
+            return Err(Block::Refuse(Refusal::NoCapacity));
+        }
+        if request.sent_to.is_some() && may_move {
+            let chosen = self.choose_in_pass(now_us, request, Pass::Shift, u64::MAX, true);
+            if let Ok(Some(chosen)) = chosen {
+                return Ok(chosen);
+            }
+        }
         let mut blocked = Refusal::Overloaded;
         for &pass in passes {
             if pass == Pass::Borrow && adaptive && !self.budget.has_token() {
                 break;
             }
-            match self.choose_in_pass(now_us, request, pass, reach_us) {
+            match self.choose_in_pass(now_us, request, pass, reach_us, may_move) {
                 Ok(Some(chosen)) => return Ok(chosen),
                 Ok(None) => {}
                 Err(refusal) => blocked = refusal,
             }
         }
-        Err(blocked)
+        Err(Block::Wait(blocked))
     }
 
     fn choose_in_pass(
@@ -67,6 +88,7 @@
         request: &Request,
         pass: Pass,
         reach_us: u64,
+        may_move: bool,
     ) -> Result<Option<usize>, Refusal> {
         let Self {
             config,
@@ -76,16 +98,25 @@
             ..
         } = self;
         let mut blocked = None;
-        for group in &mut table.services[request.service].groups {
+        let service = &mut table.services[request.service];
+        let home = service.home_region();
+        for group in &mut service.groups {
             counters.steps += 1;
+            if pass == Pass::Shift && Some(group.region) != request.sent_to {
+                continue;
+            }
             let list_empty = match pass {
                 Pass::Home => group.home.is_empty(),
-                Pass::Borrow => group.open.is_empty(),
+                Pass::Borrow | Pass::Shift => group.open.is_empty(),
             };
-            let closed = pass == Pass::Borrow && !group.closed_until_us.reached(now_us);
+            let closed = pass != Pass::Home && !group.closed_until_us.reached(now_us);
             if list_empty || closed || group.cost_us > reach_us {
                 continue;
             }
+            if Some(group.region) != home && !may_move {
+                blocked = Some(Refusal::NoCapacity);
+                continue;
+            }
             let region = &table.regions[group.region];
             let link_open = group.region == OWN_REGION
                 || region
--- a/crates/route/src/config.rs
+++ b/crates/route/src/config.rs
@@ -1,5 +1,6 @@
 //! What a router is told when it is made.
 
+use crate::shift::Cap;
 use serde::Serialize;
 use strum::{Display, EnumIter, EnumString};
 use types::{DomainName, EntryName, RegionName};
@@ -40,6 +41,8 @@
     pub attempts: u32,
     /// Of the grants made while both wait, the part for browsing.
     pub browse_percent: u32,
+    /// What moves out of a region at most where no shift is declared.
+    pub cap: Cap,
     /// Of a service's usable upstreams, the part that may be ejected at once.
     pub eject_percent: u32,
     /// Retries after a broken or refused attempt for each hundred arrivals.
@@ -54,6 +57,10 @@
             queue_requests: 256,
             attempts: 16,
             browse_percent: 20,
+            cap: Cap {
+                percent: 25,
+                interval_ms: 1_000,
+            },
             eject_percent: 34,
             retry_percent: 20,
             link_burst_us: 20_000,
--- a/crates/route/src/declare.rs
+++ b/crates/route/src/declare.rs
@@ -1,7 +1,8 @@
 //! Declared resources and announcements.
 
 use crate::{
-    Output, Policy, evidence::Evidence, request::Stage, router::Router, upstream::Upstream,
+    Output, Policy, evidence::Evidence, request::Stage, router::Router, shift::Cap,
+    upstream::Upstream,
 };
 use types::{
     Announcement, DrainTarget, EntryName, EntrySpec, Refusal, Resource, ResourceName, ServiceName,
@@ -33,8 +34,12 @@
                     self.entries.insert(name, spec.clone());
                 }
             }
-            Spec::Region(_) | Spec::Shift(_) => {}
+            Spec::Shift(spec) => {
+                self.shifts.insert(resource.name.clone(), spec.clone());
+            }
+            Spec::Region(_) => {}
         }
+        self.apply_shifts();
         self.deal_homes();
         self.settle_stranded(outputs);
     }
@@ -60,8 +65,12 @@
                     self.entries.remove(&name);
                 }
             }
-            Spec::Region(_) | Spec::Shift(_) => {}
+            Spec::Shift(_) => {
+                self.shifts.remove(&resource.name);
+            }
+            Spec::Region(_) => {}
         }
+        self.apply_shifts();
         self.deal_homes();
         self.settle_stranded(outputs);
     }
@@ -133,6 +142,30 @@
         }
     }
 
+    /// Gives every service's ledger its cap and what is declared to move out of its region.
+    fn apply_shifts(&mut self) {
+        for id in 0..self.table.services.len() {
+            let service = &self.table.services[id];
+            let home = service
+                .home_region()
+                .map(|home| &self.table.regions[home].name);
+            let mut shifts = self.shifts.values();
+            let shift = shifts
+                .find(|shift| shift.service == service.name && Some(&shift.from) == home)
+                .cloned();
+            let target = shift
+                .as_ref()
+                .map(|shift| (self.table.region_id(&shift.to), shift.target_percent));
+            let cap = shift.map_or(self.config.limits.cap, |shift| Cap {
+                percent: shift.cap_percent,
+                interval_ms: shift.interval_ms,
+            });
+            let mover = &mut self.table.services[id].mover;
+            mover.set_cap(cap);
+            mover.set_target(target);
+        }
+    }
+
     fn apply_drains(&mut self) {
         for id in 0..self.table.upstreams.len() {
             let drained = self.is_drained(&self.table.upstreams[id]);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -16,6 +16,7 @@
 mod room;
 mod router;
 mod service;
+mod shift;
 mod snapshot;
 mod table;
 mod upstream;
@@ -24,5 +25,6 @@
     api::{Ending, Input, Output, RequestId, Settled},
     config::{Fallback, Limits, Policy, RouterConfig},
     router::Router,
+    shift::{Cap, Mover, ShiftProgress, ShiftReason, ShiftState},
     snapshot::{Counters, RegionSnapshot, ServiceSnapshot, Snapshot, UpstreamSnapshot},
 };
--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -30,6 +30,7 @@
             region => 2 * self.table.regions[region].delay_us.unwrap_or(0),
         };
         let latency_us = now_us.since_us(since_us).saturating_sub(way_us);
+        let elsewhere = Some(upstream.region) != service.home_region();
         let group = &mut service.groups[place.group];
         match ending {
             Ending::Finished { status } if status < FAILURE_STATUS => {
@@ -38,14 +39,17 @@
                     group.refusals_in_row = group.refusals_in_row.saturating_sub(1);
                 }
                 service.latency_us.add(latency_us);
+                service.mover.answered(elsewhere, Some(latency_us));
                 upstream
                     .evidence
                     .answered(latency_us, upstream.slots, service_us);
             }
             Ending::Finished { .. } | Ending::Broken | Ending::CutShort => {
+                service.mover.answered(elsewhere, None);
                 upstream.evidence.failed();
             }
             Ending::NotSent => {
+                service.mover.answered(elsewhere, None);
                 upstream.evidence.failed();
                 self.close_for_a_while(now_us, upstream_id);
             }
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -35,6 +35,10 @@
     pub(crate) may_have_run: bool,
     /// Attempts so far.
     pub(crate) attempts: u32,
+    /// The region that a declared shift sends it to.
+    pub(crate) sent_to: Option<usize>,
+    /// Whether it counts as moved out of the nearest region.
+    pub(crate) moved: bool,
     /// Upstreams that it was sent to.
     pub(crate) tried: Vec<usize>,
     /// What kept it waiting last.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -3,7 +3,7 @@
 use crate::{
     Input, Output, Policy, RequestId, RouterConfig,
     budget::RetryBudget,
-    choose::{ALL_PASSES, Pass},
+    choose::{ALL_PASSES, Block, Pass},
     homes::{self, Dealt, Source},
     request::{Request, Stage},
     snapshot::Counters,
@@ -11,7 +11,9 @@
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use types::{DrainTarget, EntryName, EntrySpec, Priority, Refusal, ResourceName, TimeUs};
+use types::{
+    DrainTarget, EntryName, EntrySpec, Priority, Refusal, ResourceName, ShiftSpec, TimeUs,
+};
 
 /// Grants are counted in rounds of this many to keep browsing its part.
 const ROUND_PERCENT: u32 = 100;
@@ -24,6 +26,7 @@
     pub(crate) requests: HashMap<RequestId, Request>,
     pub(crate) drains: BTreeMap<ResourceName, DrainTarget>,
     pub(crate) entries: BTreeMap<EntryName, EntrySpec>,
+    pub(crate) shifts: BTreeMap<ResourceName, ShiftSpec>,
     pub(crate) budget: RetryBudget,
     /// Ends of closures and ejections.
     pub(crate) wakeups: BTreeSet<(TimeUs, usize)>,
@@ -42,12 +45,13 @@
     #[must_use]
     pub fn new(config: RouterConfig) -> Self {
         Self {
-            table: Table::new(&config.region, &config.failure_domain),
+            table: Table::new(&config.region, &config.failure_domain, config.limits.cap),
             rng: SmallRng::seed_from_u64(config.seed),
             config,
             requests: HashMap::new(),
             drains: BTreeMap::new(),
             entries: BTreeMap::new(),
+            shifts: BTreeMap::new(),
             budget: RetryBudget::new(),
             wakeups: BTreeSet::new(),
             counters: Counters::default(),
@@ -99,7 +103,7 @@
                     self.table.regions[id].link.set_share(kbps, expires_us);
                 }
             }
-            Input::Tick => {}
+            Input::Tick => self.roll_movers(now_us),
         }
         self.dispatch(now_us, outputs);
     }
@@ -213,7 +217,7 @@
             return false;
         };
         let choice = match self.is_too_late(now_us, &request) {
-            true => Err(Refusal::Deadline),
+            true => Err(Block::Refuse(Refusal::Deadline)),
             false => self.choose(now_us, &request, &[pass]),
         };
         self.requests.insert(id, request);
@@ -223,13 +227,13 @@
                 self.forward(now_us, id, upstream, outputs);
                 true
             }
-            Err(refusal @ (Refusal::Overloaded | Refusal::NoCapacity)) => {
+            Err(Block::Wait(refusal)) => {
                 if let Some(request) = self.requests.get_mut(&id) {
                     request.blocked = refusal;
                 }
                 false
             }
-            Err(refusal) => {
+            Err(Block::Refuse(refusal)) => {
                 self.dequeue(id);
                 self.settle(id, refusal, outputs);
                 true
@@ -276,6 +280,12 @@
         }
     }
 
+    fn roll_movers(&mut self, now_us: TimeUs) {
+        for service in &mut self.table.services {
+            service.mover.roll(now_us);
+        }
+    }
+
     fn expire(&mut self, now_us: TimeUs, outputs: &mut Vec<Output>) {
         while let Some(&(deadline_us, id)) = self.deadlines.first() {
             if !deadline_us.reached(now_us) {
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -1,6 +1,10 @@
 //! A service and its upstreams, in groups of equal cost.
 
-use crate::{evidence::Average, queue::Queue};
+use crate::{
+    evidence::Average,
+    queue::Queue,
+    shift::{Cap, Mover},
+};
 use types::{Priority, ServiceName, TimeUs};
 
 /// Weight of a new observation in a service's averages, as one part of so many.
@@ -50,6 +54,8 @@
     pub(crate) queue: Queue,
     /// Requests in flight from this entry.
     pub(crate) in_flight: u32,
+    /// The ledger of what goes to other regions than the nearest.
+    pub(crate) mover: Mover,
     /// Time that an upstream takes, without the way.
     pub(crate) latency_us: Average,
 }
@@ -82,7 +88,7 @@
 
 impl Service {
     /// A service of which nothing is known but its name.
-    pub(crate) fn new(name: &ServiceName) -> Self {
+    pub(crate) fn new(name: &ServiceName, cap: Cap) -> Self {
         Self {
             name: name.clone(),
             declared: false,
@@ -92,10 +98,26 @@
             groups: Vec::new(),
             queue: Queue::new(),
             in_flight: 0,
+            mover: Mover::new(cap),
             latency_us: Average::new(SERVICE_PARTS),
         }
     }
 
+    /// The region nearest to the entry among those that may run it.
+    pub(crate) fn home_region(&self) -> Option<usize> {
+        self.groups.first().map(|group| group.region)
+    }
+
+    /// Whether an upstream of the nearest region takes new work at all.
+    pub(crate) fn is_home_usable(&self) -> bool {
+        let home = self.home_region();
+        let mut here = self
+            .groups
+            .iter()
+            .filter(|group| Some(group.region) == home);
+        here.any(|group| group.usable > 0)
+    }
+
     /// How long one more request would wait here for a slot, as far as is known.
     pub(crate) fn wait_us(&self) -> Option<u64> {
         let waiting = self.queue.len() as u64 + 1;
--- a/crates/route/src/snapshot.rs
+++ b/crates/route/src/snapshot.rs
@@ -1,6 +1,8 @@
 //! The router's state as the process dump and the metrics show it.
 
-use crate::{router::Router, service::Service, table::Region, upstream::Upstream};
+use crate::{
+    router::Router, service::Service, shift::ShiftProgress, table::Region, upstream::Upstream,
+};
 use serde::Serialize;
 use std::collections::BTreeMap;
 use types::{RegionName, ServiceName, TimeUs, UpstreamName};
@@ -71,6 +73,10 @@
     pub queued: usize,
     /// Upstreams that take new work.
     pub usable_upstreams: usize,
+    /// The part of the traffic that may go to other regions than the nearest, in a thousand.
+    pub ceiling_permille: u64,
+    /// Progress of the declared shift out of the nearest region.
+    pub shift: Option<ShiftProgress>,
 }
 
 /// An upstream as this entry sees it.
@@ -108,6 +114,8 @@
             declared: service.declared,
             queued: service.queue.len(),
             usable_upstreams: service.usable(),
+            ceiling_permille: service.mover.ceiling_permille(),
+            shift: service.mover.progress(),
         };
         let upstream = |upstream: &Upstream| UpstreamSnapshot {
             name: upstream.name.clone(),
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -3,6 +3,7 @@
 use crate::{
     room::{LinkRoom, RegionRoom},
     service::{Group, Service},
+    shift::Cap,
     upstream::{Open, Place, Upstream},
 };
 use std::collections::BTreeMap;
@@ -37,6 +38,8 @@
     pub(crate) services: Vec<Service>,
     /// Every upstream announced so far; the place of one that is gone is used again.
     pub(crate) upstreams: Vec<Upstream>,
+    /// What moves out of a region at most where no shift is declared.
+    pub(crate) cap: Cap,
     /// Declared links by resource.
     pub(crate) links: BTreeMap<ResourceName, (usize, usize, u64)>,
     region_ids: BTreeMap<RegionName, usize>,
@@ -50,12 +53,13 @@
 
 impl Table {
     /// A table that knows the entry's own region only.
-    pub(crate) fn new(region: &RegionName, domain: &DomainName) -> Self {
+    pub(crate) fn new(region: &RegionName, domain: &DomainName, cap: Cap) -> Self {
         let mut table = Self {
             own_domain: domain.clone(),
             regions: Vec::new(),
             services: Vec::new(),
             upstreams: Vec::new(),
+            cap,
             links: BTreeMap::new(),
             region_ids: BTreeMap::new(),
             service_ids: BTreeMap::new(),
@@ -98,7 +102,7 @@
         let id = self.service_ids.get(name).copied().unwrap_or_else(|| {
             let id = self.services.len();
             self.service_ids.insert(name.clone(), id);
-            self.services.push(Service::new(name));
+            self.services.push(Service::new(name, self.cap));
             id
         });
         let service = &mut self.services[id];
--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Bench, Step, announcement, config, of, region};
+use common::{Bench, Step, announcement, config, of, region, uncapped};
 use route::{Fallback, Input, Limits, Output, Policy, Settled};
 use strum::IntoEnumIterator;
 use types::{DrainTarget, Outcome, Refusal, TimeUs, UpstreamState};
@@ -58,7 +58,7 @@
 fn a_full_queue_refuses_and_a_deadline_ends_the_wait() {
     let limits = Limits {
         queue_requests: 1,
-        ..Limits::default()
+        ..uncapped()
     };
     let mut bench = Bench::new(config().with_limits(limits));
     bench.upstream("near", "browse", "here-a", 1);
