Let entries ask for shares by free slots, and the lab vary cap and shares

Cause: with shares, spill-over under lying health, cold restart and entry loss finishes 3 to 5% less than without; entries asked for room by their whole queue.

--- a/crates/lab/src/entries.rs
+++ b/crates/lab/src/entries.rs
@@ -1,7 +1,7 @@
 //! Routers at the entries, as their shells would drive them.
 
 use crate::{deployment::Site, events::EndingCode, names, shares::SHARE_US, worker::Worker};
-use route::{Input, Output, RequestId, Router, RouterConfig};
+use route::{Fallback, Input, Limits, Output, Policy, RequestId, Router, RouterConfig};
 use types::{DrainSpec, DrainTarget, RegionName, Resource, Spec, TimeUs, UpstreamName};
 
 /// Routers at the entries.
@@ -15,13 +15,18 @@
 
 impl Entries {
     /// Routers that know what is declared.
-    pub fn new(site: &Site, workers: usize, declared: &[Resource], config: Configure) -> Self {
+    pub fn new(site: &Site, workers: usize, declared: &[Resource], rules: &Rules) -> Self {
         let mut routers: Vec<Router> = (0..site.entry_regions.len())
             .map(|entry| {
                 let at = site.entry_regions[entry];
                 let domain = names::domain(site, at, names::entry_domain(entry));
                 let base = RouterConfig::new(names::entry(entry), names::region(site, at), domain);
-                Router::new(config(base).with_seed(entry as u64 + 1))
+                let config = base
+                    .with_policy(rules.policy)
+                    .with_limits(rules.limits.clone())
+                    .with_fallback(rules.fallback)
+                    .with_seed(entry as u64 + 1);
+                Router::new(config)
             })
             .collect();
         let mut outputs = Vec::new();
@@ -147,8 +152,16 @@
     }
 }
 
-/// Changes the configuration that every router begins with.
-pub type Configure = fn(RouterConfig) -> RouterConfig;
+/// What every router is told.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    /// How an upstream is chosen.
+    pub policy: Policy,
+    /// Bounds.
+    pub limits: Limits,
+    /// What holds without a share.
+    pub fallback: Fallback,
+}
 
 /// A request as it reaches an entry.
 #[derive(Clone, Copy, Debug)]
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,10 +3,11 @@
 use anyhow::{Context, Result, bail};
 use lab::{Chooser, Deployment, Experiment, Scenario, refusals, report, run_all, table};
 use lexopt::prelude::{Long, Value, ValueExt};
+use route::{Cap, Limits};
 use std::fs;
 
 const USAGE: &str = "usage: lab [report [--output FILE]] [--deployment wirecraft|joto] [--load PERCENT] \
-    [--scenario NAME] [--policy NAME|all] [--seed N] [--refusals]";
+    [--scenario NAME] [--policy NAME|all] [--seed N] [--refusals] [--no-shares] [--cap PERCENT]";
 
 struct Options {
     report: bool,
@@ -17,6 +18,8 @@
     policy: String,
     seed: u64,
     refusals: bool,
+    shares: bool,
+    cap: Cap,
 }
 
 fn main() -> Result<()> {
@@ -37,9 +40,14 @@
     let experiments: Vec<Experiment> = choosers
         .into_iter()
         .map(|chooser| {
-            Experiment::new(options.deployment, options.scenario, chooser)
+            let experiment = Experiment::new(options.deployment, options.scenario, chooser)
                 .with_load_percent(options.load_percent)
                 .with_seed(options.seed)
+                .with_cap(options.cap);
+            match options.shares {
+                true => experiment,
+                false => experiment.without_shares(),
+            }
         })
         .collect();
     let results = run_all(&experiments);
@@ -60,6 +68,8 @@
         policy: "all".to_owned(),
         seed: 1,
         refusals: false,
+        shares: true,
+        cap: Limits::default().cap,
     };
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
@@ -72,6 +82,8 @@
             Long("policy") => options.policy = parser.value()?.string()?,
             Long("seed") => options.seed = parser.value()?.parse()?,
             Long("refusals") => options.refusals = true,
+            Long("no-shares") => options.shares = false,
+            Long("cap") => options.cap.percent = parser.value()?.parse()?,
             Long("help") => {
                 println!("{USAGE}");
                 std::process::exit(0);
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -4,7 +4,7 @@
     allknowing::AllKnowing,
     arrivals::Arrivals,
     deployment::{Deployment, Site},
-    entries::{Configure, Entries},
+    entries::{Entries, Rules},
     events::{Event, Events},
     link::Link,
     measure::{Measure, Results},
@@ -14,7 +14,7 @@
     worker::Worker,
     world::{Front, World},
 };
-use route::{Fallback, Policy};
+use route::{Cap, Fallback, Limits, Policy};
 
 const TICK_US: u64 = 10_000;
 const SHARES_US: u64 = 50_000;
@@ -35,6 +35,10 @@
     pub load_percent: u32,
     /// Seeds the arrivals and their work.
     pub seed: u64,
+    /// Whether shares of regions and links bound the routers.
+    pub shares: bool,
+    /// What moves out of a region at most.
+    pub cap: Cap,
     /// Virtual time before measuring begins.
     pub warm_us: u64,
     /// Virtual time until arrivals end; the incident comes in the middle of the measured time.
@@ -44,13 +48,15 @@
 impl Experiment {
     /// Twelve seconds, of which the last ten are measured.
     #[must_use]
-    pub const fn new(deployment: Deployment, scenario: Scenario, chooser: Chooser) -> Self {
+    pub fn new(deployment: Deployment, scenario: Scenario, chooser: Chooser) -> Self {
         Self {
             deployment,
             scenario,
             chooser,
             load_percent: 80,
             seed: 1,
+            shares: true,
+            cap: Limits::default().cap,
             warm_us: 2_000_000,
             end_us: 12_000_000,
         }
@@ -70,6 +76,20 @@
         self
     }
 
+    /// Without shares of regions and links.
+    #[must_use]
+    pub const fn without_shares(mut self) -> Self {
+        self.shares = false;
+        self
+    }
+
+    /// With another cap.
+    #[must_use]
+    pub const fn with_cap(mut self, cap: Cap) -> Self {
+        self.cap = cap;
+        self
+    }
+
     /// With another length.
     #[must_use]
     pub const fn with_end_us(mut self, end_us: u64) -> Self {
@@ -108,12 +128,10 @@
         Chooser::AllKnowing => {
             Front::AllKnowing(AllKnowing::new(site.services.len(), workers.len()))
         }
-        Chooser::Routers(policy) => Front::Routers(Entries::new(
-            &site,
-            workers.len(),
-            &declared,
-            configure(policy),
-        )),
+        Chooser::Routers(policy) => {
+            let rules = rules(experiment, policy);
+            Front::Routers(Entries::new(&site, workers.len(), &declared, &rules))
+        }
     };
     let mut arrivals: Vec<Arrivals> = site
         .services
@@ -159,33 +177,26 @@
     workers
 }
 
-fn configure(policy: Policy) -> Configure {
-    match policy {
-        Policy::NearestRoundRobin => |config| {
-            config
-                .with_policy(Policy::NearestRoundRobin)
-                .with_fallback(Fallback::Zero)
-        },
-        Policy::LeastReportedLoad => |config| {
-            config
-                .with_policy(Policy::LeastReportedLoad)
-                .with_fallback(Fallback::Zero)
-        },
-        Policy::Adaptive => |config| {
-            config
-                .with_policy(Policy::Adaptive)
-                .with_fallback(Fallback::Zero)
-        },
-        Policy::PowerOfTwo => |config| {
-            config
-                .with_policy(Policy::PowerOfTwo)
-                .with_fallback(Fallback::Zero)
-        },
+fn rules(experiment: &Experiment, policy: Policy) -> Rules {
+    let fallback = match experiment.shares {
+        true => Fallback::Zero,
+        false => Fallback::Unlimited,
+    };
+    let limits = Limits {
+        cap: experiment.cap,
+        ..Limits::default()
+    };
+    Rules {
+        policy,
+        limits,
+        fallback,
     }
 }
 
 fn start(world: &mut World, experiment: &Experiment) {
-    world.events.push(0, Event::Shares);
+    if experiment.shares {
+        world.events.push(0, Event::Shares);
+    }
     for worker in 0..world.workers.len() {
         world
             .events
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -1,12 +1,7 @@
 //! The choice of an upstream by each policy.
 
 use crate::{
-    Policy,
-    request::Request,
-    router::Router,
-    service::{Group, Service},
-    table::OWN_REGION,
-    upstream::Upstream,
+    Policy, request::Request, router::Router, service::Group, table::OWN_REGION, upstream::Upstream,
 };
 use rand::{Rng, rngs::SmallRng};
 use types::{Refusal, TimeUs};
@@ -55,7 +50,7 @@
             return Err(Block::Refuse(Refusal::UpstreamRefused));
         }
         let reach_us = match adaptive {
-            true => reach_us(service),
+            true => service.reach_us(),
             false => u64::MAX,
         };
         let may_move = request.moved || service.mover.may_move();
@@ -140,17 +135,6 @@
     }
 }
 
-/// The cost up to which a group is worth its way: the way there and back must be shorter than the
-/// wait for a nearer slot.
-fn reach_us(service: &Service) -> u64 {
-    let nearest = service.groups.iter().find(|group| group.usable > 0);
-    let nearest_us = nearest.map_or(0, |group| group.cost_us);
-    match service.wait_us() {
-        Some(wait_us) => nearest_us + (wait_us / 2).max(1),
-        None => u64::MAX,
-    }
-}
-
 /// One choice within a group.
 struct Draw<'a> {
     upstreams: &'a [Upstream],
--- a/crates/route/src/demand.rs
+++ b/crates/route/src/demand.rs
@@ -1,6 +1,11 @@
 //! What the entry would use of a region, for those who hand out shares.
 
-use crate::router::Router;
+use crate::{
+    Policy,
+    router::Router,
+    service::{Group, Service},
+    table::OWN_REGION,
+};
 use types::RegionName;
 
 /// Slots that an entry asks for without any use, so that it may begin.
@@ -8,20 +13,42 @@
 
 impl Router {
     /// Slots of the region that this entry would use now: what is in flight there, and what waits
-    /// for a service whose nearest usable upstreams stand there.
+    /// for a service for which the way there is shorter than the wait, as far as slots are free.
     #[must_use]
     pub fn wanted_slots(&self, region: &RegionName) -> u32 {
         let regions = &self.table.regions;
         let Some(id) = regions.iter().position(|known| known.name == *region) else {
             return FLOOR_SLOTS;
         };
-        let waiting = self.table.services.iter().filter(|service| {
-            let nearest = service.groups.iter().find(|group| group.usable > 0);
-            nearest.is_some_and(|group| group.region == id)
-        });
-        let waiting: usize = waiting.map(|service| service.queue.len()).sum();
-        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
-        let used = regions[id].room.in_flight.saturating_add(waiting);
-        used.saturating_add(FLOOR_SLOTS)
+        let services = self.table.services.iter();
+        let waiting: u32 = services.map(|service| self.wanted_by(service, id)).sum();
+        regions[id].room.in_flight + waiting + FLOOR_SLOTS
+    }
+
+    fn wanted_by(&self, service: &Service, region: usize) -> u32 {
+        if service.queue.is_empty() {
+            return 0;
+        }
+        let reach_us = service.reach_us();
+        let there = service.groups.iter().filter(|group| group.region == region);
+        let in_reach = there.filter(|group| group.cost_us <= reach_us);
+        let free: u32 = in_reach.map(|group| self.free_slots(group)).sum();
+        free.min(u32::try_from(service.queue.len()).unwrap_or(u32::MAX))
+    }
+
+    /// Slots that are free as far as this entry knows; in its own region those dealt to it.
+    fn free_slots(&self, group: &Group) -> u32 {
+        let upstreams = &self.table.upstreams;
+        let dealt = self.config.policy == Policy::Adaptive && group.region == OWN_REGION;
+        let free = |&id: &usize| {
+            let upstream = &upstreams[id];
+            let slots = match dealt {
+                true => upstream.home_slots.min(upstream.limit_slots()),
+                false => upstream.limit_slots(),
+            };
+            slots.saturating_sub(upstream.in_flight)
+        };
+        let list = if dealt { &group.home } else { &group.open };
+        list.iter().map(free).sum()
     }
 }
--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -8,7 +8,7 @@
 /// How long a refusal closes a group's borrowed slots at first; doubled by each further one.
 const GROUP_CLOSED_US: u64 = 2_000;
 /// Doublings of a group's closure at most.
-const GROUP_DOUBLINGS: u32 = 6;
+const GROUP_DOUBLINGS: u32 = 3;
 
 impl Router {
     /// Learns from the end of an attempt.
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -125,6 +125,17 @@
         Some(waiting * per_request_us)
     }
 
+    /// The cost up to which a group is worth its way: the way there and back must be shorter than
+    /// the wait for a nearer slot.
+    pub(crate) fn reach_us(&self) -> u64 {
+        let nearest = self.groups.iter().find(|group| group.usable > 0);
+        let nearest_us = nearest.map_or(0, |group| group.cost_us);
+        match self.wait_us() {
+            Some(wait_us) => nearest_us + (wait_us / 2).max(1),
+            None => u64::MAX,
+        }
+    }
+
     /// Upstreams that take new work at all.
     pub(crate) fn usable(&self) -> usize {
         self.groups.iter().map(|group| group.usable).sum()
