--- a/crates/route/src/declare.rs
+++ b/crates/route/src/declare.rs
@@ -1,8 +1,12 @@
 //! Declared resources and announcements.
 
-use crate::{Output, request::Stage, router::Router, upstream::Upstream};
+use crate::{
+    Output, Policy, evidence::Evidence, request::Stage, router::Router, shift::Cap,
+    upstream::Upstream,
+};
 use types::{
-    Announcement, DrainTarget, Refusal, Resource, ResourceName, ServiceName, Spec, UpstreamName,
+    Announcement, DrainTarget, EntryName, EntrySpec, Refusal, Resource, ResourceName, ServiceName,
+    Spec, UpstreamName,
 };
 
 impl Router {
@@ -25,8 +29,18 @@
                 self.drains.insert(resource.name.clone(), target);
                 self.apply_drains();
             }
-            Spec::Region(_) | Spec::Entry(_) | Spec::Shift(_) => {}
+            Spec::Entry(spec) => {
+                if let Some(name) = entry_name(&resource.name) {
+                    self.entries.insert(name, spec.clone());
+                }
+            }
+            Spec::Shift(spec) => {
+                self.shifts.insert(resource.name.clone(), spec.clone());
+            }
+            Spec::Region(_) => {}
         }
+        self.apply_shifts();
+        self.deal_homes();
         self.settle_stranded(outputs);
     }
 
@@ -46,8 +60,18 @@
                 self.drains.remove(&resource.name);
                 self.apply_drains();
             }
-            Spec::Region(_) | Spec::Entry(_) | Spec::Shift(_) => {}
+            Spec::Entry(_) => {
+                if let Some(name) = entry_name(&resource.name) {
+                    self.entries.remove(&name);
+                }
+            }
+            Spec::Shift(_) => {
+                self.shifts.remove(&resource.name);
+            }
+            Spec::Region(_) => {}
         }
+        self.apply_shifts();
+        self.deal_homes();
         self.settle_stranded(outputs);
     }
 
@@ -55,9 +79,15 @@
         let region = self.table.region_id(&announcement.region);
         let mut upstream = Upstream::new(name, announcement, region);
         upstream.drained = self.is_drained(&upstream);
+        let fresh = match self.config.policy {
+            Policy::Adaptive => Evidence::fresh(),
+            _ => Evidence::new(),
+        };
+        upstream.evidence = fresh.clone();
         let Some(id) = self.table.upstream_id(name) else {
             let id = self.table.insert_upstream(upstream);
             self.table.list(id);
+            self.deal_homes();
             return;
         };
         let known = &mut self.table.upstreams[id];
@@ -68,16 +98,24 @@
             && known.present;
         if same_place {
             known.address = announcement.address;
-            known.slots = announcement.slots;
             known.reported_load = announcement.load;
-            known.epoch_ms = announcement.epoch_ms;
+            if known.epoch_ms != announcement.epoch_ms {
+                known.epoch_ms = announcement.epoch_ms;
+                known.evidence = fresh;
+            }
+            let resized = known.slots != announcement.slots;
+            known.slots = announcement.slots;
             self.table.refresh(id);
+            if resized {
+                self.deal_homes();
+            }
             return;
         }
         self.table.unlist(id);
         upstream.in_flight = self.table.upstreams[id].in_flight;
         self.table.upstreams[id] = upstream;
         self.table.list(id);
+        self.deal_homes();
     }
 
     pub(crate) fn upstream_gone(&mut self, name: &UpstreamName) {
@@ -87,6 +125,7 @@
         self.table.unlist(id);
         self.table.upstreams[id].present = false;
         self.table.forget_upstream(id);
+        self.deal_homes();
     }
 
     /// Settles requests that wait for a service that is no longer declared.
@@ -103,6 +142,30 @@
         }
     }
 
+    /// Gives every service's ledger its cap and what is declared to move out of its region.
+    fn apply_shifts(&mut self) {
+        for id in 0..self.table.services.len() {
+            let service = &self.table.services[id];
+            let home = service
+                .home_region()
+                .map(|home| &self.table.regions[home].name);
+            let mut shifts = self.shifts.values();
+            let shift = shifts
+                .find(|shift| shift.service == service.name && Some(&shift.from) == home)
+                .cloned();
+            let target = shift
+                .as_ref()
+                .map(|shift| (self.table.region_id(&shift.to), shift.target_percent));
+            let cap = shift.map_or(self.config.limits.cap, |shift| Cap {
+                percent: shift.cap_percent,
+                interval_ms: shift.interval_ms,
+            });
+            let mover = &mut self.table.services[id].mover;
+            mover.set_cap(cap);
+            mover.set_target(target);
+        }
+    }
+
     fn apply_drains(&mut self) {
         for id in 0..self.table.upstreams.len() {
             let drained = self.is_drained(&self.table.upstreams[id]);
@@ -115,6 +178,16 @@
         }
     }
 
+    /// Whether a drain names an entry or where it stands.
+    pub(crate) fn is_entry_drained(&self, entry: &EntryName, spec: &EntrySpec) -> bool {
+        self.drains.values().any(|target| match target {
+            DrainTarget::Entry(name) => name == entry,
+            DrainTarget::FailureDomain(name) => *name == spec.failure_domain,
+            DrainTarget::Region(name) => *name == spec.region,
+            DrainTarget::Upstream(_) => false,
+        })
+    }
+
     fn is_drained(&self, upstream: &Upstream) -> bool {
         self.drains.values().any(|target| match target {
             DrainTarget::Upstream(name) => *name == upstream.name,
@@ -125,6 +198,10 @@
     }
 }
 
+fn entry_name(name: &ResourceName) -> Option<EntryName> {
+    EntryName::new(name.as_str()).ok()
+}
+
 fn service_name(name: &ResourceName) -> Option<ServiceName> {
     ServiceName::new(name.as_str()).ok()
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -2,13 +2,21 @@
 
 mod api;
 mod attempt;
+mod budget;
 mod choose;
 mod config;
+mod deadline;
 mod declare;
+mod demand;
+mod evidence;
+mod homes;
+mod observe;
 mod queue;
 mod request;
 mod room;
 mod router;
+mod service;
+mod shift;
 mod snapshot;
 mod table;
 mod upstream;
@@ -17,5 +25,6 @@
     api::{Ending, Input, Output, RequestId, Settled},
     config::{Fallback, Limits, Policy, RouterConfig},
     router::Router,
+    shift::{Cap, Mover, ShiftProgress, ShiftReason, ShiftState},
     snapshot::{Counters, RegionSnapshot, ServiceSnapshot, Snapshot, UpstreamSnapshot},
 };
