--- a/crates/ctl/src/watch.rs
+++ b/crates/ctl/src/watch.rs
@@ -36,22 +36,38 @@
     }
 }
 
+/// How many entries of each sort a line names.
+const NAMES_MAX: usize = 3;
+
 /// One line on how far a resource has come.
 pub(crate) fn status_line(status: &ResourceStatus) -> String {
-    let mut parts = Vec::new();
-    for waiting in &status.waiting {
+    let waiting = status.waiting.iter().map(|waiting| {
         let seconds = waiting.since_ms as f64 / 1_000.0;
-        parts.push(format!("{} for {seconds:.1} s", waiting.entry));
-    }
-    for rejected in &status.rejected {
-        parts.push(format!("{}: {}", rejected.entry, rejected.reason));
-    }
-    for fenced in &status.fenced {
-        parts.push(format!("{fenced} fenced"));
-    }
+        format!("{} for {seconds:.1} s", waiting.entry)
+    });
+    let rejected = status
+        .rejected
+        .iter()
+        .map(|rejected| format!("{}: {}", rejected.entry, rejected.reason));
+    let fenced = status.fenced.iter().map(|entry| format!("{entry} fenced"));
+    let parts = [
+        some_of(waiting, status.waiting_count),
+        some_of(rejected, status.rejected.len() as u32),
+        some_of(fenced, status.fenced_count),
+    ];
+    let parts: Vec<String> = parts.into_iter().filter(|part| !part.is_empty()).collect();
     parts.join(", ")
 }
 
+fn some_of(texts: impl Iterator<Item = String>, count: u32) -> String {
+    let named: Vec<String> = texts.take(NAMES_MAX).collect();
+    let more = count.saturating_sub(named.len() as u32);
+    match more {
+        0 => named.join(", "),
+        more => format!("{} and {more} more", named.join(", ")),
+    }
+}
+
 /// Prints each change of a resource's state until all are in force.
 pub(crate) async fn until_in_force(
     caller: &mut Caller,
@@ -72,6 +88,9 @@
         }
         let Progress { in_force, total } = progress(&list);
         if in_force == total {
+            if !json {
+                writeln!(out, "all {total} resources are in force")?;
+            }
             return Ok(());
         }
         if Instant::now() + ASK_PERIOD >= deadline {
--- a/crates/state/src/validate.rs
+++ b/crates/state/src/validate.rs
@@ -13,7 +13,10 @@
 const PERCENT_MAX: u32 = 100;
 
 /// What is wrong, and the field or resource that it names.
-type Fault = (InvalidReason, String);
+struct Fault {
+    reason: InvalidReason,
+    subject: String,
+}
 
 /// The resources by the names that others use for them.
 #[derive(Default)]
@@ -69,7 +72,10 @@
 }
 
 fn fault(reason: InvalidReason, subject: impl ToString) -> Fault {
-    (reason, subject.to_string())
+    Fault {
+        reason,
+        subject: subject.to_string(),
+    }
 }
 
 fn ensure(holds: bool, reason: InvalidReason, subject: impl ToString) -> Result<(), Fault> {
@@ -91,10 +97,10 @@
     let index = Index::new(resources);
     let mut seen = Seen::default();
     for (key, spec) in resources {
-        check(spec, &index, &mut seen).map_err(|(reason, subject)| Rejection::Invalid {
+        check(spec, &index, &mut seen).map_err(|fault| Rejection::Invalid {
             key: (*key).clone(),
-            reason,
-            subject,
+            reason: fault.reason,
+            subject: fault.subject,
         })?;
     }
     Ok(())
