--- a/crates/raft/tests/group/checks.rs
+++ b/crates/raft/tests/group/checks.rs
@@ -1,9 +1,9 @@
 //! The invariants of the replicated log.
 
 use super::Machine;
-use raft::{Entry, Message, ReplicaId, Role, Status};
+use raft::{Entry, Message, Payload, ReplicaId, Role, Status};
 use std::{
-    collections::{BTreeMap, HashMap, hash_map::DefaultHasher},
+    collections::{BTreeMap, BTreeSet, HashMap, hash_map::DefaultHasher},
     hash::{Hash, Hasher},
 };
 
@@ -15,6 +15,7 @@
     votes: HashMap<(ReplicaId, u64), ReplicaId>,
     digests: BTreeMap<u64, u64>,
     floors: HashMap<u64, u64>,
+    voters: BTreeMap<u64, BTreeSet<ReplicaId>>,
 }
 
 impl Checks {
@@ -45,6 +46,18 @@
         machine.digest = hasher.finish();
         let known = *self.digests.entry(entry.index).or_insert(machine.digest);
         assert_eq!(known, machine.digest, "state machines agree at {entry:?}");
+        if let Payload::Membership(membership) = &entry.payload {
+            self.changed_voters(entry.index, &membership.voters);
+        }
+    }
+
+    /// Voters change one at a time.
+    fn changed_voters(&mut self, index: u64, voters: &BTreeSet<ReplicaId>) {
+        if let Some((_, before)) = self.voters.range(..index).next_back() {
+            let changed = before.symmetric_difference(voters).count();
+            assert!(changed <= 1, "from {before:?} to {voters:?}");
+        }
+        self.voters.insert(index, voters.clone());
     }
 
     /// A snapshot holds what was committed.
--- a/crates/raft/tests/group/mod.rs
+++ b/crates/raft/tests/group/mod.rs
@@ -6,7 +6,7 @@
 
 pub use self::checks::Checks;
 
-use raft::{Input, Message, Output, Persist, Raft, RaftConfig, ReplicaId, Restored, Role};
+use raft::{Entry, Input, Message, Output, Persist, Raft, RaftConfig, ReplicaId, Restored, Role};
 use std::collections::{BTreeSet, VecDeque};
 
 pub const HEARTBEAT_US: u64 = 100_000;
@@ -44,6 +44,53 @@
     writes: VecDeque<(u64, Persist)>,
 }
 
+impl Node {
+    fn has_on_disk(&self, index: u64, term: u64) -> bool {
+        let base = self.disk.snapshot.as_ref().map_or(0, |s| s.index);
+        let entries = &self.disk.entries;
+        index <= base || entries.iter().any(|e| (e.index, e.term) == (index, term))
+    }
+
+    fn has_any_on_disk(&self, index: u64) -> bool {
+        self.has_on_disk(index, 0) || self.disk.entries.iter().any(|e| e.index == index)
+    }
+
+    /// What a message promises to remember is on the disk.
+    fn check_promise(&self, to: &ReplicaId, message: &Message) {
+        let vote = (&self.disk.hard_state.voted_for, self.disk.hard_state.term);
+        match message {
+            Message::Vote {
+                pre: false,
+                granted: true,
+                term,
+            } => {
+                assert_eq!(vote, (&Some(to.clone()), *term), "a vote is synced");
+            }
+            Message::RequestVote {
+                pre: false, term, ..
+            } => {
+                assert_eq!(vote, (&Some(self.id.clone()), *term), "a vote is synced");
+            }
+            Message::Appended {
+                success: true,
+                match_index,
+                ..
+            } => {
+                let term = self.raft.as_ref().unwrap().term_at(*match_index);
+                let is_held = match term {
+                    Some(term) => self.has_on_disk(*match_index, term),
+                    None => self.has_any_on_disk(*match_index),
+                };
+                assert!(is_held, "entry {match_index} of {term:?} is synced");
+            }
+            Message::SnapshotReceived {
+                done: true, index, ..
+            } => assert!(self.has_any_on_disk(*index), "a snapshot is synced"),
+            _ => {}
+        }
+    }
+}
+
 struct Flying {
     due_us: u64,
     from: ReplicaId,
@@ -57,6 +104,9 @@
     pub checks: Checks,
     pub delay_us: u64,
     pub sync_us: u64,
+    /// The largest random addition to each delay and sync.
+    pub jitter_us: u64,
+    pub loss_percent: u64,
     /// Links that lose everything, one way each.
     pub cut: BTreeSet<(usize, usize)>,
     /// Called with each message sent.
@@ -100,6 +150,8 @@
             checks: Checks::default(),
             delay_us,
             sync_us: 1_000,
+            jitter_us: 0,
+            loss_percent: 0,
             cut: BTreeSet::new(),
             on_send: |_, _, _| {},
             sent_messages: 0,
@@ -169,9 +221,13 @@
         match output {
             Output::Send { to, message } => {
                 self.checks.sent(&id, &to, &message);
+                self.nodes[node].check_promise(&to, &message);
                 self.sent_messages += 1;
                 (self.on_send)(self, &to, &message);
-                let due_us = self.now_us + self.delay_us;
+                if self.random(100) < self.loss_percent {
+                    return;
+                }
+                let due_us = self.now_us + self.delay_us + self.random(self.jitter_us + 1);
                 self.flying.push(Flying {
                     due_us,
                     from: id,
@@ -180,10 +236,11 @@
                 });
             }
             Output::Persist(persist) => {
-                let due_us = self.now_us + self.sync_us;
+                let due_us = self.now_us + self.sync_us + self.random(self.jitter_us + 1);
                 self.nodes[node].writes.push_back((due_us, persist));
             }
             Output::Apply(entry) => {
+                self.check_majority(node, &entry);
                 let machine = &mut self.nodes[node].machine;
                 self.checks.applied(machine, &entry);
             }
@@ -202,6 +259,29 @@
         }
     }
 
+    fn random(&mut self, bound: u64) -> u64 {
+        self.seed = self
+            .seed
+            .wrapping_mul(0x5851_f42d_4c95_7f2d)
+            .wrapping_add(1);
+        (self.seed >> 33) % bound
+    }
+
+    /// An entry is on the disks of a majority when its leader commits it.
+    fn check_majority(&self, node: usize, entry: &Entry) {
+        let status = self.status(node);
+        if status.role != Role::Leader {
+            return;
+        }
+        let voters = &status.membership.voters;
+        let lacks = |n: &&Node| voters.contains(&n.id) && !n.has_on_disk(entry.index, entry.term);
+        let lacking = self.nodes.iter().filter(lacks).count();
+        assert!(
+            lacking < voters.len().div_ceil(2),
+            "{entry:?} is on a majority"
+        );
+    }
+
     /// Delivers the message at `position`, whenever it was due; a copy stays with `again`.
     pub fn deliver(&mut self, position: usize, again: bool) {
         if self.flying.is_empty() {
--- a/crates/raft/tests/schedules.rs
+++ b/crates/raft/tests/schedules.rs
@@ -111,6 +111,8 @@
 /// Mends everything; the group must then settle with every replica as a voter again.
 fn mend_and_settle(group: &mut Group) {
     group.cut.clear();
+    group.jitter_us = 0;
+    group.loss_percent = 0;
     for node in 0..NODES {
         group.nodes[node].paused = false;
         group.restart(node);
@@ -130,8 +132,15 @@
     #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
 
     #[test]
-    fn log_holds_under_faults(seed in any::<u32>(), events in vec(event(), 1..400)) {
+    fn log_holds_under_faults(
+        seed in any::<u32>(),
+        jitter_us in 0_u64..300_000,
+        loss_percent in 0_u64..20,
+        events in vec(event(), 1..400),
+    ) {
         let mut group = Group::new(NODES, 12_000, u64::from(seed));
+        group.jitter_us = jitter_us;
+        group.loss_percent = loss_percent;
         for (request, event) in events.iter().enumerate() {
             play(&mut group, event, request as u64);
         }
