Let a restarted replica keep the promise not to vote that it may have given

Cause: shares of capacities need a leader that knows that no other leads. A follower that restarted forgot that it had heard the leader and could vote for another at once. It now refuses votes for one election timeout after its start, also when the leader's name is unknown. Elections after a cold start begin after that time anyway.

--- a/crates/raft/src/replica.rs
+++ b/crates/raft/src/replica.rs
@@ -69,7 +69,6 @@
         let out = log.snapshot().map(|s| Output::Restore(s.as_ref().clone()));
         let mut raft = Self {
             random: Random::new(config.seed),
-            config,
             now_us,
             hard_state: restored.hard_state,
             commit_index: log.snapshot_index(),
@@ -77,7 +76,8 @@
             log,
             state: State::Follower,
             leader: None,
-            no_vote_until_us: 0,
+            no_vote_until_us: now_us + config.election_us,
+            config,
             election_at_us: 0,
             incoming: None,
             reported: None,
--- a/crates/raft/src/replica/election.rs
+++ b/crates/raft/src/replica/election.rs
@@ -165,10 +165,12 @@
         self.log.last_index() == 0 && self.log.membership().voters.is_empty()
     }
 
+    /// Whether a leader may rely on this replica not to vote for another: it heard one lately, or
+    /// it restarted lately and may have heard one before.
     fn hears_leader(&self) -> bool {
         match &self.state {
             State::Leader(_) => true,
-            _ => self.leader.is_some() && self.now_us < self.no_vote_until_us,
+            _ => self.now_us < self.no_vote_until_us,
         }
     }
 
