Let the leader hand out shares of regions and links with the polls

Cause: the router looked at shares but nobody gave any, so every entry used a region as if it were alone.

Wants travel with an entry's polls to the replica that grants; the leader grants only while a majority has confirmed that it leads, and only after it has applied what earlier leaders committed. Without a share nothing starts in a region (Fallback::Zero). A caller's ow-deadline-ms may shorten the service's deadline but not lengthen it, since the allocator counts grants until the longest declared deadline.

Ruled out: making sure of leadership at all times, which added its rounds to an idle replica's bytes and broke the bound of the cost test; it now happens only while entries want something.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -2,6 +2,7 @@
 
 use raft::{Membership, Message, Persist, RaftConfig, ReplicaId, Role, Status};
 use serde::{Deserialize, Serialize};
+use share::{Grant, Want};
 use state::{Applied, Changes, CommandError, Item, List, Operation, SnapshotError, Watched};
 use std::collections::BTreeMap;
 use thiserror::Error;
@@ -113,6 +114,10 @@
     pub entry: EntryName,
     /// The index up to which the entry runs the configuration.
     pub applied_index: u64,
+    /// Differs in each run of the entry.
+    pub incarnation: u64,
+    /// What the entry wants of capacities and links.
+    pub wants: Vec<Want>,
     /// The revision that the entry can't run, when there is one.
     pub rejected: Option<PollRejection>,
 }
@@ -141,6 +146,8 @@
     pub votes: bool,
     /// What leads from the entry's index to `applied_index`.
     pub changes: Changes,
+    /// Shares, from a leader.
+    pub grants: Vec<Grant>,
 }
 
 /// An event for the control replica.
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -5,9 +5,11 @@
     clock::LogClock,
     entries::Entries,
     pending::{Pending, Wait},
+    shares::{LEADERSHIP_READ, Shares},
     watches::{Watches, see},
 };
 use raft::{Entry, Payload, ProposeError, Raft, Restored, Role, Snapshot, Status};
+use share::HolderId;
 use state::{Command, Operation, State};
 use types::{ApiError, TimeUs};
 
@@ -22,6 +24,7 @@
     pub(crate) entries: Entries,
     pub(crate) pending: Pending,
     pub(crate) watches: Watches,
+    pub(crate) shares: Shares,
     clock: LogClock,
     pub(crate) snapshot_index: u64,
     leads: bool,
@@ -35,12 +38,13 @@
     pub fn new(config: ControlConfig, restored: Restored, now_us: TimeUs) -> Self {
         Self {
             raft: Raft::new(config.raft.clone(), restored, now_us.0),
-            config,
             state: State::new(),
             entries: Entries::new(now_us),
             pending: Pending::default(),
             watches: Watches::default(),
+            shares: Shares::new(config.raft.election_us),
             clock: LogClock::new(now_us),
+            config,
             snapshot_index: 0,
             leads: false,
             broken: false,
@@ -56,7 +60,7 @@
         self.now_us = self.now_us.max(now_us);
         self.entries.advance(self.now_us);
         match input {
-            Input::Tick => self.step_log(raft::Input::Tick, outputs),
+            Input::Tick => self.tick(outputs),
             Input::Receive { from, message } => {
                 self.step_log(raft::Input::Receive { from, message }, outputs);
             }
@@ -99,6 +103,14 @@
         .min()
     }
 
+    fn tick(&mut self, outputs: &mut Vec<Output>) {
+        self.step_log(raft::Input::Tick, outputs);
+        if self.shares.asks(self.now_us) {
+            let request = LEADERSHIP_READ;
+            self.step_log(raft::Input::Read { request }, outputs);
+        }
+    }
+
     fn take_request(&mut self, request: u64, body: Request, outputs: &mut Vec<Output>) {
         match body {
             Request::Replicas => outputs.push(Output::Answer {
@@ -178,6 +190,14 @@
     fn answer_poll(&mut self, poll: u64, body: &Poll, outputs: &mut Vec<Output>) {
         self.entries.polled(&self.state, body, self.now_us);
         let status = self.raft.status();
+        let applied_term = self.raft.term_at(self.state.applied_index());
+        let holder = HolderId {
+            entry: body.entry.clone(),
+            incarnation: body.incarnation,
+        };
+        let grants =
+            self.shares
+                .grant(self.now_us, &self.state, applied_term, &holder, &body.wants);
         outputs.push(Output::PollAnswer {
             poll,
             answer: PollAnswer {
@@ -187,6 +207,7 @@
                 voters: u32::try_from(status.membership.voters.len()).unwrap_or(u32::MAX),
                 votes: status.membership.voters.contains(&status.id),
                 changes: self.state.changes_since(body.applied_index),
+                grants,
             },
         });
     }
@@ -227,6 +248,14 @@
                 self.pending.proposed(request, index, term);
                 self.answer_reached(outputs);
             }
+            raft::Output::Rejected {
+                request: LEADERSHIP_READ,
+                ..
+            } => self.shares.unconfirmed(),
+            raft::Output::ReadReady {
+                request: LEADERSHIP_READ,
+                ..
+            } => self.shares.confirmed(),
             raft::Output::Rejected { request, error } => {
                 if self.pending.take(request).is_some() {
                     let answer = Err(self.log_error(error));
@@ -243,6 +272,7 @@
                     self.entries.listen_anew(self.now_us);
                 }
                 self.leads = leads;
+                self.shares.follow(leads, &status, self.now_us);
                 outputs.push(Output::Changed(status));
             }
         }
--- a/crates/control/src/dump.rs
+++ b/crates/control/src/dump.rs
@@ -3,6 +3,7 @@
 use crate::{core::Control, entries::EntryDump};
 use raft::Status;
 use serde::Serialize;
+use share::PoolRow;
 use std::collections::BTreeMap;
 use types::{Kind, Resource};
 
@@ -28,6 +29,8 @@
     pub waiting_watches: usize,
     /// What the entries last said.
     pub entries: Vec<EntryDump>,
+    /// The shares of capacities and links, on the leader.
+    pub shares: Vec<PoolRow>,
     /// The declared resources, as far as they were applied here.
     pub resources: BTreeMap<Kind, Vec<Resource>>,
 }
@@ -53,6 +56,7 @@
             pending_requests: self.pending.len(),
             waiting_watches: self.watches.len(),
             entries: self.entries.dump(self.now_us),
+            shares: self.shares.rows(),
             resources,
         }
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod dump;
 mod entries;
 mod pending;
+mod shares;
 mod watches;
 
 pub use crate::{
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -290,6 +290,8 @@
         let body = Poll {
             entry: entry.parse().expect("a valid name"),
             applied_index,
+            incarnation: 1,
+            wants: Vec::new(),
             rejected,
         };
         self.step(replica, Input::Poll { poll, body });
--- a/crates/control/tests/cost.rs
+++ b/crates/control/tests/cost.rs
@@ -7,7 +7,7 @@
 use prost::Message;
 use raft::ReplicaId;
 use types::poll_interval_ms;
-use wire::{peer, raft_to_wire};
+use wire::{grant_to_wire, peer, raft_to_wire};
 
 /// What a daemon may spend on control at the size to design for, in bytes a second.
 const BUDGET_BYTES: f64 = 28_000.0;
@@ -58,6 +58,7 @@
         votes: answer.votes,
         complete: answer.changes.complete,
         changes: changes.collect(),
+        grants: answer.grants.iter().map(grant_to_wire).collect(),
     }))
 }
 
--- a/crates/daemon/src/control/convert.rs
+++ b/crates/daemon/src/control/convert.rs
@@ -2,15 +2,27 @@
 
 use control::{Poll, PollAnswer, PollRejection};
 use state::Change;
+use thiserror::Error;
 use types::{EntryName, InvalidName};
-use wire::peer;
+use wire::{WireError, grant_to_wire, peer, want_from_wire};
+
+/// A poll that breaks its rules.
+#[derive(Debug, Error)]
+pub enum ConvertError {
+    /// The entry's name is invalid.
+    #[error(transparent)]
+    Name(#[from] InvalidName),
+    /// A want breaks its rules.
+    #[error(transparent)]
+    Want(#[from] WireError),
+}
 
 /// An entry's poll.
 ///
 /// # Errors
 ///
-/// When the entry's name is invalid.
-pub fn poll(poll: &peer::Poll) -> Result<Poll, InvalidName> {
+/// When a field breaks its rules.
+pub fn poll(poll: &peer::Poll) -> Result<Poll, ConvertError> {
     let rejected = (poll.rejected_revision > 0).then(|| PollRejection {
         revision: poll.rejected_revision,
         reason: poll.rejected_reason.clone(),
@@ -19,6 +31,12 @@
     Ok(Poll {
         entry,
         applied_index: poll.applied_index,
+        incarnation: poll.incarnation,
+        wants: poll
+            .wants
+            .iter()
+            .map(want_from_wire)
+            .collect::<Result<_, _>>()?,
         rejected,
     })
 }
@@ -43,6 +61,7 @@
         votes: answer.votes,
         complete: answer.changes.complete,
         changes,
+        grants: answer.grants.iter().map(grant_to_wire).collect(),
     })
 }
 
--- a/crates/daemon/src/entry/actor.rs
+++ b/crates/daemon/src/entry/actor.rs
@@ -190,8 +190,11 @@
                     replica,
                     serial,
                     applied_index,
+                    wants,
                 } => {
-                    let poll = convert::poll(&self.args.links.own_name, applied_index);
+                    let links = &self.args.links;
+                    let incarnation = links.identity.incarnation;
+                    let poll = convert::poll(&links.own_name, incarnation, applied_index, &wants);
                     self.args.links.send_replica(
                         &replica,
                         Frame {
--- a/crates/daemon/src/entry/convert.rs
+++ b/crates/daemon/src/entry/convert.rs
@@ -1,9 +1,14 @@
 //! Conversion between an entry's core and the wire.
 
 use entry::{ConfigChange, ReplicaAnswer};
+use share::Want;
 use thiserror::Error;
 use types::{EntryName, InvalidName, Key, ResourceName};
-use wire::peer::{Change, Poll, PollAnswer, frame::Body};
+use wire::{
+    WireError, grant_from_wire,
+    peer::{Change, Poll, PollAnswer, frame::Body},
+    want_to_wire,
+};
 
 /// A poll answer that breaks its rules.
 #[derive(Debug, Error)]
@@ -14,16 +19,21 @@
     /// A kind is unknown.
     #[error("unknown kind of resource: {0}")]
     Kind(#[from] strum::ParseError),
+    /// A grant breaks its rules.
+    #[error(transparent)]
+    Grant(#[from] WireError),
     /// A resource is no valid JSON.
     #[error("invalid resource: {0}")]
     Resource(#[from] serde_json::Error),
 }
 
 /// A poll for changes after `applied_index`.
-pub fn poll(entry: &EntryName, applied_index: u64) -> Body {
+pub fn poll(entry: &EntryName, incarnation: u64, applied_index: u64, wants: &[Want]) -> Body {
     Body::Poll(Poll {
         entry: entry.to_string(),
         applied_index,
+        incarnation,
+        wants: wants.iter().map(want_to_wire).collect(),
         ..Poll::default()
     })
 }
@@ -42,6 +52,11 @@
             .iter()
             .map(change)
             .collect::<Result<_, _>>()?,
+        grants: answer
+            .grants
+            .iter()
+            .map(grant_from_wire)
+            .collect::<Result<_, _>>()?,
     })
 }
 
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -13,7 +13,8 @@
 pub struct Links {
     /// This entry's name.
     pub own_name: EntryName,
-    identity: Identity,
+    /// What this entry proves to its peers.
+    pub identity: Identity,
     inbox: mpsc::Sender<Event>,
     replicas: BTreeMap<ReplicaName, Outbound>,
     peers: BTreeMap<EntryName, (PeerAddress, Outbound)>,
--- a/crates/daemon/src/entry/start.rs
+++ b/crates/daemon/src/entry/start.rs
@@ -18,7 +18,7 @@
 };
 use link::{Event, Identity, ListenerHandle, listen};
 use prometheus_client::registry::Registry;
-use route::RouterConfig;
+use route::{Fallback, Policy, RouterConfig};
 use settings::{EntrySettings, Settings};
 use slog::{Logger, info};
 use std::{sync::Arc, time::Duration};
@@ -121,7 +121,10 @@
         settings.node.failure_domain.clone(),
     );
     let router = RouterConfig::new(name.clone(), region.clone(), failure_domain.clone());
-    let router = router.with_seed(seed);
+    let router = router
+        .with_seed(seed)
+        .with_fallback(Fallback::Zero)
+        .with_policy(Policy::Adaptive);
     let config = EntryConfig {
         name,
         region,
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -2,6 +2,7 @@
 
 use member::PeerAnswer;
 use route::{Ending, RequestId};
+use share::{Grant, Want};
 use std::net::SocketAddr;
 use types::{DomainName, EntryName, Key, RegionName, ReplicaName, Resource, ServiceName};
 
@@ -50,6 +51,8 @@
     pub complete: bool,
     /// The changes.
     pub changes: Vec<ConfigChange>,
+    /// Shares, from the leader.
+    pub grants: Vec<Grant>,
 }
 
 /// A change of one declared resource.
@@ -131,6 +134,8 @@
         serial: u64,
         /// What this entry runs.
         applied_index: u64,
+        /// What it wants of capacities and links.
+        wants: Vec<Want>,
     },
     /// Ask another entry for its upstreams.
     Sync {
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -6,19 +6,17 @@
     lease::Lease,
     lookup::LookupView,
     peers::{Outstanding, Peers},
+    shares::Shares,
 };
 use member::{Announced, Event, MemberRow, Members, PeerAnswer};
 use route::{Ending, RequestId, Router, RouterConfig, Settled};
 use serde::Serialize;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use types::{
     Announcement, EntryName, LookupAnswer, Outcome, Refusal, ReplicaName, Resource, ServiceName,
-    TimeUs, UpstreamName,
+    TimeUs, UpstreamName, poll_interval_ms,
 };
 
-/// The period of polls to each control replica.
-const POLL_PERIOD_MS: u64 = 250;
-
 /// The period of questions to each other entry.
 const SYNC_PERIOD_MS: u64 = 250;
 
@@ -48,7 +46,7 @@
     router: Router,
     peers: Peers,
     polls: BTreeMap<ReplicaName, Outstanding>,
-    live: BTreeSet<RequestId>,
+    shares: Shares,
     phase: Phase,
     next_serial: u64,
     next_poll_us: TimeUs,
@@ -80,6 +78,7 @@
             .map(|name| (name.clone(), Outstanding::default()));
         Self {
             polls: polls.collect(),
+            shares: Shares::new(own.region.clone(), now_us),
             own,
             config: Config::default(),
             lease: Lease::new(),
@@ -87,7 +86,6 @@
             members: Members::new(),
             router: Router::new(router),
             peers: Peers::default(),
-            live: BTreeSet::new(),
             phase: Phase::Running,
             next_serial: 1,
             next_poll_us: now_us,
@@ -190,7 +188,7 @@
             applied_index: self.config.applied_index(),
             lease_left_ms: self.lease.until_us().since_us(now_us) / 1_000,
             stopping: self.is_stopping(),
-            in_flight: self.live.len(),
+            in_flight: self.shares.live_requests(),
             upstreams: self.members.rows(now_us).collect(),
             resources: self.config.resources().collect(),
         }
@@ -215,24 +213,31 @@
         {
             self.phase = Phase::Closing;
         }
-        if self.phase == Phase::Closing && self.live.is_empty() {
+        if self.phase == Phase::Closing && self.shares.live_requests() == 0 {
             outputs.push(Output::Stopped);
         }
     }
 
     fn poll(&mut self, now_us: TimeUs, outputs: &mut Vec<Output>) {
-        self.next_poll_us = now_us.after_ms(POLL_PERIOD_MS);
+        let entries = self.config.entries().count();
+        self.next_poll_us = now_us.after_ms(poll_interval_ms(entries));
         let applied_index = self.config.applied_index();
         for (replica, outstanding) in &mut self.polls {
             let serial = self.next_serial;
             self.next_serial += 1;
             outstanding.ask(serial, now_us);
+            let wants = match self.shares.asks(replica, now_us) {
+                true => self.shares.wants(now_us, &self.config, &self.router),
+                false => Vec::new(),
+            };
             outputs.push(Output::Poll {
                 replica: replica.clone(),
                 serial,
                 applied_index,
+                wants,
             });
         }
+        self.shares.measure_anew(now_us);
     }
 
     fn sync(&mut self, now_us: TimeUs, outputs: &mut Vec<Output>) {
@@ -255,7 +260,7 @@
         now_us: TimeUs,
         replica: &ReplicaName,
         serial: u64,
-        answer: ReplicaAnswer,
+        mut answer: ReplicaAnswer,
         outputs: &mut Vec<Output>,
     ) {
         let outstanding = self.polls.get_mut(replica);
@@ -263,11 +268,17 @@
             return;
         };
         self.lease.record(replica, asked_us, &answer);
+        let grants = std::mem::take(&mut answer.grants);
         let applied = self.config.apply(answer);
         if applied.moved {
             self.follow_config(now_us, &applied, outputs);
         }
         self.lease.renew(self.config.applied_index());
+        let (router, routed) = (&mut self.router, &mut self.routed);
+        self.shares
+            .take(now_us, asked_us, replica, &grants, |input| {
+                router.step(now_us, input, routed);
+            });
     }
 
     fn follow_config(&mut self, now_us: TimeUs, applied: &Applied, outputs: &mut Vec<Output>) {
@@ -342,9 +353,12 @@
             outputs.push(Output::Route(route::Output::Settle { request, settled }));
             return;
         };
-        let deadline_us = now_us.after_ms(patience_ms.unwrap_or(spec.deadline_ms));
+        let patience_ms = patience_ms
+            .unwrap_or(spec.deadline_ms)
+            .min(spec.deadline_ms);
+        let deadline_us = now_us.after_ms(patience_ms);
         let idempotent = spec.idempotent;
-        self.live.insert(request);
+        self.shares.arrive(request, &self.config, service);
         let input = route::Input::Arrive {
             request,
             service,
@@ -355,11 +369,13 @@
     }
 
     fn ended(&mut self, now_us: TimeUs, request: RequestId, ending: Ending) {
-        if matches!(
-            ending,
-            Ending::Finished { .. } | Ending::CutShort | Ending::Cancelled
-        ) {
-            self.live.remove(&request);
+        match ending {
+            Ending::Finished { .. } | Ending::CutShort | Ending::Cancelled => {
+                self.shares.settle(request);
+            }
+            Ending::NotSent | Ending::Refused | Ending::Broken => {
+                self.shares.attempt_ended(request);
+            }
         }
         self.route(now_us, route::Input::Ended { request, ending });
     }
@@ -391,8 +407,14 @@
 
     fn drain_routed(&mut self, outputs: &mut Vec<Output>) {
         for output in self.routed.drain(..) {
-            if let route::Output::Settle { request, .. } = &output {
-                self.live.remove(request);
+            match &output {
+                route::Output::Settle { request, .. } => self.shares.settle(*request),
+                route::Output::Forward {
+                    request, region, ..
+                } => {
+                    self.shares.begin(*request, region);
+                }
+                route::Output::Cancel { .. } => {}
             }
             outputs.push(Output::Route(output));
         }
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -7,10 +7,7 @@
 //! while nobody leads. The lease runs from that time.
 
 use std::collections::BTreeMap;
-use types::{ReplicaName, TimeUs};
-
-/// How long an entry takes work after the time for which a majority confirmed its configuration.
-pub const CONFIG_LEASE_MS: u64 = 3_000;
+use types::{CONFIG_LEASE_MS, ReplicaName, TimeUs};
 
 /// What a replica's latest answer says.
 #[derive(Clone, Copy, Debug)]
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,9 +9,10 @@
 mod lease;
 mod lookup;
 mod peers;
+mod shares;
 
 pub use crate::{
     api::{Arrival, ConfigChange, EntryConfig, Input, Output, PeerAddress, ReplicaAnswer},
     core::{EntryCore, EntryDump},
-    lease::{CONFIG_LEASE_MS, Lease},
+    lease::Lease,
 };
--- a/crates/share/src/allocator.rs
+++ b/crates/share/src/allocator.rs
@@ -6,7 +6,7 @@
     pool::{Grant, GrantId, HolderId, Pool, Want},
 };
 use serde::Serialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use types::TimeUs;
 
 /// An amount that a holder may be using.
@@ -54,6 +54,14 @@
         }
     }
 
+    fn row(&self, holder: &HolderId) -> HolderRow {
+        HolderRow {
+            holder: holder.clone(),
+            counted: self.counted(),
+            demand: self.demand,
+        }
+    }
+
     fn is_gone(&self, now_us: TimeUs) -> bool {
         self.grants.is_empty() && self.held_until_us.reached(now_us)
     }
@@ -62,6 +70,8 @@
 #[derive(Debug, Default)]
 struct PoolState {
     limit: u64,
+    /// Whether no earlier leader can have granted anything of it.
+    is_new: bool,
     parties: BTreeMap<HolderId, Party>,
 }
 
@@ -93,13 +103,29 @@
 }
 
 /// One pool as the process dump shows it.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
-pub struct PoolRow<'a> {
-    pool: &'a Pool,
-    limit: u64,
-    counted: u64,
-    holders: Vec<(&'a HolderId, u64, u64)>,
+pub struct PoolRow {
+    /// The pool.
+    pub pool: Pool,
+    /// The operators' figure.
+    pub limit: u64,
+    /// The sum of what holders may be using.
+    pub counted: u64,
+    /// The holders.
+    pub holders: Vec<HolderRow>,
+}
+
+/// One holder of a pool as the process dump shows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct HolderRow {
+    /// The holder.
+    pub holder: HolderId,
+    /// What it may be using.
+    pub counted: u64,
+    /// What it would use.
+    pub demand: u64,
 }
 
 /// Divides the operators' figures among entries, for one term of leadership.
@@ -107,8 +133,7 @@
 pub struct Allocator {
     term: u64,
     serial: u64,
-    /// Until then grants of earlier leaders may be in use that no holder has reported here.
-    inherits_until_us: TimeUs,
+    began_us: TimeUs,
     longest_deadline_ms: u64,
     pools: BTreeMap<Pool, PoolState>,
 }
@@ -122,22 +147,16 @@
         Self {
             term,
             serial: 0,
-            inherits_until_us: now_us.after_ms(counted_ms(longest_deadline_ms)),
+            began_us: now_us,
             longest_deadline_ms,
             pools: BTreeMap::new(),
         }
     }
 
-    /// An allocator of a deployment in which no earlier leader granted anything.
-    #[must_use]
-    pub fn with_no_predecessor(mut self, now_us: TimeUs) -> Self {
-        self.inherits_until_us = now_us;
-        self
-    }
-
-    /// Notes the longest deadline of any declared service; it never shortens what counts already.
+    /// Notes the longest deadline of any declared service; a shorter one than before changes
+    /// nothing, since work may be in flight under the longer one.
     pub fn set_longest_deadline_ms(&mut self, longest_deadline_ms: u64) {
-        self.longest_deadline_ms = longest_deadline_ms;
+        self.longest_deadline_ms = self.longest_deadline_ms.max(longest_deadline_ms);
     }
 
     /// Sets the operators' figure of a pool. Grants beyond a lowered figure run out by themselves.
@@ -145,19 +164,33 @@
         self.pools.entry(pool.clone()).or_default().limit = limit;
     }
 
-    /// Forgets the figure of a withdrawn pool: nothing more is granted.
-    pub fn clear_limit(&mut self, pool: &Pool) {
-        if let Some(state) = self.pools.get_mut(pool) {
-            state.limit = 0;
+    /// Sets the figure of a pool that was first declared under this leadership, so that nobody can
+    /// hold a grant of it from an earlier leader.
+    pub fn set_first_limit(&mut self, pool: &Pool, limit: u64) {
+        let first = PoolState {
+            limit,
+            is_new: true,
+            ..PoolState::default()
+        };
+        self.pools.entry(pool.clone()).or_insert(first).limit = limit;
+    }
+
+    /// Grants nothing more of pools that are not among these.
+    pub fn keep_only(&mut self, declared: &BTreeSet<Pool>) {
+        for (pool, state) in &mut self.pools {
+            if !declared.contains(pool) {
+                state.limit = 0;
+            }
         }
     }
 
-    /// Answers one want of a holder, unless a later one has overtaken it.
+    /// Answers one want of a holder, unless its pool is unknown or a later want has overtaken it.
     pub fn ask(&mut self, now_us: TimeUs, holder: &HolderId, want: &Want) -> Option<Grant> {
         let counted_until_us = now_us.after_ms(counted_ms(self.longest_deadline_ms));
-        let inherits = !self.inherits_until_us.reached(now_us);
+        let inherits_until_us = self.began_us.after_ms(counted_ms(self.longest_deadline_ms));
         let id = self.next_id();
-        let state = self.pools.entry(want.pool.clone()).or_default();
+        let state = self.pools.get_mut(&want.pool)?;
+        let inherits = !state.is_new && !inherits_until_us.reached(now_us);
         state.expire(now_us);
         let party = state.parties.entry(holder.clone()).or_default();
         if want.asked <= party.asked {
@@ -191,15 +224,15 @@
     }
 
     /// Every pool, for the process dump.
-    pub fn rows(&self) -> impl Iterator<Item = PoolRow<'_>> {
+    pub fn rows(&self) -> impl Iterator<Item = PoolRow> {
         self.pools.iter().map(|(pool, state)| PoolRow {
-            pool,
+            pool: pool.clone(),
             limit: state.limit,
             counted: state.counted(),
             holders: state
                 .parties
                 .iter()
-                .map(|(id, party)| (id, party.counted(), party.demand))
+                .map(|(id, party)| party.row(id))
                 .collect(),
         })
     }
--- a/crates/share/src/lib.rs
+++ b/crates/share/src/lib.rs
@@ -11,7 +11,7 @@
 mod pool;
 
 pub use crate::{
-    allocator::{Allocator, PoolRow},
+    allocator::{Allocator, HolderRow, PoolRow},
     fair::{Claim, fair_shares},
     holder::Holder,
     pool::{Grant, GrantId, HolderId, Pool, Want},
--- a/crates/share/tests/never_over.rs
+++ b/crates/share/tests/never_over.rs
@@ -136,8 +136,8 @@
             clock_percent: clocks[index],
         });
         let start_us = clock_us(0, clocks[ENTRIES]);
-        let mut leader = Allocator::new(1, start_us, DEADLINE_MS).with_no_predecessor(start_us);
-        leader.set_limit(&pool, LIMIT);
+        let mut leader = Allocator::new(1, start_us, DEADLINE_MS);
+        leader.set_first_limit(&pool, LIMIT);
         Self {
             now_ms: 0,
             pool,
--- a/crates/share/tests/policy.rs
+++ b/crates/share/tests/policy.rs
@@ -25,8 +25,8 @@
 }
 
 fn allocator() -> Allocator {
-    let mut allocator = Allocator::new(1, at_ms(0), DEADLINE_MS).with_no_predecessor(at_ms(0));
-    allocator.set_limit(&pool(), LIMIT);
+    let mut allocator = Allocator::new(1, at_ms(0), DEADLINE_MS);
+    allocator.set_first_limit(&pool(), LIMIT);
     allocator
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod error;
 mod member_message;
 mod raft_message;
+mod share_message;
 
 /// The messages that `proto/` describes.
 #[allow(missing_docs, clippy::all)]
@@ -20,4 +21,5 @@
     error::WireError,
     member_message::{sync_from_wire, sync_to_wire},
     raft_message::{raft_from_wire, raft_to_wire},
+    share_message::{grant_from_wire, grant_to_wire, want_from_wire, want_to_wire},
 };
