--- a/crates/raft/examples/measure.rs
+++ b/crates/raft/examples/measure.rs
@@ -38,6 +38,7 @@
             println!("\n{voters} replicas, {} ms one way", delay_us / 1000);
             measure_commits(layout);
             measure_kills(layout);
+            measure_repairs(layout);
         }
     }
 }
@@ -131,6 +132,22 @@
     print_spread("without a leader after a kill", gaps_us);
 }
 
+/// Empties a follower's disk and measures until it votes again under its new identity.
+fn measure_repairs(layout: Layout) {
+    let mut repairs_us = Vec::new();
+    for seed in 0..KILLS {
+        let mut group = settled(layout, 1_000 + 10 * seed);
+        let follower = (group.elect() + 1) % layout.voters;
+        group.lose_disk(follower);
+        group.restart(follower);
+        let lost_us = group.now_us;
+        group.admit_strangers();
+        group.run_until(Group::has_settled);
+        repairs_us.push(group.now_us - lost_us);
+    }
+    print_spread("from an emptied disk to a vote", repairs_us);
+}
+
 fn print_spread(what: &str, mut values_us: Vec<u64>) {
     values_us.sort_unstable();
     let at = |percent: usize| values_us[(values_us.len() - 1) * percent / 100] as f64 / 1e3;
--- a/crates/raft/src/api.rs
+++ b/crates/raft/src/api.rs
@@ -109,6 +109,25 @@
     pub snapshot: Option<Snapshot>,
 }
 
+impl Persist {
+    /// Takes in the write that follows this one, so that both need only one sync.
+    ///
+    /// # Errors
+    ///
+    /// Gives `next` back when the order of its parts would be lost.
+    pub fn merge(&mut self, next: Self) -> Result<(), Box<Self>> {
+        if next.snapshot.is_some() || next.truncate_from.is_some() {
+            return Err(Box::new(next));
+        }
+        self.ticket = next.ticket;
+        self.entries.extend(next.entries);
+        if next.hard_state.is_some() {
+            self.hard_state = next.hard_state;
+        }
+        Ok(())
+    }
+}
+
 /// Something for the shell to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Output {
--- a/crates/raft/src/log.rs
+++ b/crates/raft/src/log.rs
@@ -6,6 +6,9 @@
 /// Entries kept below a snapshot, so that a follower a little behind needs no snapshot.
 const TRAILING_ENTRIES: u64 = 256;
 
+/// The largest sum of those entries, in bytes.
+const TRAILING_MAX_BYTES: usize = 1024 * 1024;
+
 /// The size of an entry without its payload, in bytes.
 const ENTRY_OVERHEAD_BYTES: usize = 24;
 
@@ -124,7 +127,7 @@
 
     /// Takes a snapshot of this replica's own state machine and drops what it makes needless.
     pub(crate) fn compact(&mut self, snapshot: Arc<Snapshot>) {
-        let new_base = snapshot.index.saturating_sub(TRAILING_ENTRIES);
+        let new_base = self.trailing_base(snapshot.index);
         if new_base > self.base_index {
             self.base_term = self.term_at(new_base).unwrap_or(self.base_term);
             self.entries
@@ -135,6 +138,21 @@
         self.snapshot = Some(snapshot);
     }
 
+    /// The index before the entries to keep below a snapshot at `index`.
+    fn trailing_base(&self, index: u64) -> u64 {
+        let mut base = index;
+        let mut sum_bytes = 0;
+        while index - base < TRAILING_ENTRIES {
+            let Some(entry) = self.entry(base) else { break };
+            sum_bytes += size_bytes(entry);
+            if sum_bytes > TRAILING_MAX_BYTES {
+                break;
+            }
+            base -= 1;
+        }
+        base
+    }
+
     /// Replaces the whole log by a snapshot.
     pub(crate) fn reset(&mut self, snapshot: Arc<Snapshot>) {
         self.base_index = snapshot.index;
--- a/crates/raft/src/replica/follow.rs
+++ b/crates/raft/src/replica/follow.rs
@@ -64,7 +64,9 @@
         }
     }
 
-    /// Adds an entry unless it is there; an entry of another term voids itself and what follows.
+    /// Adds an entry unless it is there; an entry of another term is void, with what follows it.
+    ///
+    /// A leader that would void a committed entry breaks the log: the process must not go on.
     fn take_entry(&mut self, entry: Entry) {
         if entry.index <= self.log.base_index() {
             return;
@@ -72,7 +74,7 @@
         match self.log.term_at(entry.index) {
             Some(term) if term == entry.term => return,
             Some(_) => {
-                debug_assert!(entry.index > self.commit_index);
+                assert!(entry.index > self.commit_index, "a committed entry is void");
                 self.log.truncate_from(entry.index);
                 self.durability.truncate_from(entry.index);
             }
--- a/crates/raft/tests/faults.rs
+++ b/crates/raft/tests/faults.rs
@@ -95,6 +95,24 @@
     group.run_until(|g| g.leader().is_some_and(|l| l != leader));
 }
 
+#[test]
+fn leader_that_is_heard_but_hears_nobody_steps_down() {
+    let mut group = settled(3);
+    let leader = group.leader().unwrap();
+    for other in (0..3).filter(|other| *other != leader) {
+        group.cut.insert((other, leader));
+    }
+    group.run_for(4 * ELECTION_US);
+    assert_ne!(group.status(leader).role, Role::Leader);
+    let next = group.leader().unwrap();
+    let term = group.status(next).term;
+    group.run_for(60_000_000);
+    group.cut.clear();
+    group.run_for(3_000_000);
+    assert!(group.has_settled());
+    assert_eq!(group.status(next).term, term);
+}
+
 #[test]
 fn frozen_leader_steps_down_before_it_takes_a_read() {
     let mut group = settled(3);
--- a/crates/store/tests/writes.rs
+++ b/crates/store/tests/writes.rs
@@ -76,6 +76,26 @@
         }
     }
 
+    #[test]
+    fn merged_writes_leave_the_same_as_each_on_its_own(steps in vec(step(), 1..12)) {
+        let folder = founded();
+        let (mut store, _) = open(folder.path()).unwrap();
+        let mut held = Restored::default();
+        let mut merged = Persist::default();
+        for (term, step) in steps.iter().enumerate() {
+            let persist = persist(&held, step, term as u64 + 1);
+            held = stages(&held, &persist).pop().unwrap();
+            if let Err(next) = merged.merge(persist) {
+                store.write(&merged).unwrap();
+                merged = *next;
+            }
+        }
+        store.write(&merged).unwrap();
+        drop(store);
+        let (_, opened) = open(folder.path()).unwrap();
+        prop_assert!(is_same(&opened.restored, &held), "{:?}", opened.restored);
+    }
+
     #[test]
     fn crash_within_a_write_leaves_a_state_between(
         steps in vec(step(), 1..12),
