--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! Only this crate knows the encoding; the cores work on their own types.
 
+mod claim_message;
 mod codec;
 mod error;
+mod member_message;
 mod raft_message;
 
 /// The messages that `proto/` describes.
@@ -13,7 +15,9 @@
 }
 
 pub use crate::{
+    claim_message::{claim_from_wire, claim_to_wire},
     codec::{FRAME_MAX_BYTES, FrameCodec},
     error::WireError,
+    member_message::{sync_from_wire, sync_to_wire},
     raft_message::{raft_from_wire, raft_to_wire},
 };
