Keep the promise not to vote into a later term, and check it in the schedules

Cause: the leader relies on followers that answered a round not to vote for another for one election timeout (shares of capacities rest on it). A follower that another message had brought to the candidate's term skipped that check, since it stood beside the comparison of terms. The promise now holds in any term. Seen by reading, not by a run; the new test fails without it. The random schedules now note each confirmed read as such a promise and fail when another replica leads while the first still does. The check of a commit against the disks takes the membership from before the step: one step may commit a change and begin the next, which the check took for a commit without a majority.

--- a/crates/raft/src/replica/election.rs
+++ b/crates/raft/src/replica/election.rs
@@ -99,7 +99,8 @@
     }
 
     /// Answers a candidate. Nothing is given while a leader is heard, so that a replica that comes
-    /// back from a cut can't depose it.
+    /// back from a cut can't depose it. That holds in the candidate's own term too: another message
+    /// may have brought it here.
     pub(super) fn request_vote(&mut self, from: &ReplicaId, message: &Message) {
         let &Message::RequestVote {
             term,
@@ -110,7 +111,7 @@
         else {
             return;
         };
-        if term < self.hard_state.term || (term > self.hard_state.term && self.hears_leader()) {
+        if term < self.hard_state.term || self.hears_leader() {
             return self.refuse_vote(from, pre);
         }
         let candidate_last = (last_term, last_index);
--- a/crates/raft/tests/group/checks.rs
+++ b/crates/raft/tests/group/checks.rs
@@ -7,6 +7,11 @@
     hash::{Hash, Hasher},
 };
 
+struct Read {
+    floor: u64,
+    asked_us: u64,
+}
+
 /// What the replicas of a group have shown so far.
 #[derive(Default)]
 pub struct Checks {
@@ -14,7 +19,7 @@
     leaders: HashMap<u64, ReplicaId>,
     votes: HashMap<(ReplicaId, u64), ReplicaId>,
     digests: BTreeMap<u64, u64>,
-    floors: HashMap<u64, u64>,
+    reads: HashMap<u64, Read>,
     voters: BTreeMap<u64, BTreeSet<ReplicaId>>,
 }
 
@@ -84,12 +89,18 @@
     }
 
     /// A read must see everything that was committed when it came.
-    pub fn reading(&mut self, request: u64) {
-        self.floors.insert(request, self.committed_index());
+    pub fn reading(&mut self, request: u64, now_us: u64) {
+        let read = Read {
+            floor: self.committed_index(),
+            asked_us: now_us,
+        };
+        self.reads.insert(request, read);
     }
 
-    pub fn read_ready(&self, request: u64, index: u64) {
-        let floor = self.floors[&request];
+    /// Returns when the read came.
+    pub fn read_ready(&self, request: u64, index: u64) -> u64 {
+        let Read { floor, asked_us } = self.reads[&request];
         assert!(index >= floor, "read at {index} of what was {floor}");
+        asked_us
     }
 }
--- a/crates/raft/tests/group/mod.rs
+++ b/crates/raft/tests/group/mod.rs
@@ -6,7 +6,9 @@
 
 pub use self::checks::Checks;
 
-use raft::{Entry, Input, Message, Output, Persist, Raft, RaftConfig, ReplicaId, Restored, Role};
+use raft::{
+    Entry, Input, Message, Output, Persist, Raft, RaftConfig, ReplicaId, Restored, Role, Status,
+};
 use std::collections::{BTreeSet, VecDeque};
 
 pub const HEARTBEAT_US: u64 = 100_000;
@@ -38,6 +40,8 @@
     pub raft: Option<Raft>,
     pub machine: Machine,
     pub answers: Vec<Output>,
+    /// Until when no other may lead if it leads, by the latest read that it answered.
+    pub sure_until_us: u64,
     /// A paused node takes nothing in and sees no time pass.
     pub paused: bool,
     disk: Restored,
@@ -137,6 +141,7 @@
             raft: None,
             machine: Machine::default(),
             answers: Vec::new(),
+            sure_until_us: 0,
             paused: false,
             disk: Restored {
                 founders: Some(founders.clone()),
@@ -181,6 +186,7 @@
         };
         let state = &mut self.nodes[node];
         state.machine = Machine::default();
+        state.sure_until_us = 0;
         state.raft = Some(Raft::new(config, state.disk.clone(), self.now_us));
         self.input(node, Input::Tick);
     }
@@ -210,8 +216,12 @@
         let Some(raft) = &mut self.nodes[node].raft else {
             return;
         };
+        let before = raft.status();
         raft.step(self.now_us, input, &mut outputs);
         for output in outputs {
+            if let Output::Apply(entry) = &output {
+                self.check_majority(&before, entry);
+            }
             self.take(node, output);
         }
     }
@@ -240,7 +250,6 @@
                 self.nodes[node].writes.push_back((due_us, persist));
             }
             Output::Apply(entry) => {
-                self.check_majority(node, &entry);
                 let machine = &mut self.nodes[node].machine;
                 self.checks.applied(machine, &entry);
             }
@@ -248,9 +257,13 @@
                 self.nodes[node].machine = Machine::decode(&snapshot.data);
                 self.checks.restored(&self.nodes[node].machine);
             }
-            Output::Changed(status) => self.checks.changed(&status),
+            Output::Changed(status) => {
+                self.checks.changed(&status);
+                self.check_leases(&status);
+            }
             Output::ReadReady { request, index } => {
-                self.checks.read_ready(request, index);
+                let asked_us = self.checks.read_ready(request, index);
+                self.nodes[node].sure_until_us = asked_us + ELECTION_US;
                 self.nodes[node].answers.push(output);
             }
             Output::Proposed { .. } | Output::Rejected { .. } => {
@@ -267,9 +280,20 @@
         (self.seed >> 33) % bound
     }
 
-    /// An entry is on the disks of a majority when its leader commits it.
-    fn check_majority(&self, node: usize, entry: &Entry) {
-        let status = self.status(node);
+    /// No replica leads while another that leads relies on the promises not to vote.
+    fn check_leases(&self, status: &Status) {
+        if status.role != Role::Leader {
+            return;
+        }
+        for other in self.nodes.iter().filter(|other| other.id != status.id) {
+            let view = other.raft.as_ref().map(Raft::status);
+            let leads = view.is_some_and(|v| v.role == Role::Leader && v.term < status.term);
+            assert!(!leads || self.now_us >= other.sure_until_us, "two leaders");
+        }
+    }
+
+    /// An entry is on the disks of a majority when a leader commits it in the state `status`.
+    fn check_majority(&self, status: &Status, entry: &Entry) {
         if status.role != Role::Leader {
             return;
         }
@@ -331,7 +355,7 @@
     }
 
     pub fn read(&mut self, node: usize, request: u64) {
-        self.checks.reading(request);
+        self.checks.reading(request, self.now_us);
         self.input(node, Input::Read { request });
     }
 
@@ -352,7 +376,7 @@
         }
     }
 
-    pub fn status(&self, node: usize) -> raft::Status {
+    pub fn status(&self, node: usize) -> Status {
         self.nodes[node].raft.as_ref().unwrap().status()
     }
 
--- a/crates/raft/tests/rules.rs
+++ b/crates/raft/tests/rules.rs
@@ -345,6 +345,51 @@
     assert_eq!(blank.raft.status().role, Role::Learner);
 }
 
+#[test]
+fn promise_not_to_vote_holds_into_a_later_term() {
+    let mut follower = Replica::new(voters(&["a", "b", "c"]), Vec::new());
+    follower.now_us = 3 * ELECTION_US;
+    follower.append(1, (0, 0), Vec::new());
+    let refusal = Message::Vote {
+        term: 2,
+        pre: false,
+        granted: false,
+    };
+    follower.receive("c", refusal);
+    assert_eq!(follower.raft.status().term, 2);
+    let ask = Message::RequestVote {
+        term: 2,
+        pre: false,
+        last_index: 0,
+        last_term: 0,
+    };
+    let granted = |m: &&Message| matches!(m, Message::Vote { granted: true, .. });
+    follower.now_us += ELECTION_US - 1;
+    follower.receive("c", ask.clone());
+    assert_eq!(follower.sent().filter(granted).count(), 0);
+    follower.now_us += 1;
+    follower.receive("c", ask);
+    assert_eq!(follower.sent().filter(granted).count(), 1);
+}
+
+#[test]
+fn restarted_replica_gives_no_vote_for_the_length_of_a_timeout() {
+    let mut restarted = Replica::new(voters(&["a", "b", "c"]), Vec::new());
+    let ask = Message::RequestVote {
+        term: 1,
+        pre: false,
+        last_index: 0,
+        last_term: 0,
+    };
+    let granted = |m: &&Message| matches!(m, Message::Vote { granted: true, .. });
+    restarted.now_us = ELECTION_US - 1;
+    restarted.receive("c", ask.clone());
+    assert_eq!(restarted.sent().filter(granted).count(), 0);
+    restarted.now_us += 1;
+    restarted.receive("c", ask);
+    assert_eq!(restarted.sent().filter(granted).count(), 1);
+}
+
 #[test]
 fn of_two_that_ask_at_once_one_gives_way() {
     for (name, granted) in [("b", true), ("A", false)] {
