--- a/crates/raft/tests/faults.rs
+++ b/crates/raft/tests/faults.rs
@@ -95,6 +95,24 @@
     group.run_until(|g| g.leader().is_some_and(|l| l != leader));
 }
 
+#[test]
+fn leader_that_is_heard_but_hears_nobody_steps_down() {
+    let mut group = settled(3);
+    let leader = group.leader().unwrap();
+    for other in (0..3).filter(|other| *other != leader) {
+        group.cut.insert((other, leader));
+    }
+    group.run_for(4 * ELECTION_US);
+    assert_ne!(group.status(leader).role, Role::Leader);
+    let next = group.leader().unwrap();
+    let term = group.status(next).term;
+    group.run_for(60_000_000);
+    group.cut.clear();
+    group.run_for(3_000_000);
+    assert!(group.has_settled());
+    assert_eq!(group.status(next).term, term);
+}
+
 #[test]
 fn frozen_leader_steps_down_before_it_takes_a_read() {
     let mut group = settled(3);
@@ -176,6 +194,21 @@
     assert!(group.sent_bytes <= 8);
 }
 
+#[test]
+fn killed_leader_is_followed_within_two_timeouts_and_some_round_trips() {
+    let round_trip_us = 2 * 35_000;
+    for seed in 0..100 {
+        let mut group = Group::new(3, 35_000, 1_000 + 10 * seed);
+        let leader = group.elect();
+        group.run_for(1_000_000 + 997 * seed);
+        let committed = group.checks.committed_index();
+        group.crash(leader, 0);
+        let killed_us = group.now_us;
+        group.run_until(|g| g.checks.committed_index() > committed);
+        assert!(group.now_us - killed_us < 2 * ELECTION_US + 5 * round_trip_us);
+    }
+}
+
 #[test]
 fn leader_that_is_dropped_hands_over() {
     let mut group = settled(3);
