--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -55,7 +55,9 @@
         Command::Drain { kind, name } => session.drain(*kind, name).await?,
         Command::Undrain { kind, name } => session.undrain(*kind, name).await?,
         Command::Replicas => replicas::show(&caller, args.json, out).await?,
-        Command::Admit { name } => replicas::admit(&mut caller, name, args.json, out).await?,
+        Command::Admit { name } => {
+            replicas::admit(&mut caller, name, deadline, args.json, out).await?;
+        }
         Command::Dump { address } => dump(&caller, address, out).await?,
     }
     Ok(ExitCode::Done)
--- a/crates/ctl/src/replicas.rs
+++ b/crates/ctl/src/replicas.rs
@@ -13,10 +13,14 @@
 use raft::ReplicaId;
 use serde::Serialize;
 use std::{io::Write, time::Duration};
+use tokio::time::{Instant, sleep};
 use types::ResourceName;
 
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How often a replica that does not answer yet is asked again.
+const ASK_PERIOD: Duration = Duration::from_millis(250);
+
 /// What one server says of the replicas.
 #[derive(Debug, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -96,47 +100,54 @@
     ids.map(ReplicaId::to_string).collect::<Vec<_>>().join(",")
 }
 
-/// Admits the replica with this name that is not a member yet.
+/// Admits the replica with this name that is not a member yet, once it answers.
 pub(crate) async fn admit(
     caller: &mut Caller,
     name: &str,
+    deadline: Instant,
     json: bool,
     out: &mut dyn Write,
 ) -> Result<(), CtlError> {
-    let views = views(caller).await?;
-    let views: Vec<&Replicas> = views.iter().filter_map(|it| it.replicas.as_ref()).collect();
-    let latest = views.iter().max_by_key(|view| view.membership_index);
-    let voters = latest.map(|view| &view.membership.voters);
-    let waiting = views.iter().map(|view| &view.replica).find(|replica| {
-        replica.name == name && voters.is_some_and(|voters| !voters.contains(replica))
-    });
-    let Some(id) = waiting else {
-        return Err(CtlError::NoLearner {
-            name: name.to_owned(),
-        });
-    };
-    let replaces = voters.and_then(|voters| voters.iter().find(|it| it.name == name));
-    let body = AdmitBody {
-        name: ResourceName::new(name)?,
-        incarnation: id.incarnation,
-        replaces: replaces.cloned(),
+    let body = loop {
+        match admission(&views(caller).await?, name)? {
+            Some(body) => break body,
+            None if Instant::now() + ASK_PERIOD >= deadline => {
+                return Err(CtlError::NoLearner {
+                    name: name.to_owned(),
+                });
+            }
+            None => sleep(ASK_PERIOD).await,
+        }
     };
-    let admitted: Replicas = caller
-        .call(
-            Method::POST,
-            "/v1/replicas",
-            serde_json::to_vec(&body)?.into(),
-        )
-        .await?;
+    let body = serde_json::to_vec(&body)?.into();
+    let admitted: Replicas = caller.call(Method::POST, "/v1/replicas", body).await?;
     if json {
         writeln!(out, "{}", serde_json::to_string(&admitted)?)?;
         return Ok(());
     }
     writeln!(
         out,
-        "admitted {id}; voters {}, learners {}",
+        "admitted {name}; voters {}, learners {}",
         ids(admitted.membership.voters.iter()),
         ids(admitted.membership.learners.iter())
     )?;
     Ok(())
 }
+
+/// What admits the replica with this name, when it answers and is no voter.
+fn admission(views: &[View], name: &str) -> Result<Option<AdmitBody>, CtlError> {
+    let views: Vec<&Replicas> = views.iter().filter_map(|it| it.replicas.as_ref()).collect();
+    let Some(latest) = views.iter().max_by_key(|view| view.membership_index) else {
+        return Ok(None);
+    };
+    let voters = &latest.membership.voters;
+    let mut answering = views.iter().map(|view| &view.replica);
+    let Some(id) = answering.find(|id| id.name == name && !voters.contains(id)) else {
+        return Ok(None);
+    };
+    Ok(Some(AdmitBody {
+        name: ResourceName::new(name)?,
+        incarnation: id.incarnation,
+        replaces: voters.iter().find(|voter| voter.name == name).cloned(),
+    }))
+}
