Let a follower answer reads by an index that the leader confirms

A follower now asks the leader for the index of a confirmed round (ReadIndex/ReadIndexed) and answers once it has applied it. The serial is drawn at random, so that an answer to an earlier run of the follower meets no read; without an answer within the election timeout, or when the term or leader changes, the read is rejected as before.

Ruled out: reading the follower's own state (stale under a cut), and keeping not_leader (an operator who can't reach the leader could read nothing).

--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -245,6 +245,14 @@
         self.leader().expect("the wait has seen a leader")
     }
 
+    /// A replica that does not lead.
+    pub fn follower(&mut self) -> ReplicaId {
+        let leader = self.wait_for_leader();
+        let mut replicas = self.replicas.keys();
+        let other = replicas.find(|it| **it != leader);
+        other.cloned().expect("two replicas follow")
+    }
+
     /// Sends a request to a replica; its number is the key of the answer.
     pub fn ask(&mut self, replica: &ReplicaId, body: Request) -> u64 {
         self.next_request += 1;
--- a/crates/raft/src/message.rs
+++ b/crates/raft/src/message.rs
@@ -147,6 +147,22 @@
         /// The leader's round.
         round: u64,
     },
+    /// Asks the leader for an index that a read must see.
+    ReadIndex {
+        /// The follower's term.
+        term: u64,
+        /// Names the read in the answer; never used by an earlier run of the follower.
+        serial: u64,
+    },
+    /// Answers [`Message::ReadIndex`] once a majority has confirmed the leader.
+    ReadIndexed {
+        /// The leader's term.
+        term: u64,
+        /// The echoed serial.
+        serial: u64,
+        /// The read may be answered once this index is applied.
+        index: u64,
+    },
     /// Answers [`Message::InstallSnapshot`].
     SnapshotReceived {
         /// The follower's term.
@@ -172,6 +188,8 @@
             | Self::Append { term, .. }
             | Self::Appended { term, .. }
             | Self::InstallSnapshot { term, .. }
+            | Self::ReadIndex { term, .. }
+            | Self::ReadIndexed { term, .. }
             | Self::SnapshotReceived { term, .. } => *term,
         }
     }
--- a/crates/raft/src/random.rs
+++ b/crates/raft/src/random.rs
@@ -11,7 +11,8 @@
         Self { state: seed }
     }
 
-    fn next(&mut self) -> u64 {
+    /// Any value.
+    pub(crate) fn next(&mut self) -> u64 {
         self.state = self.state.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut mixed = self.state;
         mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/raft/src/replica.rs
+++ b/crates/raft/src/replica.rs
@@ -2,13 +2,14 @@
 
 mod election;
 mod follow;
+mod forward;
 mod install;
 mod lead;
 mod members;
 mod reads;
 mod transfer;
 
-use self::{election::Ballot, install::Incoming, lead::Leader};
+use self::{election::Ballot, forward::Forwarded, install::Incoming, lead::Leader};
 use crate::{
     api::{Input, Output, ProposeError, RaftConfig, Restored, Role, Status},
     durability::{Durability, Held},
@@ -52,6 +53,7 @@
     random: Random,
     durability: Durability,
     incoming: Option<Incoming>,
+    forwarded: Forwarded,
     reported: Option<Reported>,
     out: Vec<Output>,
 }
@@ -80,6 +82,7 @@
             no_vote_until_us: 0,
             election_at_us: 0,
             incoming: None,
+            forwarded: Forwarded::default(),
             reported: None,
             out: out.into_iter().collect(),
         };
@@ -218,6 +221,8 @@
             Message::Append { .. } => self.append(from, message),
             Message::Appended { .. } => self.appended(from, &message),
             Message::InstallSnapshot { .. } => self.install(from, message),
+            Message::ReadIndex { serial, .. } => self.read_for(from, serial),
+            Message::ReadIndexed { serial, index, .. } => self.read_indexed(serial, index),
             Message::SnapshotReceived { .. } => self.part_received(from, &message),
         }
     }
@@ -270,6 +275,7 @@
     }
 
     fn finish(&mut self, outputs: &mut Vec<Output>) {
+        self.give_up_forwarded();
         self.release_held();
         if let Some(persist) = self.durability.flush(self.log.last_index()) {
             self.out.push(Output::Persist(persist));
--- a/crates/raft/src/replica/reads.rs
+++ b/crates/raft/src/replica/reads.rs
@@ -1,26 +1,53 @@
 //! Reads that see every command accepted before them, by a round that a majority answers.
 
 use super::{Raft, State};
-use crate::api::{Output, ProposeError};
+use crate::{
+    api::{Output, ProposeError},
+    message::{Message, ReplicaId},
+};
+
+/// Who asked for a read.
+#[derive(Debug)]
+enum Asker {
+    /// This replica's shell.
+    Shell { request: u64 },
+    /// A follower.
+    Follower { id: ReplicaId, serial: u64 },
+}
 
 /// Reads that wait for a majority.
 #[derive(Debug, Default)]
 pub(super) struct Reads {
     /// Came after the round under way began.
-    next: Vec<u64>,
+    next: Vec<Asker>,
     /// Answered once the round under way is.
-    current: Vec<u64>,
+    current: Vec<Asker>,
     /// The commit index when the round under way began.
     index: u64,
 }
 
 impl Raft {
     pub(super) fn read(&mut self, request: u64) {
-        if let Some(error) = self.refusal() {
-            return self.reject(request, error);
+        match self.refusal() {
+            None => self.add_read(Asker::Shell { request }),
+            Some(ProposeError::NotLeader {
+                leader: Some(leader),
+            }) => self.forward_read(request, &leader),
+            Some(error) => self.reject(request, error),
         }
+    }
+
+    /// Takes a follower's read; without the lead it stays unanswered.
+    pub(super) fn read_for(&mut self, from: &ReplicaId, serial: u64) {
+        self.add_read(Asker::Follower {
+            id: from.clone(),
+            serial,
+        });
+    }
+
+    fn add_read(&mut self, asker: Asker) {
         if let State::Leader(leader) = &mut self.state {
-            leader.reads.next.push(request);
+            leader.reads.next.push(asker);
         }
         self.advance_reads();
     }
@@ -43,9 +70,18 @@
         }
         let index = leader.reads.index;
         let ready = std::mem::take(&mut leader.reads.current);
-        let answers = ready
-            .into_iter()
-            .map(|request| Output::ReadReady { request, index });
+        let term = self.hard_state.term;
+        let answers = ready.into_iter().map(|asker| match asker {
+            Asker::Shell { request } => Output::ReadReady { request, index },
+            Asker::Follower { id, serial } => Output::Send {
+                to: id,
+                message: Message::ReadIndexed {
+                    term,
+                    serial,
+                    index,
+                },
+            },
+        });
         self.out.extend(answers);
     }
 
@@ -70,8 +106,10 @@
         let error = self
             .refusal()
             .unwrap_or(ProposeError::NotLeader { leader: None });
-        for request in reads.current.into_iter().chain(reads.next) {
-            self.reject(request, error.clone());
+        for asker in reads.current.into_iter().chain(reads.next) {
+            if let Asker::Shell { request } = asker {
+                self.reject(request, error.clone());
+            }
         }
     }
 }
--- a/crates/wire/src/raft_message.rs
+++ b/crates/wire/src/raft_message.rs
@@ -155,6 +155,18 @@
             done,
             round,
         }),
+        Message::ReadIndex { term, serial } => {
+            raft_message::Body::ReadIndex(peer::ReadIndex { term, serial })
+        }
+        Message::ReadIndexed {
+            term,
+            serial,
+            index,
+        } => raft_message::Body::ReadIndexed(peer::ReadIndexed {
+            term,
+            serial,
+            index,
+        }),
         Message::SnapshotReceived {
             term,
             index,
@@ -217,6 +229,15 @@
                 round: part.round,
             }
         }
+        raft_message::Body::ReadIndex(read) => Message::ReadIndex {
+            term: read.term,
+            serial: read.serial,
+        },
+        raft_message::Body::ReadIndexed(answer) => Message::ReadIndexed {
+            term: answer.term,
+            serial: answer.serial,
+            index: answer.index,
+        },
         raft_message::Body::SnapshotReceived(answer) => Message::SnapshotReceived {
             term: answer.term,
             index: answer.index,
