--- a/crates/control/tests/leader_change.rs
+++ b/crates/control/tests/leader_change.rs
@@ -202,3 +202,26 @@
     let read = item(cluster.answer_of(&follower, get("region/gauteng")));
     assert_eq!(read.resource.version, 2);
 }
+
+#[test]
+fn a_read_whose_question_is_lost_is_given_up_soon() {
+    let mut cluster = Cluster::new(3);
+    let follower = cluster.follower();
+    cluster.run_ms(200);
+    let asked_us = cluster.now_us;
+    cluster.cut.insert(follower.clone());
+    let request = cluster.ask(&follower, get("region/gauteng"));
+    cluster.tick();
+    cluster.cut.clear();
+    cluster.run_until("an answer", |cluster| {
+        cluster.answers.contains_key(&request)
+    });
+    let leader = cluster.wait_for_leader();
+    assert_eq!(
+        cluster.answers[&request],
+        Err(ApiError::NotLeader {
+            leader: Some(format!("http-of-{}", leader.name))
+        })
+    );
+    assert!(cluster.now_us - asked_us <= REQUEST_TIMEOUT_US / 4);
+}
--- a/crates/raft/tests/schedules.rs
+++ b/crates/raft/tests/schedules.rs
@@ -89,7 +89,12 @@
         }
         Event::Read(node) => {
             let leader = group.leader().unwrap_or(*node);
-            group.read(leader, request);
+            let asked = if request.is_multiple_of(2) {
+                leader
+            } else {
+                *node
+            };
+            group.read(asked, request);
         }
         Event::Snapshot(node) => group.snapshot(*node),
         Event::Crash(node, kept) => group.crash(*node, *kept),
