--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,12 +1,13 @@
 //! Command line of the lab.
 
 use anyhow::{Context, Result, bail};
-use lab::{Chooser, Deployment, Experiment, Scenario, report, run_all, table};
+use lab::{Chooser, Deployment, Experiment, Scenario, refusals, report, run_all, table};
 use lexopt::prelude::{Long, Value, ValueExt};
+use route::{Cap, Limits};
 use std::fs;
 
 const USAGE: &str = "usage: lab [report [--output FILE]] [--deployment wirecraft|joto] [--load PERCENT] \
-    [--scenario NAME] [--policy NAME|all] [--seed N]";
+    [--scenario NAME] [--policy NAME|all] [--seed N] [--refusals] [--no-shares] [--cap PERCENT]";
 
 struct Options {
     report: bool,
@@ -16,6 +17,9 @@
     scenario: Scenario,
     policy: String,
     seed: u64,
+    refusals: bool,
+    shares: bool,
+    cap: Cap,
 }
 
 fn main() -> Result<()> {
@@ -36,12 +40,21 @@
     let experiments: Vec<Experiment> = choosers
         .into_iter()
         .map(|chooser| {
-            Experiment::new(options.deployment, options.scenario, chooser)
+            let experiment = Experiment::new(options.deployment, options.scenario, chooser)
                 .with_load_percent(options.load_percent)
                 .with_seed(options.seed)
+                .with_cap(options.cap);
+            match options.shares {
+                true => experiment,
+                false => experiment.without_shares(),
+            }
         })
         .collect();
-    print!("{}", table(&experiments, &run_all(&experiments)));
+    let results = run_all(&experiments);
+    print!("{}", table(&experiments, &results));
+    if options.refusals {
+        print!("\n{}", refusals(&experiments, &results));
+    }
     Ok(())
 }
 
@@ -54,6 +67,9 @@
         scenario: Scenario::Calm,
         policy: "all".to_owned(),
         seed: 1,
+        refusals: false,
+        shares: true,
+        cap: Limits::default().cap,
     };
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
@@ -65,6 +81,9 @@
             Long("scenario") => options.scenario = parser.value()?.parse()?,
             Long("policy") => options.policy = parser.value()?.string()?,
             Long("seed") => options.seed = parser.value()?.parse()?,
+            Long("refusals") => options.refusals = true,
+            Long("no-shares") => options.shares = false,
+            Long("cap") => options.cap.percent = parser.value()?.parse()?,
             Long("help") => {
                 println!("{USAGE}");
                 std::process::exit(0);
--- a/crates/route/src/attempt.rs
+++ b/crates/route/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Ending, Output, RequestId, Settled,
+    choose::{ALL_PASSES, Block},
     request::{Request, Stage},
     router::Router,
     table::OWN_REGION,
@@ -19,6 +20,7 @@
         outputs: &mut Vec<Output>,
     ) {
         self.counters.arrived += 1;
+        self.budget.earn(self.config.limits.retry_percent);
         let service = self.table.service_id(service);
         let Some(service) = service.filter(|&id| self.table.services[id].declared) else {
             self.refuse(id, Refusal::UnknownService, outputs);
@@ -33,6 +35,8 @@
             deadline_us,
             idempotent,
             may_have_run: false,
+            sent_to: self.table.services[service].mover.arrived(now_us),
+            moved: false,
             attempts: 0,
             tried: Vec::new(),
             blocked: Refusal::Overloaded,
@@ -49,8 +53,8 @@
         outputs: &mut Vec<Output>,
     ) {
         let choice = match self.is_waiting(request.service) {
-            true => Err(Refusal::Overloaded),
-            false => self.choose(now_us, &request),
+            true => Err(Block::Wait(Refusal::Overloaded)),
+            false => self.choose(now_us, &request, &ALL_PASSES),
         };
         let service = &self.table.services[request.service];
         let queue_full = service.queue.len() >= self.config.limits.queue_requests;
@@ -59,12 +63,15 @@
                 self.requests.insert(id, request);
                 self.forward(now_us, id, upstream, outputs);
             }
-            Err(refusal @ (Refusal::Overloaded | Refusal::NoCapacity)) if !queue_full => {
+            Err(Block::Wait(_)) if self.would_be_too_late(now_us, &request) => {
+                self.refuse(id, Refusal::Deadline, outputs);
+            }
+            Err(Block::Wait(refusal)) if !queue_full => {
                 request.blocked = refusal;
                 self.requests.insert(id, request);
                 self.enqueue(id);
             }
-            Err(refusal) => self.refuse(id, refusal, outputs),
+            Err(Block::Wait(refusal) | Block::Refuse(refusal)) => self.refuse(id, refusal, outputs),
         }
     }
 
@@ -86,12 +93,19 @@
             upstream: upstream_id,
             region: upstream.region,
             since_us: now_us,
+            borrowed: !upstream.has_home_room(),
             answering: false,
         };
+        let service = &mut self.table.services[request.service];
+        service.in_flight += 1;
+        if Some(upstream.region) != service.home_region() && !request.moved {
+            request.moved = true;
+            service.mover.moved();
+        }
         upstream.in_flight += 1;
         region.room.in_flight += 1;
         if upstream.region != OWN_REGION {
-            let bytes = self.table.services[request.service].answer_bytes;
+            let bytes = service.answer_bytes;
             region.link.take(now_us, bytes);
         }
         outputs.push(Output::Forward {
@@ -128,16 +142,19 @@
         let Stage::Forwarded {
             upstream,
             region,
+            since_us,
+            borrowed,
             answering,
-            ..
         } = request.stage
         else {
             self.ended_in_queue(id, ending);
             return;
         };
-        let idempotent = request.idempotent;
+        let (request_service, idempotent) = (request.service, request.idempotent);
         request.may_have_run |= ending == Ending::Broken;
-        self.release(upstream, region);
+        self.release(request_service, upstream, region);
+        self.observe(now_us, upstream, since_us, borrowed, ending);
+        self.table.forget_upstream(upstream);
         match ending {
             Ending::Finished { .. } => self.finish(id),
             Ending::CutShort => self.drop_request(id),
@@ -147,8 +164,11 @@
                 self.drop_request(id);
             }
             Ending::NotSent => self.retry(now_us, id, Refusal::NoUpstream, outputs),
-            Ending::Refused => self.retry(now_us, id, Refusal::UpstreamRefused, outputs),
-            Ending::Broken if idempotent && !answering => {
+            Ending::Refused => {
+                self.budget.spend();
+                self.retry(now_us, id, Refusal::UpstreamRefused, outputs);
+            }
+            Ending::Broken if idempotent && !answering && self.budget.spend() => {
                 self.retry(now_us, id, Refusal::UpstreamRefused, outputs);
             }
             Ending::Broken => self.settle(id, Refusal::UpstreamRefused, outputs),
@@ -163,11 +183,11 @@
         }
     }
 
-    fn release(&mut self, upstream: usize, region: usize) {
+    fn release(&mut self, service: usize, upstream: usize, region: usize) {
+        self.table.services[service].in_flight -= 1;
         self.table.regions[region].room.in_flight -= 1;
         self.table.upstreams[upstream].in_flight -= 1;
         self.table.refresh(upstream);
-        self.table.forget_upstream(upstream);
     }
 
     fn retry(
@@ -185,16 +205,18 @@
             && request.attempts < self.config.limits.attempts
             && !request.deadline_us.reached(now_us);
         let choice = match may_go_on {
-            true => self.choose(now_us, &request),
-            false => Err(refusal),
+            true => self.choose(now_us, &request, &ALL_PASSES),
+            false => Err(Block::Refuse(refusal)),
         };
+        let queued = self.table.services[request.service].queue.len();
+        let queue_full = queued >= self.config.limits.queue_requests;
         self.requests.insert(id, request);
         match choice {
             Ok(upstream) => {
                 self.counters.retried += 1;
                 self.forward(now_us, id, upstream, outputs);
             }
-            Err(Refusal::Overloaded | Refusal::NoCapacity) => self.enqueue(id),
+            Err(Block::Wait(_)) if !queue_full => self.enqueue(id),
             Err(_) => self.settle(id, refusal, outputs),
         }
     }
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -1,11 +1,7 @@
 //! The choice of an upstream by each policy.
 
 use crate::{
-    Policy,
-    request::Request,
-    router::Router,
-    table::{Group, OWN_REGION},
-    upstream::Upstream,
+    Policy, request::Request, router::Router, service::Group, table::OWN_REGION, upstream::Upstream,
 };
 use rand::{Rng, rngs::SmallRng};
 use types::{Refusal, TimeUs};
@@ -13,9 +9,82 @@
 /// Random draws before every upstream with room is looked at.
 const DRAWS: u32 = 4;
 
+/// Which upstreams with room are looked at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Pass {
+    /// Those with a free slot that was dealt to this entry.
+    Home,
+    /// The others.
+    Borrow,
+    /// Those in the region that a declared shift sends the request to.
+    Shift,
+}
+
+/// Why a request can't be forwarded now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Block {
+    /// It may wait; the refusal is what it gets when the wait ends without room.
+    Wait(Refusal),
+    /// Waiting doesn't help.
+    Refuse(Refusal),
+}
+
+/// All passes, in their order.
+pub(crate) const ALL_PASSES: [Pass; 2] = [Pass::Home, Pass::Borrow];
+
 impl Router {
     /// The upstream for a request, or why there is none now.
-    pub(crate) fn choose(&mut self, now_us: TimeUs, request: &Request) -> Result<usize, Refusal> {
+    pub(crate) fn choose(
+        &mut self,
+        now_us: TimeUs,
+        request: &Request,
+        passes: &[Pass],
+    ) -> Result<usize, Block> {
+        let service = &self.table.services[request.service];
+        let usable = service.usable();
+        if usable == 0 {
+            return Err(Block::Refuse(Refusal::NoUpstream));
+        }
+        let adaptive = self.config.policy == Policy::Adaptive;
+        if !adaptive && request.tried.len() >= usable {
+            return Err(Block::Refuse(Refusal::UpstreamRefused));
+        }
+        let reach_us = match adaptive {
+            true => service.reach_us(),
+            false => u64::MAX,
+        };
+        let may_move = request.moved || service.mover.may_move();
+        if !may_move && !service.is_home_usable() {
+            return Err(Block::Refuse(Refusal::NoCapacity));
+        }
+        if request.sent_to.is_some() && may_move {
+            let chosen = self.choose_in_pass(now_us, request, Pass::Shift, u64::MAX, true);
+            if let Ok(Some(chosen)) = chosen {
+                return Ok(chosen);
+            }
+        }
+        let mut blocked = Refusal::Overloaded;
+        for &pass in passes {
+            if pass == Pass::Borrow && adaptive && !self.budget.has_token() {
+                break;
+            }
+            match self.choose_in_pass(now_us, request, pass, reach_us, may_move) {
+                Ok(Some(chosen)) => return Ok(chosen),
+                Ok(None) => {}
+                Err(refusal) => blocked = refusal,
+            }
+        }
+        Err(Block::Wait(blocked))
+    }
+
+    fn choose_in_pass(
+        &mut self,
+        now_us: TimeUs,
+        request: &Request,
+        pass: Pass,
+        reach_us: u64,
+        may_move: bool,
+    ) -> Result<Option<usize>, Refusal> {
         let Self {
             config,
             table,
@@ -23,18 +92,24 @@
             counters,
             ..
         } = self;
+        let mut blocked = None;
         let service = &mut table.services[request.service];
-        let usable = service.usable();
-        if usable == 0 {
-            return Err(Refusal::NoUpstream);
-        }
-        if request.tried.len() >= usable {
-            return Err(Refusal::UpstreamRefused);
-        }
-        let mut blocked = Refusal::Overloaded;
+        let home = service.home_region();
         for group in &mut service.groups {
             counters.steps += 1;
-            if group.open.is_empty() {
+            if pass == Pass::Shift && Some(group.region) != request.sent_to {
+                continue;
+            }
+            let list_empty = match pass {
+                Pass::Home => group.home.is_empty(),
+                Pass::Borrow | Pass::Shift => group.open.is_empty(),
+            };
+            let closed = pass != Pass::Home && !group.closed_until_us.reached(now_us);
+            if list_empty || closed || group.cost_us > reach_us {
+                continue;
+            }
+            if Some(group.region) != home && !may_move {
+                blocked = Some(Refusal::NoCapacity);
                 continue;
             }
             let region = &table.regions[group.region];
@@ -43,7 +118,7 @@
                     .link
                     .has_room(now_us, config.fallback, config.limits.link_burst_us);
             if !link_open || !region.room.has_room(now_us, config.fallback) {
-                blocked = Refusal::NoCapacity;
+                blocked = Some(Refusal::NoCapacity);
                 continue;
             }
             let mut draw = Draw {
@@ -52,11 +127,11 @@
                 rng,
                 steps: &mut counters.steps,
             };
-            if let Some(chosen) = draw.pick(config.policy, group) {
-                return Ok(chosen);
+            if let Some(chosen) = draw.pick(config.policy, pass, group) {
+                return Ok(Some(chosen));
             }
         }
-        Err(blocked)
+        blocked.map_or(Ok(None), Err)
     }
 }
 
@@ -69,11 +144,12 @@
 }
 
 impl Draw<'_> {
-    fn pick(&mut self, policy: Policy, group: &mut Group) -> Option<usize> {
-        match policy {
-            Policy::NearestRoundRobin => self.next_in_turn(group),
-            Policy::LeastReportedLoad => self.least_reported(&group.open),
-            Policy::PowerOfTwo => self.less_loaded_of_two(&group.open),
+    fn pick(&mut self, policy: Policy, pass: Pass, group: &mut Group) -> Option<usize> {
+        match (policy, pass) {
+            (Policy::NearestRoundRobin, _) => self.next_in_turn(group),
+            (Policy::LeastReportedLoad, _) => self.least_reported(&group.open),
+            (Policy::Adaptive, Pass::Home) => self.less_loaded_of_two(&group.home),
+            (Policy::PowerOfTwo | Policy::Adaptive, _) => self.less_loaded_of_two(&group.open),
         }
     }
 
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -15,6 +15,8 @@
         region: usize,
         /// When it was forwarded.
         since_us: TimeUs,
+        /// Whether the slot was dealt to another entry, or to none.
+        borrowed: bool,
         /// Whether the answer's head has come.
         answering: bool,
     },
@@ -33,6 +35,10 @@
     pub(crate) may_have_run: bool,
     /// Attempts so far.
     pub(crate) attempts: u32,
+    /// The region that a declared shift sends it to.
+    pub(crate) sent_to: Option<usize>,
+    /// Whether it counts as moved out of the nearest region.
+    pub(crate) moved: bool,
     /// Upstreams that it was sent to.
     pub(crate) tried: Vec<usize>,
     /// What kept it waiting last.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,14 +1,19 @@
 //! The router: one step for each event.
 
 use crate::{
-    Input, Output, RequestId, RouterConfig,
+    Input, Output, Policy, RequestId, RouterConfig,
+    budget::RetryBudget,
+    choose::{ALL_PASSES, Block, Pass},
+    homes::{self, Dealt, Source},
     request::{Request, Stage},
     snapshot::Counters,
-    table::Table,
+    table::{OWN_REGION, Table},
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use types::{DrainTarget, Priority, Refusal, ResourceName, TimeUs};
+use types::{
+    DrainTarget, EntryName, EntrySpec, Priority, Refusal, ResourceName, ShiftSpec, TimeUs,
+};
 
 /// Grants are counted in rounds of this many to keep browsing its part.
 const ROUND_PERCENT: u32 = 100;
@@ -20,6 +25,11 @@
     pub(crate) table: Table,
     pub(crate) requests: HashMap<RequestId, Request>,
     pub(crate) drains: BTreeMap<ResourceName, DrainTarget>,
+    pub(crate) entries: BTreeMap<EntryName, EntrySpec>,
+    pub(crate) shifts: BTreeMap<ResourceName, ShiftSpec>,
+    pub(crate) budget: RetryBudget,
+    /// Ends of closures and ejections.
+    pub(crate) wakeups: BTreeSet<(TimeUs, usize)>,
     pub(crate) rng: SmallRng,
     pub(crate) counters: Counters,
     /// Services with requests that wait.
@@ -35,11 +45,15 @@
     #[must_use]
     pub fn new(config: RouterConfig) -> Self {
         Self {
-            table: Table::new(&config.region, &config.failure_domain),
+            table: Table::new(&config.region, &config.failure_domain, config.limits.cap),
             rng: SmallRng::seed_from_u64(config.seed),
             config,
             requests: HashMap::new(),
             drains: BTreeMap::new(),
+            entries: BTreeMap::new(),
+            shifts: BTreeMap::new(),
+            budget: RetryBudget::new(),
+            wakeups: BTreeSet::new(),
             counters: Counters::default(),
             waiting: BTreeSet::new(),
             deadlines: BTreeSet::new(),
@@ -50,6 +64,7 @@
     /// Takes one event and adds what follows from it to `outputs`.
     pub fn step(&mut self, now_us: TimeUs, input: Input<'_>, outputs: &mut Vec<Output>) {
         self.expire(now_us, outputs);
+        self.wake(now_us);
         match input {
             Input::Declared(resource) => self.declared(resource, outputs),
             Input::Withdrawn(resource) => self.withdrawn(resource, outputs),
@@ -88,7 +103,7 @@
                     self.table.regions[id].link.set_share(kbps, expires_us);
                 }
             }
-            Input::Tick => {}
+            Input::Tick => self.roll_movers(now_us),
         }
         self.dispatch(now_us, outputs);
     }
@@ -104,6 +119,7 @@
             return;
         };
         request.stage = Stage::Queued;
+        request.tried.clear();
         let queue = &mut self.table.services[request.service].queue;
         if request.attempts == 0 {
             queue.push_back(id);
@@ -129,6 +145,15 @@
 
     /// Gives room to requests that wait: critical ones first, and browsing its part.
     pub(crate) fn dispatch(&mut self, now_us: TimeUs, outputs: &mut Vec<Output>) {
+        for pass in ALL_PASSES {
+            self.dispatch_pass(now_us, pass, outputs);
+        }
+        if self.waiting.is_empty() {
+            self.browse_credit = 0;
+        }
+    }
+
+    fn dispatch_pass(&mut self, now_us: TimeUs, pass: Pass, outputs: &mut Vec<Output>) {
         while !self.waiting.is_empty() {
             let first = match self.browse_credit >= ROUND_PERCENT {
                 true => Priority::Browse,
@@ -138,14 +163,21 @@
                 Priority::Browse => Priority::Critical,
                 Priority::Critical => Priority::Browse,
             };
-            if !self.grant_one(now_us, first, outputs) && !self.grant_one(now_us, second, outputs) {
+            if !self.grant_one(now_us, first, pass, outputs)
+                && !self.grant_one(now_us, second, pass, outputs)
+            {
                 return;
             }
         }
-        self.browse_credit = 0;
     }
 
-    fn grant_one(&mut self, now_us: TimeUs, priority: Priority, outputs: &mut Vec<Output>) -> bool {
+    fn grant_one(
+        &mut self,
+        now_us: TimeUs,
+        priority: Priority,
+        pass: Pass,
+        outputs: &mut Vec<Output>,
+    ) -> bool {
         let services: Vec<usize> = self
             .waiting
             .iter()
@@ -156,7 +188,7 @@
             let Some(id) = self.table.services[service].queue.front() else {
                 continue;
             };
-            if self.place_queued(now_us, id, outputs) {
+            if self.place_queued(now_us, id, pass, outputs) {
                 self.count_grant(priority);
                 return true;
             }
@@ -174,11 +206,20 @@
     }
 
     /// Tries to forward a request that waits; `true` when it left the queue.
-    fn place_queued(&mut self, now_us: TimeUs, id: RequestId, outputs: &mut Vec<Output>) -> bool {
+    fn place_queued(
+        &mut self,
+        now_us: TimeUs,
+        id: RequestId,
+        pass: Pass,
+        outputs: &mut Vec<Output>,
+    ) -> bool {
         let Some(request) = self.requests.remove(&id) else {
             return false;
         };
-        let choice = self.choose(now_us, &request);
+        let choice = match self.is_too_late(now_us, &request) {
+            true => Err(Block::Refuse(Refusal::Deadline)),
+            false => self.choose(now_us, &request, &[pass]),
+        };
         self.requests.insert(id, request);
         match choice {
             Ok(upstream) => {
@@ -186,13 +227,13 @@
                 self.forward(now_us, id, upstream, outputs);
                 true
             }
-            Err(refusal @ (Refusal::Overloaded | Refusal::NoCapacity)) => {
+            Err(Block::Wait(refusal)) => {
                 if let Some(request) = self.requests.get_mut(&id) {
                     request.blocked = refusal;
                 }
                 false
             }
-            Err(refusal) => {
+            Err(Block::Refuse(refusal)) => {
                 self.dequeue(id);
                 self.settle(id, refusal, outputs);
                 true
@@ -200,6 +241,51 @@
         }
     }
 
+    /// Deals the slots of the entry's own region anew.
+    pub(crate) fn deal_homes(&mut self) {
+        if self.config.policy != Policy::Adaptive {
+            return;
+        }
+        let dealt = |entry: (&EntryName, &EntrySpec)| -> bool {
+            entry.1.region == self.config.region && !self.is_entry_drained(entry.0, entry.1)
+        };
+        let mut deals = Vec::new();
+        for service in &self.table.services {
+            let groups = service
+                .groups
+                .iter()
+                .filter(|group| group.region == OWN_REGION);
+            let source = |&id: &usize| {
+                let upstream = &self.table.upstreams[id];
+                Source {
+                    id,
+                    name: &upstream.name,
+                    domain: &upstream.failure_domain,
+                    slots: upstream.slots,
+                }
+            };
+            let sources = groups
+                .flat_map(|group| &group.members)
+                .map(source)
+                .collect();
+            let entries = self.entries.iter().filter(|&entry| dealt(entry));
+            let entries = entries.map(|(name, spec)| Dealt {
+                name,
+                domain: &spec.failure_domain,
+            });
+            deals.extend(homes::deal(&self.config.entry, entries.collect(), sources));
+        }
+        for (id, home_slots) in deals {
+            self.table.set_home_slots(id, home_slots);
+        }
+    }
+
+    fn roll_movers(&mut self, now_us: TimeUs) {
+        for service in &mut self.table.services {
+            service.mover.roll(now_us);
+        }
+    }
+
     fn expire(&mut self, now_us: TimeUs, outputs: &mut Vec<Output>) {
         while let Some(&(deadline_us, id)) = self.deadlines.first() {
             if !deadline_us.reached(now_us) {
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)]
 
-use route::{Ending, Input, Output, RequestId, Router, RouterConfig, Settled};
+use route::{Cap, Ending, Input, Limits, Output, RequestId, Router, RouterConfig, Settled};
 use types::{
     Announcement, DomainName, DrainSpec, DrainTarget, EntryName, LinkSpec, Priority, RegionName,
     Resource, ResourceName, ServiceName, ServiceSpec, Spec, TimeUs, UpstreamName, UpstreamState,
@@ -13,6 +13,7 @@
     pub router: Router,
     pub now_us: TimeUs,
     next_request: u64,
+    forwarded: Vec<RequestId>,
 }
 
 /// What became of an arrival or ending.
@@ -23,12 +24,22 @@
     Nothing,
 }
 
+/// A configuration whose cap lets everything move.
 pub fn config() -> RouterConfig {
-    RouterConfig::new(
-        EntryName::new("entry-1").unwrap(),
-        region("here"),
-        DomainName::new("here-a").unwrap(),
-    )
+    let entry = EntryName::new("entry-1").unwrap();
+    let domain = DomainName::new("here-a").unwrap();
+    RouterConfig::new(entry, region("here"), domain).with_limits(uncapped())
+}
+
+/// Bounds whose cap lets everything move.
+pub fn uncapped() -> Limits {
+    Limits {
+        cap: Cap {
+            percent: 100,
+            interval_ms: 1_000,
+        },
+        ..Limits::default()
+    }
 }
 
 pub fn region(name: &str) -> RegionName {
@@ -80,6 +91,7 @@
             router: Router::new(config),
             now_us: TimeUs(1_000_000),
             next_request: 0,
+            forwarded: Vec::new(),
         };
         bench.declare("browse", Spec::Service(service_spec(Priority::Browse)));
         bench.declare("pay", Spec::Service(service_spec(Priority::Critical)));
@@ -96,9 +108,19 @@
     pub fn step(&mut self, input: Input<'_>) -> Vec<Output> {
         let mut outputs = Vec::new();
         self.router.step(self.now_us, input, &mut outputs);
+        self.forwarded
+            .extend(outputs.iter().filter_map(|output| match output {
+                Output::Forward { request, .. } => Some(*request),
+                _ => None,
+            }));
         outputs
     }
 
+    /// Requests forwarded since the last call.
+    pub fn take_forwarded(&mut self) -> Vec<RequestId> {
+        std::mem::take(&mut self.forwarded)
+    }
+
     pub fn declare(&mut self, name: &str, spec: Spec) -> Vec<Output> {
         self.step(Input::Declared(&resource(name, spec)))
     }
