--- a/crates/raft/tests/schedules.rs
+++ b/crates/raft/tests/schedules.rs
@@ -91,7 +91,12 @@
         }
         Event::Read(node) if *node < nodes => {
             let leader = group.leader().unwrap_or(*node);
-            group.read(leader, request);
+            let asked = if request.is_multiple_of(2) {
+                leader
+            } else {
+                *node
+            };
+            group.read(asked, request);
         }
         Event::Snapshot(node) if *node < nodes => group.snapshot(*node),
         Event::Crash(node, kept) if *node < nodes => group.crash(*node, *kept),
