Deal only trusted upstreams, keep time for the answer, judge slowness by clipped latency

Cause: an entry whose dealt slots stood on failing upstreams kept 71 requests waiting while its neighbour had room; 5% of the work ended past its deadline at 120%.

--- a/crates/route/src/deadline.rs
+++ b/crates/route/src/deadline.rs
@@ -5,8 +5,9 @@
 
 /// Times the service's mean latency that must be left when a request leaves the queue.
 const LEAVE_FACTOR: u64 = 2;
-/// Times the service's mean latency that must be left after the expected wait.
-const ENTER_FACTOR: u64 = 3;
+/// Times the service's mean latency that must be left after the expected wait, but never more than
+/// half of the time.
+const ENTER_FACTOR: u64 = 5;
 
 impl Router {
     /// Whether a request that waited has too little time left for a usual answer.
@@ -23,6 +24,8 @@
             return false;
         };
         let wait_us = service.wait_us().unwrap_or(0);
-        request.deadline_us.since_us(now_us) < wait_us + latency_us * ENTER_FACTOR
+        let left_us = request.deadline_us.since_us(now_us);
+        let needed_us = (latency_us * ENTER_FACTOR).min(left_us / 2);
+        left_us < wait_us + needed_us || self.is_too_late(now_us, request)
     }
 }
--- a/crates/route/src/declare.rs
+++ b/crates/route/src/declare.rs
@@ -87,7 +87,7 @@
         let Some(id) = self.table.upstream_id(name) else {
             let id = self.table.insert_upstream(upstream);
             self.table.list(id);
-            self.deal_homes();
+            self.deal_service_of(id);
             return;
         };
         let known = &mut self.table.upstreams[id];
@@ -99,15 +99,16 @@
         if same_place {
             known.address = announcement.address;
             known.reported_load = announcement.load;
-            if known.epoch_ms != announcement.epoch_ms {
+            let restarted = known.epoch_ms != announcement.epoch_ms;
+            if restarted {
                 known.epoch_ms = announcement.epoch_ms;
                 known.evidence = fresh;
             }
             let resized = known.slots != announcement.slots;
             known.slots = announcement.slots;
             self.table.refresh(id);
-            if resized {
-                self.deal_homes();
+            if resized || restarted {
+                self.deal_service_of(id);
             }
             return;
         }
@@ -115,17 +116,26 @@
         upstream.in_flight = self.table.upstreams[id].in_flight;
         self.table.upstreams[id] = upstream;
         self.table.list(id);
-        self.deal_homes();
+        self.deal_service_of(id);
     }
 
     pub(crate) fn upstream_gone(&mut self, name: &UpstreamName) {
         let Some(id) = self.table.upstream_id(name) else {
             return;
         };
+        let place = self.table.upstreams[id].place;
         self.table.unlist(id);
         self.table.upstreams[id].present = false;
         self.table.forget_upstream(id);
-        self.deal_homes();
+        if let Some(place) = place {
+            self.deal_service(place.service);
+        }
+    }
+
+    fn deal_service_of(&mut self, upstream: usize) {
+        if let Some(place) = self.table.upstreams[upstream].place {
+            self.deal_service(place.service);
+        }
     }
 
     /// Settles requests that wait for a service that is no longer declared.
--- a/crates/route/src/evidence.rs
+++ b/crates/route/src/evidence.rs
@@ -3,15 +3,19 @@
 use types::TimeUs;
 
 /// Weight of a new observation in an upstream's averages, as one part of so many.
-const UPSTREAM_PARTS: u64 = 8;
+const UPSTREAM_PARTS: u64 = 16;
 /// Failures in a row that eject.
 const FAILURES_IN_ROW: u32 = 3;
 /// Errors in a thousand answers, as a moving average, that eject.
 const ERROR_PERMILLE: u64 = 500;
 /// Observations before averages are looked at.
 const SAMPLES: u32 = 16;
-/// Times the service's latency that mark an upstream as slow.
-const SLOW_FACTOR: u64 = 3;
+/// The same after an ejection.
+const PROBATION_SAMPLES: u32 = 5;
+/// Latency that marks an upstream as slow, in percent of the service's.
+const SLOW_PERCENT: u64 = 300;
+/// Answers of a started upstream that its cache may need to become warm.
+const GRACE_ANSWERS: u32 = 64;
 /// Length of a first ejection; each further one in a row is twice as long.
 const EJECTION_MS: u64 = 1_000;
 /// Doublings of an ejection at most.
@@ -74,6 +78,8 @@
     failures_in_row: u32,
     refusals_in_row: u32,
     ejections_in_row: u32,
+    /// Answers until it may count as slow.
+    grace_answers: u32,
     /// Requests that may be in flight there from this entry while it starts slowly.
     pub(crate) start_limit: Option<u32>,
     /// Until when it gets nothing because it refused.
@@ -91,6 +97,7 @@
             failures_in_row: 0,
             refusals_in_row: 0,
             ejections_in_row: 0,
+            grace_answers: 0,
             start_limit: None,
             cooling_until_us: None,
             ejected_until_us: None,
@@ -101,6 +108,7 @@
     pub(crate) const fn fresh() -> Self {
         Self {
             start_limit: Some(1),
+            grace_answers: GRACE_ANSWERS,
             ..Self::new()
         }
     }
@@ -110,16 +118,22 @@
         self.cooling_until_us.is_some() || self.ejected_until_us.is_some()
     }
 
+    /// Whether it was ejected and has not given enough good answers since.
+    pub(crate) const fn is_on_probation(&self) -> bool {
+        self.ejections_in_row > 0
+    }
+
     /// Counts a whole answer.
     pub(crate) fn answered(&mut self, latency_us: u64, slots: u32, service_us: Option<u64>) {
         self.latency_us.add(latency_us);
         self.errors_permille.add(0);
+        self.grace_answers = self.grace_answers.saturating_sub(1);
         self.failures_in_row = 0;
         self.refusals_in_row = 0;
         if self.latency_us.samples >= 2 * SAMPLES {
             self.ejections_in_row = 0;
         }
-        let usual = service_us.is_none_or(|usual_us| latency_us < usual_us * SLOW_FACTOR);
+        let usual = service_us.is_none_or(|usual_us| latency_us * 100 < usual_us * SLOW_PERCENT);
         if let Some(limit) = self.start_limit
             && usual
         {
@@ -149,9 +163,13 @@
         if failing || self.failures_in_row >= FAILURES_IN_ROW {
             return Verdict::Failing;
         }
-        let usual_us = service_us.unwrap_or(u64::MAX).saturating_mul(SLOW_FACTOR);
-        let slow = self.latency_us.samples >= SAMPLES && self.latency_us.value > usual_us;
-        match slow && self.start_limit.is_none() {
+        let usual_us = service_us.unwrap_or(u64::MAX).saturating_mul(SLOW_PERCENT) / 100;
+        let samples = match self.ejections_in_row {
+            0 => SAMPLES,
+            _ => PROBATION_SAMPLES,
+        };
+        let slow = self.latency_us.samples >= samples && self.latency_us.value > usual_us;
+        match slow && self.grace_answers == 0 {
             true => Verdict::Slow,
             false => Verdict::Good,
         }
@@ -164,7 +182,8 @@
         *self = Self {
             ejections_in_row: self.ejections_in_row + 1,
             ejected_until_us: Some(until_us),
-            ..Self::fresh()
+            start_limit: Some(1),
+            ..Self::new()
         };
         until_us
     }
--- a/crates/route/src/homes.rs
+++ b/crates/route/src/homes.rs
@@ -3,32 +3,75 @@
 //! Entries don't see one another's requests. Each entry fills the slots dealt to it first, which no
 //! other entry does, and borrows other slots only when those are taken.
 
+use crate::{Policy, router::Router, table::OWN_REGION};
 use types::{DomainName, EntryName, UpstreamName};
 
+impl Router {
+    /// Deals the slots of the entry's own region anew, for every service.
+    pub(crate) fn deal_homes(&mut self) {
+        for service in 0..self.table.services.len() {
+            self.deal_service(service);
+        }
+    }
+
+    /// Deals the slots of a service's trusted upstreams in the entry's own region anew.
+    pub(crate) fn deal_service(&mut self, service: usize) {
+        if self.config.policy != Policy::Adaptive {
+            return;
+        }
+        let groups = self.table.services[service].groups.iter();
+        let near = groups.filter(|group| group.region == OWN_REGION);
+        let members: Vec<usize> = near.flat_map(|group| &group.members).copied().collect();
+        let source = |&id: &usize| {
+            let upstream = &self.table.upstreams[id];
+            upstream.is_trusted().then_some(Source {
+                id,
+                name: &upstream.name,
+                domain: &upstream.failure_domain,
+                slots: upstream.slots,
+            })
+        };
+        let sources = members.iter().filter_map(source).collect();
+        let entries = self.entries.iter().filter(|(name, spec)| {
+            spec.region == self.config.region && !self.is_entry_drained(name, spec)
+        });
+        let entries = entries.map(|(name, spec)| Dealt {
+            name,
+            domain: &spec.failure_domain,
+        });
+        let deals = deal(&self.config.entry, entries.collect(), sources);
+        for &id in &members {
+            let dealt = deals.iter().find(|(source, _)| *source == id);
+            let home_slots = dealt.map_or(0, |&(_, slots)| slots);
+            self.table.set_home_slots(id, home_slots);
+        }
+    }
+}
+
 /// An entry that takes part.
 #[derive(Clone, Debug)]
-pub(crate) struct Dealt<'a> {
+struct Dealt<'a> {
     /// Its name.
-    pub(crate) name: &'a EntryName,
+    name: &'a EntryName,
     /// Its failure domain.
-    pub(crate) domain: &'a DomainName,
+    domain: &'a DomainName,
 }
 
 /// An upstream whose slots are dealt.
 #[derive(Clone, Debug)]
-pub(crate) struct Source<'a> {
+struct Source<'a> {
     /// Its index.
-    pub(crate) id: usize,
+    id: usize,
     /// Its name.
-    pub(crate) name: &'a UpstreamName,
+    name: &'a UpstreamName,
     /// Its failure domain.
-    pub(crate) domain: &'a DomainName,
+    domain: &'a DomainName,
     /// Its slots.
-    pub(crate) slots: u32,
+    slots: u32,
 }
 
 /// The slots of each upstream that go to `own`; every entry computes the same deal.
-pub(crate) fn deal(
+fn deal(
     own: &EntryName,
     mut entries: Vec<Dealt<'_>>,
     mut sources: Vec<Source<'_>>,
--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -3,6 +3,8 @@
 use crate::{Ending, Policy, evidence::Verdict, router::Router, table::OWN_REGION};
 use types::TimeUs;
 
+/// Times the service's latency at which an answer counts as no more than that.
+const OUTLIER_FACTOR: u64 = 3;
 /// The first status code that counts as a failure of the upstream.
 const FAILURE_STATUS: u16 = 500;
 /// How long a refusal closes a group's borrowed slots at first; doubled by each further one.
@@ -24,6 +26,7 @@
             return;
         };
         let upstream = &mut self.table.upstreams[upstream_id];
+        let trusted = upstream.is_trusted();
         let service = &mut self.table.services[place.service];
         let way_us = match upstream.region {
             OWN_REGION => 0,
@@ -38,7 +41,8 @@
                 if borrowed {
                     group.refusals_in_row = group.refusals_in_row.saturating_sub(1);
                 }
-                service.latency_us.add(latency_us);
+                let bound_us = service_us.map_or(u64::MAX, |us| us * OUTLIER_FACTOR);
+                service.latency_us.add(latency_us.min(bound_us));
                 service.mover.answered(elsewhere, Some(latency_us));
                 upstream
                     .evidence
@@ -65,6 +69,9 @@
         }
         self.judge(now_us, upstream_id, place.service);
         self.table.refresh(upstream_id);
+        if self.table.upstreams[upstream_id].is_trusted() != trusted {
+            self.deal_service(place.service);
+        }
     }
 
     /// Opens upstreams whose closure or ejection has ended.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,13 +1,12 @@
 //! The router: one step for each event.
 
 use crate::{
-    Input, Output, Policy, RequestId, RouterConfig,
+    Input, Output, RequestId, RouterConfig,
     budget::RetryBudget,
     choose::{ALL_PASSES, Block, Pass},
-    homes::{self, Dealt, Source},
     request::{Request, Stage},
     snapshot::Counters,
-    table::{OWN_REGION, Table},
+    table::Table,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -241,45 +240,6 @@
         }
     }
 
-    /// Deals the slots of the entry's own region anew.
-    pub(crate) fn deal_homes(&mut self) {
-        if self.config.policy != Policy::Adaptive {
-            return;
-        }
-        let dealt = |entry: (&EntryName, &EntrySpec)| -> bool {
-            entry.1.region == self.config.region && !self.is_entry_drained(entry.0, entry.1)
-        };
-        let mut deals = Vec::new();
-        for service in &self.table.services {
-            let groups = service
-                .groups
-                .iter()
-                .filter(|group| group.region == OWN_REGION);
-            let source = |&id: &usize| {
-                let upstream = &self.table.upstreams[id];
-                Source {
-                    id,
-                    name: &upstream.name,
-                    domain: &upstream.failure_domain,
-                    slots: upstream.slots,
-                }
-            };
-            let sources = groups
-                .flat_map(|group| &group.members)
-                .map(source)
-                .collect();
-            let entries = self.entries.iter().filter(|&entry| dealt(entry));
-            let entries = entries.map(|(name, spec)| Dealt {
-                name,
-                domain: &spec.failure_domain,
-            });
-            deals.extend(homes::deal(&self.config.entry, entries.collect(), sources));
-        }
-        for (id, home_slots) in deals {
-            self.table.set_home_slots(id, home_slots);
-        }
-    }
-
     fn roll_movers(&mut self, now_us: TimeUs) {
         for service in &mut self.table.services {
             service.mover.roll(now_us);
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -97,6 +97,11 @@
         self.slots.min(start_limit)
     }
 
+    /// Whether it takes new work and has not stood out of late.
+    pub(crate) fn is_trusted(&self) -> bool {
+        self.is_usable() && !self.evidence.is_on_probation()
+    }
+
     /// Whether it is usable but ejected.
     pub(crate) fn is_ejected(&self) -> bool {
         self.is_usable() && self.evidence.ejected_until_us.is_some()
