Let the router know which entries take requests

Cause: after the loss of entries the survivors must borrow what was dealt to the lost ones. The rest falls into the 1.8 s in which callers still go to the next entry alone.

--- a/crates/lab/src/entries.rs
+++ b/crates/lab/src/entries.rs
@@ -108,6 +108,15 @@
         self.step(entry, now_us, Input::UpstreamGone { name: &name })
     }
 
+    /// Another entry is lost.
+    pub fn entry_lost(&mut self, entry: usize, now_us: u64, lost: usize) -> Vec<Output> {
+        let input = Input::EntryActive {
+            name: &names::entry(lost),
+            active: false,
+        };
+        self.step(entry, now_us, input)
+    }
+
     /// A region is drained.
     pub fn drain(&mut self, entry: usize, now_us: u64, region: usize) -> Vec<Output> {
         let spec = DrainSpec {
--- a/crates/lab/src/incident.rs
+++ b/crates/lab/src/incident.rs
@@ -6,6 +6,7 @@
     worker::Fault,
     world::{Front, World},
 };
+use route::Output;
 use types::Outcome;
 
 /// How long a restart takes.
@@ -68,16 +69,23 @@
     /// Entries forget lost workers, and callers lost entries.
     pub fn announcements_expire(&mut self, now_us: u64) {
         self.entry_listed.clone_from(&self.entry_up);
-        for worker in 0..self.workers.len() {
-            if self.workers[worker].reachable {
-                continue;
-            }
-            for entry in self.entries_up() {
-                if let Front::Routers(entries) = &mut self.front {
-                    let outputs = entries.gone(entry, now_us, worker);
-                    self.apply(now_us, &outputs);
-                }
+        let workers = 0..self.workers.len();
+        let lost: Vec<usize> = workers.filter(|&w| !self.workers[w].reachable).collect();
+        let lost_entries: Vec<usize> = (0..self.entry_up.len())
+            .filter(|&entry| !self.entry_up[entry])
+            .collect();
+        for entry in self.entries_up() {
+            let Front::Routers(entries) = &mut self.front else {
+                return;
+            };
+            let gone = lost
+                .iter()
+                .map(|&worker| entries.gone(entry, now_us, worker));
+            let mut outputs: Vec<Output> = gone.flatten().collect();
+            for &lost in &lost_entries {
+                outputs.extend(entries.entry_lost(entry, now_us, lost));
             }
+            self.apply(now_us, &outputs);
         }
     }
 
--- a/crates/route/src/api.rs
+++ b/crates/route/src/api.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 use types::{
-    Announcement, DomainName, Outcome, Refusal, RegionName, Resource, ServiceName, TimeUs,
-    UpstreamName,
+    Announcement, DomainName, EntryName, Outcome, Refusal, RegionName, Resource, ServiceName,
+    TimeUs, UpstreamName,
 };
 
 /// Names a request within an entry, for as long as the entry runs.
@@ -72,6 +72,13 @@
         /// From then on nothing may start over it.
         expires_us: TimeUs,
     },
+    /// Whether another entry takes requests, as far as is known; declared ones do until told so.
+    EntryActive {
+        /// The entry.
+        name: &'a EntryName,
+        /// Whether it takes requests.
+        active: bool,
+    },
     /// Time has passed.
     Tick,
 }
--- a/crates/route/src/homes.rs
+++ b/crates/route/src/homes.rs
@@ -14,6 +14,17 @@
         }
     }
 
+    /// Deals anew when another entry stops or starts to take requests.
+    pub(crate) fn entry_active(&mut self, name: &EntryName, active: bool) {
+        let changed = match active {
+            true => self.inactive_entries.remove(name),
+            false => self.inactive_entries.insert(name.clone()),
+        };
+        if changed {
+            self.deal_homes();
+        }
+    }
+
     /// Deals the slots of a service's trusted upstreams in the entry's own region anew.
     pub(crate) fn deal_service(&mut self, service: usize) {
         if self.config.policy != Policy::Adaptive {
@@ -33,7 +44,9 @@
         };
         let sources = members.iter().filter_map(source).collect();
         let entries = self.entries.iter().filter(|(name, spec)| {
-            spec.region == self.config.region && !self.is_entry_drained(name, spec)
+            spec.region == self.config.region
+                && !self.inactive_entries.contains(*name)
+                && !self.is_entry_drained(name, spec)
         });
         let entries = entries.map(|(name, spec)| Dealt {
             name,
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -25,6 +25,7 @@
     pub(crate) requests: HashMap<RequestId, Request>,
     pub(crate) drains: BTreeMap<ResourceName, DrainTarget>,
     pub(crate) entries: BTreeMap<EntryName, EntrySpec>,
+    pub(crate) inactive_entries: BTreeSet<EntryName>,
     pub(crate) shifts: BTreeMap<ResourceName, ShiftSpec>,
     pub(crate) budget: RetryBudget,
     /// Ends of closures and ejections.
@@ -50,6 +51,7 @@
             requests: HashMap::new(),
             drains: BTreeMap::new(),
             entries: BTreeMap::new(),
+            inactive_entries: BTreeSet::new(),
             shifts: BTreeMap::new(),
             budget: RetryBudget::new(),
             wakeups: BTreeSet::new(),
@@ -102,6 +104,7 @@
                     self.table.regions[id].link.set_share(kbps, expires_us);
                 }
             }
+            Input::EntryActive { name, active } => self.entry_active(name, active),
             Input::Tick => self.roll_movers(now_us),
         }
         self.dispatch(now_us, outputs);
