--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -52,6 +52,9 @@
         let (_, step) = bench.arrive("browse", true);
         assert_eq!(refusal(&step), Some(Refusal::NoUpstream));
     }
+    bench.withdraw_drain();
+    let (_, step) = bench.arrive("browse", true);
+    assert_eq!(step, Step::Forwarded("near".into()));
 }
 
 #[test]
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -129,6 +129,12 @@
         self.declare("drain", Spec::Drain(DrainSpec { target }))
     }
 
+    pub fn withdraw_drain(&mut self) -> Vec<Output> {
+        let target = DrainTarget::Region(region("here"));
+        let resource = resource("drain", Spec::Drain(DrainSpec { target }));
+        self.step(Input::Withdrawn(&resource))
+    }
+
     pub fn announce(&mut self, name: &str, announcement: &Announcement) -> Vec<Output> {
         let name = UpstreamName::new(name).unwrap();
         self.step(Input::Upstream {
--- /dev/null
+++ b/crates/route/tests/properties.rs
@@ -0,0 +1,340 @@
+//! Random events against a model that knows the rules and nothing of the router's state.
+
+mod common;
+
+use common::{Bench, announcement, config, of, region, resource, service, service_spec, uncapped};
+use proptest::prelude::{Just, ProptestConfig, Strategy, any, prop_oneof, proptest};
+use route::{Cap, Ending, Input, Limits, Output, Policy, RequestId};
+use std::collections::BTreeMap;
+use strum::IntoEnumIterator;
+use types::{DrainSpec, DrainTarget, Outcome, Priority, Spec, TimeUs, UpstreamName, UpstreamState};
+
+const SERVICES: [&str; 2] = ["browse", "pay"];
+const DOMAINS: [&str; 3] = ["here-a", "here-b", "there-a"];
+const UPSTREAMS: usize = 6;
+const QUEUE: usize = 4;
+const CAP: Cap = Cap {
+    percent: 30,
+    interval_ms: 1_000,
+};
+
+#[derive(Clone, Debug)]
+enum Event {
+    Announce(usize, u32, UpstreamState),
+    Gone(usize),
+    Drain(usize),
+    Undrain,
+    Share(bool, u32, u64),
+    Arrive(usize, bool, u64),
+    Answering(usize),
+    End(usize, Ending),
+    Pass(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let state = prop_oneof![
+        4 => Just(UpstreamState::Ready),
+        1 => Just(UpstreamState::Starting),
+        1 => Just(UpstreamState::Leaving),
+    ];
+    let ending = prop_oneof![
+        4 => Just(Ending::Finished { status: 200 }),
+        1 => Just(Ending::Finished { status: 500 }),
+        1 => Just(Ending::NotSent),
+        2 => Just(Ending::Refused),
+        2 => Just(Ending::Broken),
+        1 => Just(Ending::CutShort),
+        1 => Just(Ending::Cancelled),
+    ];
+    prop_oneof![
+        3 => (0..UPSTREAMS, 1_u32..4, state).prop_map(|(u, s, t)| Event::Announce(u, s, t)),
+        1 => (0..UPSTREAMS).prop_map(Event::Gone),
+        1 => (0..UPSTREAMS).prop_map(Event::Drain),
+        1 => Just(Event::Undrain),
+        1 => (any::<bool>(), 0_u32..6, 1_u64..400).prop_map(|(h, s, l)| Event::Share(h, s, l)),
+        12 => (0_usize..2, any::<bool>(), 1_u64..2_000).prop_map(|(s, i, d)| Event::Arrive(s, i, d)),
+        1 => (0_usize..64).prop_map(Event::Answering),
+        10 => (0_usize..64, ending).prop_map(|(r, e)| Event::End(r, e)),
+        4 => (1_u64..120).prop_map(Event::Pass),
+    ]
+}
+
+#[derive(Clone, Debug, Default)]
+struct Known {
+    ready: bool,
+    drained: bool,
+    slots: u32,
+    in_flight: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Open {
+    service: usize,
+    idempotent: bool,
+    deadline_us: TimeUs,
+    upstream: Option<usize>,
+    answering: bool,
+    final_break: bool,
+    may_have_run: bool,
+    moved: bool,
+}
+
+/// The rules, checked on every output.
+struct Model {
+    bench: Bench,
+    upstreams: Vec<Known>,
+    shares: BTreeMap<&'static str, (u32, TimeUs)>,
+    open: BTreeMap<RequestId, Open>,
+    started_us: Vec<Option<TimeUs>>,
+    allowed_percent: Vec<u64>,
+    moved: Vec<u64>,
+}
+
+fn name(index: usize) -> String {
+    format!("w{index}")
+}
+
+const fn service_of(index: usize) -> usize {
+    index % 2
+}
+
+fn domain_of(index: usize) -> &'static str {
+    DOMAINS[index / 2 % 3]
+}
+
+fn region_of(index: usize) -> &'static str {
+    domain_of(index).split('-').next().unwrap()
+}
+
+impl Model {
+    fn new(policy: Policy) -> Self {
+        let limits = Limits {
+            queue_requests: QUEUE,
+            cap: CAP,
+            ..uncapped()
+        };
+        let mut bench = Bench::new(config().with_limits(limits).with_policy(policy));
+        for name in SERVICES {
+            bench.declare(name, Spec::Service(service_spec(Priority::Critical)));
+        }
+        Self {
+            bench,
+            upstreams: vec![Known::default(); UPSTREAMS],
+            shares: BTreeMap::new(),
+            open: BTreeMap::new(),
+            started_us: vec![None; 2],
+            allowed_percent: vec![0; 2],
+            moved: vec![0; 2],
+        }
+    }
+
+    fn run(&mut self, event: &Event) {
+        let outputs = match *event {
+            Event::Announce(index, slots, state) => {
+                self.upstreams[index].ready = state == UpstreamState::Ready;
+                self.upstreams[index].slots = slots;
+                let service = SERVICES[service_of(index)];
+                let mut said = announcement(service, domain_of(index), slots);
+                said.state = state;
+                self.bench.announce(&name(index), &said)
+            }
+            Event::Gone(index) => {
+                self.upstreams[index].ready = false;
+                let name = UpstreamName::new(&name(index)).unwrap();
+                self.bench.step(Input::UpstreamGone { name: &name })
+            }
+            Event::Drain(index) => {
+                for (other, known) in self.upstreams.iter_mut().enumerate() {
+                    known.drained = other == index;
+                }
+                let name = UpstreamName::new(&name(index)).unwrap();
+                self.bench.drain(DrainTarget::Upstream(name))
+            }
+            Event::Undrain => {
+                self.upstreams
+                    .iter_mut()
+                    .for_each(|known| known.drained = false);
+                let target = DrainTarget::Region(region("none"));
+                let resource = resource("drain", Spec::Drain(DrainSpec { target }));
+                self.bench.step(Input::Withdrawn(&resource))
+            }
+            Event::Share(here, slots, life_ms) => {
+                let name = if here { "here" } else { "there" };
+                let expires_us = self.bench.now_us.after_ms(life_ms);
+                self.shares.insert(name, (slots, expires_us));
+                self.bench.share(name, slots, expires_us)
+            }
+            Event::Arrive(service, idempotent, deadline_ms) => {
+                self.arrive(service, idempotent, deadline_ms)
+            }
+            Event::Answering(pick) => match self.pick(pick) {
+                Some(request) => {
+                    let open = self.open.get_mut(&request).unwrap();
+                    open.answering = open.upstream.is_some();
+                    self.bench.step(Input::Answering { request })
+                }
+                None => Vec::new(),
+            },
+            Event::End(pick, ending) => self.end(pick, ending),
+            Event::Pass(ms) => {
+                self.bench.now_us = self.bench.now_us.after_ms(ms);
+                self.bench.step(Input::Tick)
+            }
+        };
+        self.check(&outputs);
+    }
+
+    fn pick(&self, pick: usize) -> Option<RequestId> {
+        let count = self.open.len().max(1);
+        self.open.keys().nth(pick % count).copied()
+    }
+
+    fn arrive(&mut self, index: usize, idempotent: bool, deadline_ms: u64) -> Vec<Output> {
+        let now_us = self.bench.now_us;
+        let deadline_us = now_us.after_ms(deadline_ms);
+        let since_us = now_us.since_us(*self.started_us[index].get_or_insert(now_us));
+        let intervals = since_us / (CAP.interval_ms * 1_000) + 1;
+        self.allowed_percent[index] += (intervals * u64::from(CAP.percent)).min(100);
+        let request = RequestId(1_000 + self.allowed_percent.iter().sum::<u64>());
+        let open = Open {
+            service: index,
+            idempotent,
+            deadline_us,
+            upstream: None,
+            answering: false,
+            final_break: false,
+            may_have_run: false,
+            moved: false,
+        };
+        assert!(self.open.insert(request, open).is_none());
+        self.bench.step(Input::Arrive {
+            request,
+            service: &service(SERVICES[index]),
+            deadline_us,
+            idempotent,
+        })
+    }
+
+    fn end(&mut self, pick: usize, ending: Ending) -> Vec<Output> {
+        let Some(request) = self.pick(pick) else {
+            return Vec::new();
+        };
+        let open = self.open.get_mut(&request).unwrap();
+        let queued = open.upstream.is_none();
+        if queued && ending != Ending::Cancelled {
+            return Vec::new();
+        }
+        if let Some(index) = open.upstream.take() {
+            self.upstreams[index].in_flight -= 1;
+        }
+        if ending == Ending::Broken {
+            open.final_break = !open.idempotent || open.answering;
+            open.may_have_run = true;
+        }
+        let over = matches!(
+            ending,
+            Ending::Finished { .. } | Ending::CutShort | Ending::Cancelled
+        );
+        if over {
+            self.open.remove(&request);
+        }
+        let outputs = self.bench.end(request, ending);
+        if over {
+            let step = of(request, &outputs);
+            assert_eq!(step, common::Step::Nothing, "{request:?} was over");
+        }
+        outputs
+    }
+
+    fn check(&mut self, outputs: &[Output]) {
+        for output in outputs {
+            match output {
+                Output::Forward {
+                    request,
+                    upstream,
+                    deadline_us,
+                    ..
+                } => self.check_forward(*request, upstream, *deadline_us),
+                Output::Settle { request, settled } => {
+                    let open = self.open.remove(request).expect("settled once, while open");
+                    assert!(open.upstream.is_none(), "settled while in flight");
+                    let unknown = settled.outcome == Outcome::Unknown;
+                    assert_eq!(unknown, open.may_have_run, "{settled:?}");
+                }
+                Output::Cancel { .. } => {}
+            }
+        }
+        for service in 0..SERVICES.len() {
+            let waits = |open: &&Open| open.service == service && open.upstream.is_none();
+            assert!(self.open.values().filter(waits).count() <= QUEUE);
+            assert!(self.moved[service] * 100 <= self.allowed_percent[service] + 100);
+        }
+    }
+
+    fn check_forward(&mut self, request: RequestId, upstream: &UpstreamName, until_us: TimeUs) {
+        let index: usize = upstream.as_str()[1..].parse().unwrap();
+        let now_us = self.bench.now_us;
+        let open = self.open.get_mut(&request).expect("forwarded while open");
+        assert_eq!(open.deadline_us, until_us);
+        assert!(!until_us.reached(now_us), "after the deadline");
+        assert!(open.upstream.is_none(), "two attempts at once");
+        assert!(!open.final_break, "forwarded after it may have run");
+        assert_eq!(open.service, service_of(index));
+        open.upstream = Some(index);
+        if region_of(index) == "there" && !open.moved {
+            open.moved = true;
+            self.moved[open.service] += 1;
+        }
+        let known = &mut self.upstreams[index];
+        assert!(known.ready && !known.drained, "{upstream} takes no work");
+        known.in_flight += 1;
+        assert!(known.in_flight <= known.slots, "{upstream} above its slots");
+        if let Some(&(slots, expires_us)) = self.shares.get(region_of(index)) {
+            let here = (0..UPSTREAMS).filter(|&other| region_of(other) == region_of(index));
+            let in_flight: u32 = here.map(|other| self.upstreams[other].in_flight).sum();
+            assert!(in_flight <= slots, "above the share");
+            assert!(!expires_us.reached(now_us), "after the share");
+        }
+    }
+
+    /// After every deadline nothing may wait any more.
+    fn finish(&mut self) {
+        self.run(&Event::Pass(10_000));
+        assert!(self.open.values().all(|open| open.upstream.is_some()));
+        while !self.open.is_empty() {
+            self.run(&Event::End(0, Ending::Finished { status: 200 }));
+        }
+        assert_eq!(self.bench.router.snapshot(self.bench.now_us).requests, 0);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(96))]
+
+    #[test]
+    fn every_rule_holds_under_random_events(
+        events in proptest::collection::vec(event(), 1..400),
+        policy in 0_usize..4,
+    ) {
+        let policy = Policy::iter().nth(policy).unwrap();
+        let mut model = Model::new(policy);
+        let mut ejections = 0;
+        for event in &events {
+            model.run(event);
+            let snapshot = model.bench.router.snapshot(model.bench.now_us);
+            if snapshot.counters.ejections > ejections {
+                ejections = snapshot.counters.ejections;
+                for service in 0..SERVICES.len() {
+                    let of_service = |u: &&route::UpstreamSnapshot| {
+                        service_of(u.name.as_str()[1..].parse().unwrap()) == service
+                    };
+                    let usable = snapshot.upstreams.iter().filter(|u| u.usable).filter(of_service);
+                    let ejected = usable.clone().filter(|u| u.ejected).count();
+                    let allowed = usable.count() * Limits::default().eject_percent as usize / 100;
+                    assert!(ejected <= allowed, "{ejected} of {allowed}");
+                }
+            }
+        }
+        model.finish();
+    }
+}
