Never retry once an answer has begun, whatever the shell then says

Cause: the model found that a shell which reports the head of an answer and then a refusal got the request forwarded again (proptest, 12 events). The head may have gone to the caller, so such an attempt now ends as unknown.

Ruled out: trusting the later refusal.

--- a/crates/route/src/attempt.rs
+++ b/crates/route/src/attempt.rs
@@ -151,7 +151,7 @@
             return;
         };
         let (request_service, idempotent) = (request.service, request.idempotent);
-        request.may_have_run |= ending == Ending::Broken;
+        request.may_have_run |= answering || ending == Ending::Broken;
         self.release(request_service, upstream, region);
         self.observe(now_us, upstream, since_us, borrowed, ending);
         self.table.forget_upstream(upstream);
@@ -163,12 +163,13 @@
                 self.counters.cancelled += 1;
                 self.drop_request(id);
             }
+            _ if answering => self.settle(id, Refusal::UpstreamRefused, outputs),
             Ending::NotSent => self.retry(now_us, id, Refusal::NoUpstream, outputs),
             Ending::Refused => {
                 self.budget.spend();
                 self.retry(now_us, id, Refusal::UpstreamRefused, outputs);
             }
-            Ending::Broken if idempotent && !answering && self.budget.spend() => {
+            Ending::Broken if idempotent && self.budget.spend() => {
                 self.retry(now_us, id, Refusal::UpstreamRefused, outputs);
             }
             Ending::Broken => self.settle(id, Refusal::UpstreamRefused, outputs),
--- a/crates/route/tests/adaptive.rs
+++ b/crates/route/tests/adaptive.rs
@@ -5,7 +5,7 @@
 use common::{Bench, Step, announcement, config, of, region, resource, uncapped};
 use route::{Ending, Input, Limits, Output, RequestId, RouterConfig, Settled, UpstreamSnapshot};
 use std::collections::BTreeMap;
-use types::{DomainName, DrainTarget, EntryName, EntrySpec, Outcome, Refusal, Spec};
+use types::{DomainName, EntryName, EntrySpec, Outcome, Refusal, Spec};
 
 fn upstream(bench: &Bench, name: &str) -> UpstreamSnapshot {
     let snapshot = bench.router.snapshot(bench.now_us);
--- a/crates/route/tests/attempts.rs
+++ b/crates/route/tests/attempts.rs
@@ -65,12 +65,14 @@
 }
 
 #[test]
-fn a_broken_answer_is_never_retried() {
-    let mut bench = two_upstreams();
-    let (request, _) = bench.arrive("browse", true);
-    bench.step(Input::Answering { request });
-    let outputs = bench.end(request, Ending::Broken);
-    assert_eq!(of(request, &outputs), UNKNOWN);
+fn an_answer_that_began_is_never_retried() {
+    for ending in [Ending::Broken, Ending::Refused, Ending::NotSent] {
+        let mut bench = two_upstreams();
+        let (request, _) = bench.arrive("browse", true);
+        bench.step(Input::Answering { request });
+        let outputs = bench.end(request, ending);
+        assert_eq!(of(request, &outputs), UNKNOWN, "{ending:?}");
+    }
 }
 
 #[test]
--- a/crates/route/tests/properties.rs
+++ b/crates/route/tests/properties.rs
@@ -227,10 +227,9 @@
         if let Some(index) = open.upstream.take() {
             self.upstreams[index].in_flight -= 1;
         }
-        if ending == Ending::Broken {
-            open.final_break = !open.idempotent || open.answering;
-            open.may_have_run = true;
-        }
+        let broken = ending == Ending::Broken;
+        open.final_break |= open.answering || broken && !open.idempotent;
+        open.may_have_run |= open.answering || broken;
         let over = matches!(
             ending,
             Ending::Finished { .. } | Ending::CutShort | Ending::Cancelled
--- a/crates/route/tests/shift.rs
+++ b/crates/route/tests/shift.rs
@@ -4,7 +4,7 @@
 
 use common::{Bench, Step, config, region, resource, service};
 use proptest::prelude::{ProptestConfig, any, proptest};
-use route::{Cap, Ending, Limits, Mover, Output, Settled, ShiftReason, ShiftState};
+use route::{Cap, Limits, Mover, Output, Settled, ShiftReason, ShiftState};
 use types::{DrainTarget, Outcome, Refusal, ShiftSpec, Spec, TimeUs};
 
 const CAP: Cap = Cap {
