--- /dev/null
+++ b/crates/lab/src/callers.rs
@@ -0,0 +1,93 @@
+//! Callers: they send requests to entries, and go to another entry when one is lost.
+
+use crate::{
+    entries::Arriving,
+    events::Event,
+    world::{CONNECT_TIMEOUT_US, Front, Request, World},
+};
+
+impl World {
+    /// The next request of a service sets out.
+    pub fn next_arrival(&mut self, service: usize) {
+        let arrival = self.pending[service];
+        let next = self.arrivals[service].next_arrival();
+        self.pending[service] = next;
+        if next.at_us < self.end_us {
+            self.events.push(next.at_us, Event::NextArrival { service });
+        }
+        let entry = self.entry_for(arrival.entry_draw);
+        let at_us = arrival.at_us + self.site.caller_delay_us;
+        let deadline_us = at_us + self.site.services[service].deadline_ms * 1_000;
+        let request = self.requests.len();
+        self.requests.push(Request {
+            service,
+            entry,
+            sent_us: arrival.at_us,
+            work_us: arrival.work_us,
+            deadline_us,
+            attempt: 0,
+            worker: 0,
+            runs: 0,
+            open: true,
+            in_flight: false,
+            moved: false,
+        });
+        self.events.push(at_us, Event::AtEntry { request });
+    }
+
+    /// The entry that a caller uses: regions by capacity, entries of a region alike.
+    fn entry_for(&self, draw: f64) -> usize {
+        let listed: Vec<usize> = (0..self.entry_listed.len())
+            .filter(|&entry| self.entry_listed[entry])
+            .collect();
+        let of_region = |region: usize| {
+            let same = |&&e: &&usize| self.site.entry_regions[e] == region;
+            listed.iter().filter(same).count() as f64
+        };
+        let weights: Vec<f64> = listed
+            .iter()
+            .map(|&entry| 1.0 / of_region(self.site.entry_regions[entry]))
+            .collect();
+        let mut left = draw * weights.iter().sum::<f64>();
+        for (entry, weight) in listed.iter().zip(&weights) {
+            left -= weight;
+            if left <= 0.0 {
+                return *entry;
+            }
+        }
+        listed[0]
+    }
+
+    /// A request reaches its entry, or finds it lost and goes to another.
+    pub fn at_entry(&mut self, now_us: u64, id: usize) {
+        let request = self.requests[id];
+        if !self.entry_up[request.entry] {
+            let next = (1..self.entry_up.len())
+                .map(|step| (request.entry + step) % self.entry_up.len())
+                .find(|&entry| self.entry_up[entry]);
+            self.requests[id].entry = next.unwrap_or(0);
+            let at_us = now_us + CONNECT_TIMEOUT_US;
+            self.events.push(at_us, Event::AtEntry { request: id });
+            return;
+        }
+        let shape = self.site.services[request.service];
+        self.caps.arrived(now_us, request.entry, request.service);
+        let waiting = self.waiting(id);
+        match &mut self.front {
+            Front::Routers(entries) => {
+                let arriving = Arriving {
+                    request: id,
+                    service: request.service,
+                    deadline_us: request.deadline_us,
+                    idempotent: shape.idempotent,
+                };
+                let outputs = entries.arrive(request.entry, now_us, arriving);
+                self.apply(now_us, &outputs);
+            }
+            Front::AllKnowing(chooser) => {
+                chooser.push(request.service, waiting);
+                self.grant_all(now_us, request.service);
+            }
+        }
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,8 @@
 
 mod allknowing;
 mod arrivals;
+mod callers;
+mod caps;
 mod deployment;
 mod entries;
 mod events;
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -3,6 +3,7 @@
 use crate::{
     allknowing::AllKnowing,
     arrivals::Arrivals,
+    caps::CapCheck,
     deployment::{Deployment, Site},
     entries::{Entries, Rules},
     events::{Event, Events},
@@ -156,6 +157,11 @@
             .collect(),
         front,
         measure: Measure::new(),
+        caps: CapCheck::new(
+            experiment.cap,
+            site.entry_regions.len(),
+            site.services.len(),
+        ),
         pending: arrivals.iter_mut().map(Arrivals::next_arrival).collect(),
         arrivals,
         warm_us: experiment.warm_us,
@@ -331,6 +337,6 @@
         running_percent: measure.running.get(),
         reserved_percent: measure.reserved.get(),
         refusals: measure.refusals.clone(),
-        caps_passed: 0,
+        caps_passed: world.caps.passed,
     }
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -3,8 +3,9 @@
 use crate::{
     allknowing::{AllKnowing, Waiting},
     arrivals::{Arrival, Arrivals},
+    caps::CapCheck,
     deployment::Site,
-    entries::{Arriving, Entries},
+    entries::Entries,
     events::{EndingCode, Event, Events},
     link::Link,
     measure::Measure,
@@ -18,7 +19,7 @@
 /// The size of a request on a link.
 const REQUEST_BYTES: u64 = 1_000;
 /// How long a connection to a lost VM takes to fail.
-const CONNECT_TIMEOUT_US: u64 = 250_000;
+pub const CONNECT_TIMEOUT_US: u64 = 250_000;
 /// How long a connection to a lost VM takes to break.
 const BREAK_TIMEOUT_US: u64 = 500_000;
 
@@ -35,6 +36,7 @@
     pub runs: u32,
     pub open: bool,
     pub in_flight: bool,
+    pub moved: bool,
 }
 
 /// Who chooses the upstreams.
@@ -60,6 +62,7 @@
     pub regions: Vec<RegionShares>,
     pub front: Front,
     pub measure: Measure,
+    pub caps: CapCheck,
     pub arrivals: Vec<Arrivals>,
     pub pending: Vec<Arrival>,
     pub warm_us: u64,
@@ -68,89 +71,8 @@
 }
 
 impl World {
-    /// The next request of a service sets out.
-    pub fn next_arrival(&mut self, service: usize) {
-        let arrival = self.pending[service];
-        let next = self.arrivals[service].next_arrival();
-        self.pending[service] = next;
-        if next.at_us < self.end_us {
-            self.events.push(next.at_us, Event::NextArrival { service });
-        }
-        let entry = self.entry_for(arrival.entry_draw);
-        let at_us = arrival.at_us + self.site.caller_delay_us;
-        let deadline_us = at_us + self.site.services[service].deadline_ms * 1_000;
-        let request = self.requests.len();
-        self.requests.push(Request {
-            service,
-            entry,
-            sent_us: arrival.at_us,
-            work_us: arrival.work_us,
-            deadline_us,
-            attempt: 0,
-            worker: 0,
-            runs: 0,
-            open: true,
-            in_flight: false,
-        });
-        self.events.push(at_us, Event::AtEntry { request });
-    }
-
-    /// The entry that a caller uses: regions by capacity, entries of a region alike.
-    fn entry_for(&self, draw: f64) -> usize {
-        let listed: Vec<usize> = (0..self.entry_listed.len())
-            .filter(|&entry| self.entry_listed[entry])
-            .collect();
-        let of_region = |region: usize| {
-            let same = |&&e: &&usize| self.site.entry_regions[e] == region;
-            listed.iter().filter(same).count() as f64
-        };
-        let weights: Vec<f64> = listed
-            .iter()
-            .map(|&entry| 1.0 / of_region(self.site.entry_regions[entry]))
-            .collect();
-        let mut left = draw * weights.iter().sum::<f64>();
-        for (entry, weight) in listed.iter().zip(&weights) {
-            left -= weight;
-            if left <= 0.0 {
-                return *entry;
-            }
-        }
-        listed[0]
-    }
-
-    /// A request reaches its entry, or finds it lost and goes to another.
-    pub fn at_entry(&mut self, now_us: u64, id: usize) {
-        let request = self.requests[id];
-        if !self.entry_up[request.entry] {
-            let next = (1..self.entry_up.len())
-                .map(|step| (request.entry + step) % self.entry_up.len())
-                .find(|&entry| self.entry_up[entry]);
-            self.requests[id].entry = next.unwrap_or(0);
-            let at_us = now_us + CONNECT_TIMEOUT_US;
-            self.events.push(at_us, Event::AtEntry { request: id });
-            return;
-        }
-        let shape = self.site.services[request.service];
-        let waiting = self.waiting(id);
-        match &mut self.front {
-            Front::Routers(entries) => {
-                let arriving = Arriving {
-                    request: id,
-                    service: request.service,
-                    deadline_us: request.deadline_us,
-                    idempotent: shape.idempotent,
-                };
-                let outputs = entries.arrive(request.entry, now_us, arriving);
-                self.apply(now_us, &outputs);
-            }
-            Front::AllKnowing(chooser) => {
-                chooser.push(request.service, waiting);
-                self.grant_all(now_us, request.service);
-            }
-        }
-    }
-
-    fn waiting(&self, id: usize) -> Waiting {
+    /// A request as the all-knowing chooser sees it.
+    pub fn waiting(&self, id: usize) -> Waiting {
         let request = &self.requests[id];
         Waiting {
             request: id,
@@ -209,6 +131,11 @@
         self.measure.attempts += 1;
         self.measure.forwarded += u64::from(request.attempt == 1);
         let (entry, attempt, deadline_us) = (request.entry, request.attempt, request.deadline_us);
+        let elsewhere = self.site.entry_regions[entry] != self.workers[worker].region;
+        if elsewhere && !request.moved {
+            request.moved = true;
+            self.caps.moved(entry, request.service);
+        }
         self.end_at(deadline_us, id, attempt, EndingCode::Broken);
         let region = &mut self.regions[self.workers[worker].region];
         region.begin(entry);
