--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -5,6 +5,7 @@
 //! the rules and their reasons.
 
 mod claimant;
+mod decision;
 mod holder;
 mod key;
 mod layout;
@@ -16,7 +17,8 @@
 mod timing;
 
 pub use crate::{
-    claimant::{Claimant, ClaimantInput, ClaimantOutput, Decision, Unavailable},
+    claimant::Claimant,
+    decision::{ClaimantInput, ClaimantOutput, Decision, Unavailable},
     holder::{Holder, HolderInput, HolderStatus, Outgoing},
     key::{ClaimKey, InvalidKey, KEY_MAX_BYTES},
     layout::{EntrySet, HOLDERS, Layout, Place},
--- a/crates/claim/tests/at_most_once.rs
+++ b/crates/claim/tests/at_most_once.rs
@@ -5,7 +5,7 @@
 
 mod support;
 
-use crate::support::{World, key, set};
+use crate::support::{ENTRIES, World, key, set};
 use claim::{Ending, Limits, Peer};
 use proptest::{
     collection::vec,
@@ -18,7 +18,6 @@
     hash::{BuildHasher, RandomState},
 };
 
-const ENTRIES: usize = 5;
 const KEYS: usize = 2;
 const CASES: u32 = 600;
 const STEPS: usize = 240;
--- a/crates/claim/tests/support/mod.rs
+++ b/crates/claim/tests/support/mod.rs
@@ -2,8 +2,9 @@
 #![allow(dead_code)]
 
 use claim::{
-    ClaimKey, Claimant, ClaimantInput, ClaimantOutput, Decision, Ending, EntrySet, Holder,
-    HolderInput, Limits, Message, Outgoing, Peer, Place, Receiver, SetLog, Timing,
+    ClaimKey, Claimant, ClaimantInput, ClaimantOutput, Decision, Ending, EntrySet, HeldClaim,
+    Holder, HolderInput, Limits, Message, Outgoing, Peer, Place, Receiver, SetLog, Timing,
+    Unavailable,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use types::{DomainName, EntryName, RegionName, ServiceName, TimeUs};
@@ -301,3 +302,40 @@
         assert_eq!(self.violation(), None);
     }
 }
+
+pub const ENTRIES: usize = 5;
+
+/// The key's holders among all entries, and an entry that holds it not.
+pub fn roles(key: &ClaimKey) -> ([usize; 3], usize) {
+    let set = set(0..ENTRIES);
+    let holders: Vec<usize> = set.holders(key).into_iter().map(index_of).collect();
+    let outsider = (0..ENTRIES).find(|index| !holders.contains(index));
+    let holders = holders.try_into().expect("three holders");
+    (holders, outsider.expect("an entry that holds the key not"))
+}
+
+pub fn finished() -> Ending {
+    Ending::Finished {
+        status: 201,
+        answer: Some(b"paid".to_vec()),
+    }
+}
+
+pub fn claimed_by(decision: Option<&Decision>) -> &HeldClaim {
+    match decision {
+        Some(Decision::AlreadyClaimed { claim }) => claim,
+        other => panic!("expected AlreadyClaimed, got {other:?}"),
+    }
+}
+
+/// Requests a key at an entry and delivers everything.
+pub fn settled_request(world: &mut World, index: usize, key: &ClaimKey) -> (Peer, u64) {
+    let attempt = world.request(index, key);
+    world.settle(&[]);
+    attempt
+}
+
+pub fn no_majority(world: &World, attempt: &(Peer, u64)) -> bool {
+    let reason = Unavailable::NoMajority;
+    world.decision(attempt) == Some(&Decision::Unavailable { reason })
+}
