Run a request with an idempotency key at most once across entries

Cause: a caller that resends a payout or order to another entry, after the first one died or answered late, ran it twice.

A non-idempotent request with a key goes to the router only after a majority of the key's holders granted its claim. The log's state keeps which entry sets count; entries get the layout with their polls and feed it to holder and claimant once a replica's answer leads at least as far as what they run. Refusals before the claim of a request with a key are told as unknown, since an earlier sending may have run.

Ruled out: claims for idempotent services, which would add a round trip to browsing for nothing.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -1,5 +1,6 @@
 //! What goes into a control replica and what comes out of it.
 
+use claim::Layout;
 use raft::{Membership, Message, Persist, RaftConfig, ReplicaId, Role, Status};
 use serde::{Deserialize, Serialize};
 use share::{Grant, Want};
@@ -116,6 +117,8 @@
     pub applied_index: u64,
     /// Differs in each run of the entry.
     pub incarnation: u64,
+    /// The epoch of the layout of claims that the entry has, if any.
+    pub layout_epoch: Option<u64>,
     /// What the entry wants of capacities and links.
     pub wants: Vec<Want>,
     /// The revision that the entry can't run, when there is one.
@@ -146,6 +149,8 @@
     pub votes: bool,
     /// What leads from the entry's index to `applied_index`.
     pub changes: Changes,
+    /// The layout of claims, when the entry has another one.
+    pub layout: Option<Layout>,
     /// Shares, from a leader.
     pub grants: Vec<Grant>,
 }
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -8,11 +8,18 @@
     shares::{LEADERSHIP_READ, Shares},
     watches::{Watches, see},
 };
+use claim::Layout;
 use raft::{Entry, Payload, ProposeError, Raft, Restored, Role, Snapshot, Status};
 use share::HolderId;
 use state::{Command, Operation, State};
 use types::{ApiError, TimeUs};
 
+/// Names the leader's own command that lets replaced entry sets end; no request has it.
+const LAYOUT_REQUEST: u64 = u64::MAX;
+
+/// How often the leader looks for replaced entry sets whose time is over.
+const LAYOUT_CHECK_MS: u64 = 10_000;
+
 /// A control replica without input or output.
 ///
 /// What it answers with, it has applied; what it has applied, a majority has synced.
@@ -29,6 +36,7 @@
     pub(crate) snapshot_index: u64,
     leads: bool,
     broken: bool,
+    layout_check_us: TimeUs,
     pub(crate) now_us: TimeUs,
 }
 
@@ -48,6 +56,7 @@
             snapshot_index: 0,
             leads: false,
             broken: false,
+            layout_check_us: now_us,
             now_us,
         }
     }
@@ -109,6 +118,24 @@
             let request = LEADERSHIP_READ;
             self.step_log(raft::Input::Read { request }, outputs);
         }
+        self.renew_layout(outputs);
+    }
+
+    /// As the leader, lets replaced entry sets end whose time is over, also without other changes.
+    fn renew_layout(&mut self, outputs: &mut Vec<Output>) {
+        if !self.leads || !self.layout_check_us.reached(self.now_us) {
+            return;
+        }
+        self.layout_check_us = self.now_us.after_ms(LAYOUT_CHECK_MS);
+        let at_ms = self.clock.at_ms(&self.state, self.now_us);
+        if self.state.layout_is_due(at_ms) {
+            let request_id = format!("layout-{}", self.state.layout().epoch);
+            let nothing = Operation::Apply {
+                declarations: Vec::new(),
+                prune: false,
+            };
+            self.propose(LAYOUT_REQUEST, request_id, nothing, outputs);
+        }
     }
 
     fn take_request(&mut self, request: u64, body: Request, outputs: &mut Vec<Output>) {
@@ -207,11 +234,17 @@
                 voters: u32::try_from(status.membership.voters.len()).unwrap_or(u32::MAX),
                 votes: status.membership.voters.contains(&status.id),
                 changes: self.state.changes_since(body.applied_index),
+                layout: self.layout_since(body.layout_epoch),
                 grants,
             },
         });
     }
 
+    fn layout_since(&self, known_epoch: Option<u64>) -> Option<Layout> {
+        let layout = self.state.layout();
+        (known_epoch != Some(layout.epoch)).then_some(layout)
+    }
+
     /// Hands an event to the log and carries out what comes of it.
     fn step_log(&mut self, input: raft::Input, outputs: &mut Vec<Output>) {
         let mut log_outputs = Vec::new();
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -299,6 +299,7 @@
             entry: entry.parse().expect("a valid name"),
             applied_index,
             incarnation: 1,
+            layout_epoch: Some(0),
             wants: Vec::new(),
             rejected,
         };
--- a/crates/control/tests/cost.rs
+++ b/crates/control/tests/cost.rs
@@ -58,6 +58,7 @@
         votes: answer.votes,
         complete: answer.changes.complete,
         changes: changes.collect(),
+        layout_json: Vec::new(),
         grants: answer.grants.iter().map(grant_to_wire).collect(),
     }))
 }
--- a/crates/daemon/src/control/convert.rs
+++ b/crates/daemon/src/control/convert.rs
@@ -32,6 +32,7 @@
         entry,
         applied_index: poll.applied_index,
         incarnation: poll.incarnation,
+        layout_epoch: poll.layout_epoch,
         wants: poll
             .wants
             .iter()
@@ -61,6 +62,10 @@
         votes: answer.votes,
         complete: answer.changes.complete,
         changes,
+        layout_json: match &answer.layout {
+            Some(layout) => serde_json::to_vec(layout)?,
+            None => Vec::new(),
+        },
         grants: answer.grants.iter().map(grant_to_wire).collect(),
     })
 }
--- a/crates/daemon/src/entry/actor.rs
+++ b/crates/daemon/src/entry/actor.rs
@@ -8,6 +8,7 @@
         metrics::{EntryMetrics, Settlement},
     },
 };
+use claim::ClaimKey;
 use entry::{Arrival, EntryCore, Input, Output};
 use kameo::{
     Actor, Reply,
@@ -43,6 +44,13 @@
     },
     /// Tell the caller.
     Settle(Settled),
+    /// Answer with the kept answer of an earlier request with the same key.
+    Replay {
+        /// The answer's status.
+        status: u16,
+        /// The kept answer.
+        answer: Vec<u8>,
+    },
     /// Drop the attempt under way.
     Cancel,
 }
@@ -122,6 +130,8 @@
     pub service: ServiceName,
     /// How long the caller waits.
     pub patience_ms: Option<u64>,
+    /// Its idempotency key, if any.
+    pub key: Option<ClaimKey>,
 }
 
 /// The upstream's answer has begun.
@@ -132,12 +142,14 @@
 }
 
 /// An attempt ended.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Ended {
     /// The request.
     pub request: RequestId,
     /// How.
     pub ending: Ending,
+    /// The whole answer, where it is to be kept for resends.
+    pub answer: Option<Vec<u8>>,
 }
 
 /// The answer to an announcement.
@@ -190,12 +202,12 @@
                     replica,
                     serial,
                     applied_index,
+                    layout_epoch,
                     wants,
                 } => {
                     let links = &self.args.links;
-                    let incarnation = links.identity.incarnation;
-                    let poll = convert::poll(&links.own_name, incarnation, applied_index, &wants);
-                    self.args.links.send_replica(
+                    let poll = convert::poll(links, applied_index, layout_epoch, &wants);
+                    links.send_replica(
                         &replica,
                         Frame {
                             serial,
@@ -216,6 +228,19 @@
                         warn!(self.args.log, "dialing entries failed"; "error" => %error);
                     }
                 }
+                Output::Claim { to, message } => {
+                    let body = Some(wire::claim_to_wire(message));
+                    self.args.links.send_peer(&to, Frame { serial: 0, body });
+                }
+                Output::Replay {
+                    request,
+                    status,
+                    answer,
+                } => {
+                    self.args.metrics.replays.inc();
+                    self.tell(request, Directive::Replay { status, answer });
+                    self.requests.remove(&request);
+                }
                 Output::Route(output) => self.direct(output),
                 Output::LeaseChanged { held } => {
                     info!(self.args.log, "configuration lease changed"; "held" => held);
@@ -265,8 +290,8 @@
         }
     }
 
-    fn receive(&mut self, node: &str, frame: Frame, replies: &Replies) {
-        let serial = frame.serial;
+    fn receive(&mut self, peer: &link::Peer, frame: Frame, replies: &Replies) {
+        let (serial, node) = (frame.serial, peer.node.as_str());
         match frame.body {
             Some(Body::Sync(sync)) => {
                 let now_us = self.now_us();
@@ -277,12 +302,26 @@
             }
             Some(Body::SyncAnswer(answer)) => self.sync_answered(node, serial, answer),
             Some(Body::PollAnswer(answer)) => self.poll_answered(node, serial, answer),
-            _ => {
+            Some(body) => self.receive_claim(peer, body),
+            None => {
                 self.args.metrics.malformed_frames.inc();
             }
         }
     }
 
+    fn receive_claim(&mut self, peer: &link::Peer, body: Body) {
+        let message = wire::claim_from_wire(body).ok().flatten();
+        let (Some(message), Ok(entry)) = (message, EntryName::new(&peer.node)) else {
+            self.args.metrics.malformed_frames.inc();
+            return;
+        };
+        let from = claim::Peer {
+            entry,
+            incarnation: peer.incarnation,
+        };
+        self.step(Input::Claim { from, message });
+    }
+
     fn sync_answered(&mut self, node: &str, serial: u64, answer: wire::peer::SyncAnswer) {
         let stopping = answer.stopping;
         let (Ok(peer), Ok(answer)) = (EntryName::new(node), wire::sync_from_wire(answer)) else {
@@ -336,6 +375,7 @@
         Arrive {
             service,
             patience_ms,
+            key,
         }: Arrive,
         _: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
@@ -347,6 +387,7 @@
             request,
             service: &service,
             patience_ms,
+            key: key.as_ref(),
         }));
         Admission {
             request,
@@ -372,14 +413,22 @@
 
     async fn handle(
         &mut self,
-        Ended { request, ending }: Ended,
+        Ended {
+            request,
+            ending,
+            answer,
+        }: Ended,
         _: &mut Context<Self, Self::Reply>,
     ) {
         if let Some(settlement) = Settlement::ended(ending) {
             self.args.metrics.count(settlement);
             self.requests.remove(&request);
         }
-        self.step(Input::Ended { request, ending });
+        self.step(Input::Ended {
+            request,
+            ending,
+            answer,
+        });
     }
 }
 
@@ -448,7 +497,7 @@
                 frame,
                 replies,
                 ..
-            } => self.receive(&peer.node, frame, &replies),
+            } => self.receive(&peer, frame, &replies),
             Event::Down { peer, .. } => {
                 if let Ok(peer) = EntryName::new(&peer.node) {
                     self.step(Input::PeerDown { peer: &peer });
--- a/crates/daemon/src/entry/convert.rs
+++ b/crates/daemon/src/entry/convert.rs
@@ -1,9 +1,10 @@
 //! Conversion between an entry's core and the wire.
 
+use crate::entry::links::Links;
 use entry::{ConfigChange, ReplicaAnswer};
 use share::Want;
 use thiserror::Error;
-use types::{EntryName, InvalidName, Key, ResourceName};
+use types::{InvalidName, Key, ResourceName};
 use wire::{
     WireError, grant_from_wire,
     peer::{Change, Poll, PollAnswer, frame::Body},
@@ -28,11 +29,12 @@
 }
 
 /// A poll for changes after `applied_index`.
-pub fn poll(entry: &EntryName, incarnation: u64, applied_index: u64, wants: &[Want]) -> Body {
+pub fn poll(links: &Links, applied_index: u64, layout_epoch: Option<u64>, wants: &[Want]) -> Body {
     Body::Poll(Poll {
-        entry: entry.to_string(),
+        entry: links.own_name.to_string(),
         applied_index,
-        incarnation,
+        incarnation: links.identity.incarnation,
+        layout_epoch,
         wants: wants.iter().map(want_to_wire).collect(),
         ..Poll::default()
     })
@@ -52,6 +54,10 @@
             .iter()
             .map(change)
             .collect::<Result<_, _>>()?,
+        layout: match answer.layout_json.as_slice() {
+            [] => None,
+            json => Some(serde_json::from_slice(json)?),
+        },
         grants: answer
             .grants
             .iter()
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -54,6 +54,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// Whether the answer is kept for resends.
+    pub keeps_answer: bool,
 }
 
 /// How an attempt went on.
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -8,12 +8,14 @@
             Ready,
         },
         forward::{Attempt, Call, Target, attempt, strip_connection_headers},
+        kept::KeptAnswer,
         metrics::EntryMetrics,
         pool::{Connection, Pool},
         relay::{Relay, RelayedBody, RequestGuard},
     },
     http::{Body, error, json, read_body, text},
 };
+use claim::ClaimKey;
 use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri,
@@ -26,7 +28,7 @@
 use serde_json::json;
 use std::{sync::Arc, time::Instant};
 use tokio::sync::mpsc::UnboundedReceiver;
-use types::{ApiError, Outcome, ServiceName, UpstreamName};
+use types::{ApiError, Outcome, Refusal, ServiceName, UpstreamName};
 
 /// The largest body of a caller's request.
 const REQUEST_MAX_BYTES: usize = 1024 * 1024;
@@ -38,6 +40,8 @@
 const REFUSAL: HeaderName = HeaderName::from_static("ow-refusal");
 const UPSTREAM: HeaderName = HeaderName::from_static("ow-upstream");
 const ATTEMPTS: HeaderName = HeaderName::from_static("ow-attempts");
+const REPLAYED: HeaderName = HeaderName::from_static("ow-replayed");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const DEADLINE_MS: HeaderName = HeaderName::from_static("ow-deadline-ms");
 
 /// What the handlers of an entry's interface need.
@@ -148,12 +152,15 @@
     ) -> Result<Response<Body>, ApiError> {
         let service = service_name(service)?;
         let patience_ms = patience_ms(request.headers())?;
+        let key = claim_key(&service, request.headers())?;
         let started = Instant::now();
         let (head, body) = request.into_parts();
         let body = read_body(body, REQUEST_MAX_BYTES).await?;
+        let keeps_answer = key.is_some();
         let arrive = Arrive {
             service,
             patience_ms,
+            key,
         };
         let admission = self
             .actor
@@ -172,6 +179,7 @@
             uri: upstream_uri(rest, head.uri.query())?,
             headers,
             body,
+            keeps_answer,
         };
         let guard = RequestGuard::new(self.actor.clone(), request);
         let response = self.carry_out(call, guard, directives).await;
@@ -208,6 +216,10 @@
                     guard.settled();
                     return refusal(settled, attempts);
                 }
+                Directive::Replay { status, answer } => {
+                    guard.settled();
+                    return replay(status, &answer);
+                }
                 Directive::Cancel => continue,
             };
             attempts = target.attempt;
@@ -221,7 +233,9 @@
                     response,
                     connection,
                 } => {
+                    let keeps_answer = call.keeps_answer;
                     let answer = Answer {
+                        keeps_answer,
                         response,
                         connection,
                         upstream,
@@ -233,6 +247,7 @@
                     let ended = Ended {
                         request: guard.request(),
                         ending,
+                        answer: None,
                     };
                     let _ = self.actor.tell(ended).await;
                 }
@@ -250,6 +265,7 @@
 
     async fn answer(&self, answer: Answer, guard: RequestGuard) -> Response<Body> {
         let Answer {
+            keeps_answer,
             response,
             connection,
             upstream,
@@ -269,6 +285,7 @@
             address: target.address,
             connection,
             deadline: self.clock.instant(target.deadline_us),
+            kept: keeps_answer.then(|| KeptAnswer::of(&head.headers)),
         };
         strip_connection_headers(&mut head.headers);
         mark(&mut head.headers, Outcome::Finished, target.attempt);
@@ -282,6 +299,7 @@
 /// An upstream's answer under way.
 #[derive(Debug)]
 struct Answer {
+    keeps_answer: bool,
     response: Response<Incoming>,
     connection: Connection,
     upstream: UpstreamName,
@@ -299,6 +317,23 @@
     }
 }
 
+/// The kept answer of an earlier request with the same key.
+fn replay(status: u16, answer: &[u8]) -> Response<Body> {
+    let Some(mut response) = KeptAnswer::decode(answer).map(KeptAnswer::into_response) else {
+        let settled = Settled {
+            outcome: Outcome::Finished,
+            refusal: Some(Refusal::Duplicate),
+        };
+        return refusal(settled, 0);
+    };
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    mark(response.headers_mut(), Outcome::Finished, 0);
+    response
+        .headers_mut()
+        .insert(REPLAYED, HeaderValue::from_static("true"));
+    response
+}
+
 fn refusal(settled: Settled, attempts: u32) -> Response<Body> {
     let Settled { outcome, refusal } = settled;
     let mut response = error(&ApiError::RequestRefused { outcome, refusal });
@@ -320,6 +355,20 @@
     ServiceName::new(service).map_err(|invalid| ApiError::InvalidName { name: invalid.name })
 }
 
+fn claim_key(service: &ServiceName, headers: &HeaderMap) -> Result<Option<ClaimKey>, ApiError> {
+    let Some(value) = headers.get(IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    let key = value
+        .to_str()
+        .ok()
+        .and_then(|key| ClaimKey::new(service, key).ok());
+    let malformed = || ApiError::MalformedHeader {
+        name: IDEMPOTENCY_KEY.as_str().to_owned(),
+    };
+    key.map(Some).ok_or_else(malformed)
+}
+
 fn patience_ms(headers: &HeaderMap) -> Result<Option<u64>, ApiError> {
     let Some(value) = headers.get(DEADLINE_MS) else {
         return Ok(None);
--- a/crates/daemon/src/entry/metrics.rs
+++ b/crates/daemon/src/entry/metrics.rs
@@ -69,6 +69,8 @@
     pub announcements: Counter,
     /// Announcements that an already known one outdates.
     pub outdated_announcements: Counter,
+    /// Requests answered with the kept answer of an earlier one with the same key.
+    pub replays: Counter,
     /// Frames that break their rules.
     pub malformed_frames: Counter,
     /// Whether the configuration lease is held.
@@ -87,6 +89,7 @@
             lookups: Counter::default(),
             announcements: Counter::default(),
             outdated_announcements: Counter::default(),
+            replays: Counter::default(),
             malformed_frames: Counter::default(),
             lease_held: Gauge::default(),
             applied_index: Gauge::default(),
@@ -119,6 +122,11 @@
             "Announcements already outdated",
             outdated,
         );
+        registry.register(
+            "replays",
+            "Requests answered with a kept answer",
+            self.replays.clone(),
+        );
         let malformed = self.malformed_frames.clone();
         registry.register(
             "malformed_frames",
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod convert;
 mod forward;
 mod http;
+mod kept;
 mod links;
 mod metrics;
 mod pool;
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -2,6 +2,7 @@
 
 use crate::entry::{
     actor::{Ended, EntryActor},
+    kept::KeptAnswer,
     pool::{Connection, Pool, Put},
 };
 use bytes::Bytes;
@@ -45,23 +46,22 @@
         self.open = false;
     }
 
-    fn end(&mut self, ending: Ending) {
+    fn end(&mut self, ending: Ending, answer: Option<Vec<u8>>) {
         if self.open {
             self.open = false;
-            let _ = self
-                .actor
-                .tell(Ended {
-                    request: self.request,
-                    ending,
-                })
-                .try_send();
+            let ended = Ended {
+                request: self.request,
+                ending,
+                answer,
+            };
+            let _ = self.actor.tell(ended).try_send();
         }
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.end(Ending::Cancelled);
+        self.end(Ending::Cancelled, None);
     }
 }
 
@@ -77,6 +77,7 @@
     address: SocketAddr,
     connection: Option<Connection>,
     deadline: Pin<Box<Sleep>>,
+    kept: Option<KeptAnswer>,
 }
 
 /// What a relayed body needs besides the bytes.
@@ -94,6 +95,8 @@
     pub connection: Connection,
     /// When the body must have come.
     pub deadline: Instant,
+    /// Collects the answer where it is kept for resends.
+    pub kept: Option<KeptAnswer>,
 }
 
 impl RelayedBody {
@@ -106,6 +109,7 @@
             address,
             connection,
             deadline,
+            kept,
         } = relay;
         let deadline = Box::pin(sleep_until(deadline));
         let connection = Some(connection);
@@ -117,13 +121,18 @@
             address,
             connection,
             deadline,
+            kept,
         }
     }
 
     fn finish(&mut self) {
-        self.guard.end(Ending::Finished {
-            status: self.status,
-        });
+        let answer = self.kept.take().and_then(|kept| kept.encode());
+        self.guard.end(
+            Ending::Finished {
+                status: self.status,
+            },
+            answer,
+        );
         if let Some(connection) = self.connection.take() {
             let put = Put {
                 address: self.address,
@@ -134,7 +143,7 @@
     }
 
     fn cut_short(&mut self, error: io::Error) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        self.guard.end(Ending::CutShort);
+        self.guard.end(Ending::CutShort, None);
         self.connection = None;
         Poll::Ready(Some(Err(error)))
     }
@@ -149,7 +158,12 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
         match Pin::new(&mut self.incoming).poll_frame(cx) {
-            Poll::Ready(Some(Ok(frame))) => return Poll::Ready(Some(Ok(frame))),
+            Poll::Ready(Some(Ok(frame))) => {
+                if let (Some(kept), Some(data)) = (&mut self.kept, frame.data_ref()) {
+                    kept.add(data);
+                }
+                return Poll::Ready(Some(Ok(frame)));
+            }
             Poll::Ready(Some(Err(error))) => return self.cut_short(io::Error::other(error)),
             Poll::Ready(None) => {
                 self.finish();
--- a/crates/daemon/src/entry/start.rs
+++ b/crates/daemon/src/entry/start.rs
@@ -135,7 +135,7 @@
             .map(|replica| replica.name.clone())
             .collect(),
         lookup_lifetime_ms: own.lookup_lifetime_ms,
-        seed,
+        incarnation: seed,
     };
     EntryCore::new(config, router, clock.now_us())
 }
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -1,5 +1,6 @@
 //! What goes into an entry's core and what comes out of it.
 
+use claim::{ClaimKey, Layout, Message, Peer};
 use member::PeerAnswer;
 use route::{Ending, RequestId};
 use share::{Grant, Want};
@@ -19,8 +20,8 @@
     pub replicas: Vec<ReplicaName>,
     /// How long callers may use a look-up answer.
     pub lookup_lifetime_ms: u64,
-    /// The seed of its random choices.
-    pub seed: u64,
+    /// Differs in each run; greater than that of every earlier run.
+    pub incarnation: u64,
 }
 
 /// A request that a caller sent.
@@ -32,6 +33,8 @@
     pub service: &'a ServiceName,
     /// How long the caller waits; the service's default when it names none.
     pub patience_ms: Option<u64>,
+    /// Its idempotency key, if any.
+    pub key: Option<&'a ClaimKey>,
 }
 
 /// A control replica's answer to a poll.
@@ -51,6 +54,8 @@
     pub complete: bool,
     /// The changes.
     pub changes: Vec<ConfigChange>,
+    /// The entries that hold claims, when they changed since the poll.
+    pub layout: Option<Layout>,
     /// Shares, from the leader.
     pub grants: Vec<Grant>,
 }
@@ -109,6 +114,15 @@
         request: RequestId,
         /// How.
         ending: Ending,
+        /// The whole answer, where it is to be kept for resends.
+        answer: Option<Vec<u8>>,
+    },
+    /// Another entry sent a message about claims.
+    Claim {
+        /// The entry's run.
+        from: Peer,
+        /// The message.
+        message: Message,
     },
     /// Stop without cutting anything off.
     Stop,
@@ -134,6 +148,8 @@
         serial: u64,
         /// What this entry runs.
         applied_index: u64,
+        /// The epoch of the layout that it has, if any.
+        layout_epoch: Option<u64>,
         /// What it wants of capacities and links.
         wants: Vec<Want>,
     },
@@ -148,6 +164,22 @@
     },
     /// The other declared entries are now these.
     Peers(Vec<PeerAddress>),
+    /// Send another entry a message about claims.
+    Claim {
+        /// The entry.
+        to: EntryName,
+        /// The message.
+        message: Message,
+    },
+    /// Answer a request with the answer that an earlier one with its key got.
+    Replay {
+        /// The request.
+        request: RequestId,
+        /// The answer's status.
+        status: u16,
+        /// The answer, as the shell encoded it.
+        answer: Vec<u8>,
+    },
     /// Carry out a decision of the router.
     Route(route::Output),
     /// The configuration lease was gained or lost.
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -2,19 +2,21 @@
 
 use crate::{
     api::{Arrival, EntryConfig, Input, Output, PeerAddress, ReplicaAnswer},
+    claims::{Claimed, Claims},
     config::{Applied, Config},
     lease::Lease,
     lookup::LookupView,
     peers::{Outstanding, Peers},
     shares::Shares,
 };
+use claim::{Ending as ClaimEnding, HolderStatus, Limits, Message, Peer, Timing};
 use member::{Announced, Event, MemberRow, Members, PeerAnswer};
 use route::{Ending, RequestId, Router, RouterConfig, Settled};
 use serde::Serialize;
 use std::collections::BTreeMap;
 use types::{
-    Announcement, EntryName, LookupAnswer, Outcome, Refusal, ReplicaName, Resource, ServiceName,
-    TimeUs, UpstreamName, poll_interval_ms,
+    Announcement, CONFIG_LEASE_MS, EntryName, LookupAnswer, Outcome, Refusal, ReplicaName,
+    Resource, ServiceName, ServiceSpec, TimeUs, UpstreamName, poll_interval_ms,
 };
 
 /// The period of questions to each other entry.
@@ -35,6 +37,13 @@
     Closing,
 }
 
+/// A request that waits for the claim on its key.
+#[derive(Debug)]
+struct Unclaimed {
+    service: ServiceName,
+    deadline_us: TimeUs,
+}
+
 /// The decisions of an entry.
 #[derive(Debug)]
 pub struct EntryCore {
@@ -47,6 +56,8 @@
     peers: Peers,
     polls: BTreeMap<ReplicaName, Outstanding>,
     shares: Shares,
+    claims: Claims,
+    unclaimed: BTreeMap<RequestId, Unclaimed>,
     phase: Phase,
     next_serial: u64,
     next_poll_us: TimeUs,
@@ -64,6 +75,8 @@
     lease_left_ms: u64,
     stopping: bool,
     in_flight: usize,
+    claims: HolderStatus,
+    waiting_for_claims: usize,
     upstreams: Vec<MemberRow<'a>>,
     resources: Vec<&'a Resource>,
 }
@@ -79,6 +92,8 @@
         Self {
             polls: polls.collect(),
             shares: Shares::new(own.region.clone(), now_us),
+            claims: Claims::new(own_peer(&own), now_us, timing(), Limits::default()),
+            unclaimed: BTreeMap::new(),
             own,
             config: Config::default(),
             lease: Lease::new(),
@@ -119,10 +134,18 @@
             Input::Answering { request } => {
                 self.route(now_us, route::Input::Answering { request });
             }
-            Input::Ended { request, ending } => self.ended(now_us, request, ending),
+            Input::Ended {
+                request,
+                ending,
+                answer,
+            } => {
+                self.ended(now_us, request, ending, answer);
+            }
+            Input::Claim { from, message } => self.claims.receive(now_us, from, message),
             Input::Stop => self.stop(now_us),
         }
-        self.drain_routed(outputs);
+        self.drain_routed(now_us, outputs);
+        self.drain_claims(now_us, outputs);
         self.note_lease(now_us, outputs);
     }
 
@@ -138,7 +161,7 @@
             .members
             .announce(now_us, name, announcement, &mut self.events);
         self.follow_members(now_us);
-        self.drain_routed(outputs);
+        self.drain_routed(now_us, outputs);
         announced
     }
 
@@ -189,6 +212,8 @@
             lease_left_ms: self.lease.until_us().since_us(now_us) / 1_000,
             stopping: self.is_stopping(),
             in_flight: self.shares.live_requests(),
+            claims: self.claims.status(),
+            waiting_for_claims: self.claims.waiting(),
             upstreams: self.members.rows(now_us).collect(),
             resources: self.config.resources().collect(),
         }
@@ -204,6 +229,7 @@
         if self.next_sync_us.reached(now_us) {
             self.sync(now_us, outputs);
         }
+        self.claims.tick(now_us);
         self.tick_phase(now_us, outputs);
     }
 
@@ -230,10 +256,12 @@
                 true => self.shares.wants(now_us, &self.config, &self.router),
                 false => Vec::new(),
             };
+            let layout_epoch = self.claims.layout_epoch();
             outputs.push(Output::Poll {
                 replica: replica.clone(),
                 serial,
                 applied_index,
+                layout_epoch,
                 wants,
             });
         }
@@ -269,11 +297,19 @@
         };
         self.lease.record(replica, asked_us, &answer);
         let grants = std::mem::take(&mut answer.grants);
+        let layout = answer
+            .layout
+            .take()
+            .filter(|_| answer.applied_index >= self.config.applied_index());
         let applied = self.config.apply(answer);
         if applied.moved {
             self.follow_config(now_us, &applied, outputs);
         }
+        if let Some(layout) = layout {
+            self.claims.adopt(now_us, layout);
+        }
         self.lease.renew(self.config.applied_index());
+        self.claims.lease(now_us, self.lease.until_us());
         let (router, routed) = (&mut self.router, &mut self.routed);
         self.shares
             .take(now_us, asked_us, replica, &grants, |input| {
@@ -337,47 +373,156 @@
             request,
             service,
             patience_ms,
+            key,
         } = arrival;
-        let spec = self.config.service(service);
-        let refusal = match (self.phase, spec) {
-            (Phase::Closing, _) => Some(Refusal::Stopping),
-            _ if !self.lease.is_held(now_us) => Some(Refusal::ConfigurationLease),
-            (_, None) => Some(Refusal::UnknownService),
-            (_, Some(_)) => None,
-        };
-        let (None, Some(spec)) = (refusal, spec) else {
-            let settled = Settled {
-                outcome: Outcome::DidNotRun,
-                refusal,
-            };
-            outputs.push(Output::Route(route::Output::Settle { request, settled }));
-            return;
+        let spec = match self.admit(now_us, service) {
+            Ok(spec) => spec,
+            Err(refusal) => {
+                // An earlier sending of a request with a key may have run.
+                let outcome = key.map_or(Outcome::DidNotRun, |_| Outcome::Unknown);
+                settle(request, outcome, refusal, outputs);
+                return;
+            }
         };
         let patience_ms = patience_ms
             .unwrap_or(spec.deadline_ms)
             .min(spec.deadline_ms);
         let deadline_us = now_us.after_ms(patience_ms);
-        let idempotent = spec.idempotent;
+        let claims_key = key.filter(|_| !spec.idempotent);
         self.shares.arrive(request, &self.config, service);
-        let input = route::Input::Arrive {
-            request,
-            service,
-            deadline_us,
-            idempotent,
-        };
-        self.route(now_us, input);
+        match claims_key {
+            Some(key) => {
+                let unclaimed = Unclaimed {
+                    service: service.clone(),
+                    deadline_us,
+                };
+                self.unclaimed.insert(request, unclaimed);
+                self.claims
+                    .request(now_us, request, key.clone(), deadline_us);
+            }
+            None => self.run(now_us, request, service, deadline_us),
+        }
     }
 
-    fn ended(&mut self, now_us: TimeUs, request: RequestId, ending: Ending) {
-        match ending {
-            Ending::Finished { .. } | Ending::CutShort | Ending::Cancelled => {
+    /// The service, if a request of it may be taken now.
+    fn admit(&self, now_us: TimeUs, service: &ServiceName) -> Result<&ServiceSpec, Refusal> {
+        if self.phase == Phase::Closing {
+            return Err(Refusal::Stopping);
+        }
+        if !self.lease.is_held(now_us) {
+            return Err(Refusal::ConfigurationLease);
+        }
+        self.config.service(service).ok_or(Refusal::UnknownService)
+    }
+
+    /// Hands a request to the router.
+    fn run(
+        &mut self,
+        now_us: TimeUs,
+        request: RequestId,
+        service: &ServiceName,
+        deadline_us: TimeUs,
+    ) {
+        let idempotent = self
+            .config
+            .service(service)
+            .is_some_and(|spec| spec.idempotent);
+        self.route(
+            now_us,
+            route::Input::Arrive {
+                request,
+                service,
+                deadline_us,
+                idempotent,
+            },
+        );
+    }
+
+    fn ended(
+        &mut self,
+        now_us: TimeUs,
+        request: RequestId,
+        ending: Ending,
+        answer: Option<Vec<u8>>,
+    ) {
+        let claim_ending = match ending {
+            Ending::Finished { status } => Some(ClaimEnding::Finished { status, answer }),
+            Ending::CutShort => Some(ClaimEnding::Unknown),
+            Ending::Cancelled if self.shares.is_sent(request) => Some(ClaimEnding::Unknown),
+            Ending::Cancelled => Some(ClaimEnding::DidNotRun),
+            Ending::NotSent | Ending::Refused | Ending::Broken => None,
+        };
+        let was_unclaimed = self.unclaimed.remove(&request).is_some();
+        match claim_ending {
+            Some(claim_ending) => {
                 self.shares.settle(request);
+                self.claims.ended(now_us, request, claim_ending);
+            }
+            None => self.shares.attempt_ended(request),
+        }
+        if !was_unclaimed {
+            self.route(now_us, route::Input::Ended { request, ending });
+        }
+    }
+
+    /// Carries out what the claims decided and sends their messages.
+    fn drain_claims(&mut self, now_us: TimeUs, outputs: &mut Vec<Output>) {
+        let (mut send, mut decided) = (Vec::new(), Vec::new());
+        self.claims.drain(now_us, &mut send, &mut decided);
+        let messages = send.into_iter();
+        outputs.extend(
+            messages.map(|(to, message): (EntryName, Message)| Output::Claim { to, message }),
+        );
+        for claimed in decided {
+            self.claimed(now_us, claimed, outputs);
+        }
+        self.drain_routed(now_us, outputs);
+    }
+
+    fn claimed(&mut self, now_us: TimeUs, claimed: Claimed, outputs: &mut Vec<Output>) {
+        match claimed {
+            Claimed::Run { request, before_us } => {
+                if let Some(unclaimed) = self.unclaimed.remove(&request) {
+                    let deadline_us = unclaimed.deadline_us.min(before_us);
+                    self.run(now_us, request, &unclaimed.service, deadline_us);
+                }
             }
-            Ending::NotSent | Ending::Refused | Ending::Broken => {
-                self.shares.attempt_ended(request);
+            Claimed::Replay {
+                request,
+                status,
+                answer,
+            } => {
+                self.give_up(request);
+                outputs.push(Output::Replay {
+                    request,
+                    status,
+                    answer,
+                });
+            }
+            Claimed::Duplicate { request, finished } => {
+                self.give_up(request);
+                let outcome = if finished {
+                    Outcome::Finished
+                } else {
+                    Outcome::Unknown
+                };
+                settle(request, outcome, Refusal::Duplicate, outputs);
+            }
+            Claimed::Unavailable { request } => {
+                self.give_up(request);
+                settle(
+                    request,
+                    Outcome::Unknown,
+                    Refusal::ClaimUnavailable,
+                    outputs,
+                );
             }
         }
-        self.route(now_us, route::Input::Ended { request, ending });
+    }
+
+    fn give_up(&mut self, request: RequestId) {
+        self.unclaimed.remove(&request);
+        self.shares.settle(request);
     }
 
     fn stop(&mut self, now_us: TimeUs) {
@@ -405,10 +550,17 @@
         self.router.step(now_us, input, &mut self.routed);
     }
 
-    fn drain_routed(&mut self, outputs: &mut Vec<Output>) {
+    fn drain_routed(&mut self, now_us: TimeUs, outputs: &mut Vec<Output>) {
         for output in self.routed.drain(..) {
             match &output {
-                route::Output::Settle { request, .. } => self.shares.settle(*request),
+                route::Output::Settle { request, settled } => {
+                    self.shares.settle(*request);
+                    let ending = match settled.outcome {
+                        Outcome::DidNotRun => ClaimEnding::DidNotRun,
+                        Outcome::Finished | Outcome::Unknown => ClaimEnding::Unknown,
+                    };
+                    self.claims.ended(now_us, *request, ending);
+                }
                 route::Output::Forward {
                     request, region, ..
                 } => {
@@ -428,3 +580,26 @@
         }
     }
 }
+
+fn own_peer(own: &EntryConfig) -> Peer {
+    Peer {
+        entry: own.name.clone(),
+        incarnation: own.incarnation,
+    }
+}
+
+/// The times of claims, the same at every entry.
+fn timing() -> Timing {
+    Timing {
+        lease_us: CONFIG_LEASE_MS * 1_000,
+        ..Timing::default()
+    }
+}
+
+fn settle(request: RequestId, outcome: Outcome, refusal: Refusal, outputs: &mut Vec<Output>) {
+    let settled = Settled {
+        outcome,
+        refusal: Some(refusal),
+    };
+    outputs.push(Output::Route(route::Output::Settle { request, settled }));
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! carries out each [`Output`]; questions that change nothing are plain methods.
 
 mod api;
+mod claims;
 mod config;
 mod core;
 mod lease;
--- a/crates/entry/src/shares.rs
+++ b/crates/entry/src/shares.rs
@@ -80,6 +80,13 @@
         }
     }
 
+    /// Whether an attempt of the request is under way.
+    pub fn is_sent(&self, request: RequestId) -> bool {
+        self.live
+            .get(&request)
+            .is_some_and(|live| live.region.is_some())
+    }
+
     /// An attempt ended; the request may be tried again.
     pub fn attempt_ended(&mut self, request: RequestId) {
         let region = self
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -7,6 +7,7 @@
 mod digest;
 mod history;
 mod key_text;
+mod layout;
 mod machine;
 mod plan;
 mod rejection;
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -9,6 +9,7 @@
     rejection::Rejection,
     retained::RetainedAnswers,
 };
+use claim::SetLog;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use types::{Key, Kind, Resource};
@@ -76,6 +77,7 @@
     pub(crate) clock_ms: u64,
     pub(crate) history: History,
     pub(crate) answers: RetainedAnswers,
+    pub(crate) sets: SetLog,
 }
 
 impl State {
@@ -152,6 +154,7 @@
         if let Ok(plan) = &plan {
             self.carry_out(index, &command.operation, plan);
         }
+        self.follow_entries();
         let answer = match &plan {
             Ok(plan) => Ok(self.answer(&command.operation, plan)),
             Err(rejection) => Err(rejection.clone()),
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -1,6 +1,7 @@
 //! The state's contents as the log's snapshots carry them.
 
 use crate::{history::History, machine::State, retained::RetainedAnswers};
+use claim::SetLog;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use types::Resource;
@@ -35,6 +36,7 @@
     resources: Vec<&'a Resource>,
     history: &'a History,
     answers: &'a RetainedAnswers,
+    sets: &'a SetLog,
 }
 
 #[derive(Deserialize)]
@@ -47,6 +49,7 @@
     resources: Vec<Resource>,
     history: History,
     answers: RetainedAnswers,
+    sets: SetLog,
 }
 
 impl State {
@@ -64,6 +67,7 @@
             resources: self.resources.values().collect(),
             history: &self.history,
             answers: &self.answers,
+            sets: &self.sets,
         })
         .map_err(SnapshotError::Encode)
     }
@@ -91,6 +95,7 @@
             clock_ms: decoded.clock_ms,
             history: decoded.history,
             answers: decoded.answers,
+            sets: decoded.sets,
         })
     }
 }
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -150,14 +150,14 @@
             | Self::ResourcesTooLarge { .. }
             | Self::RequestIdReused { .. } => 422,
             Self::NotLeader { .. } | Self::Unavailable | Self::TooBusy => 503,
-            Self::RequestRefused {
-                outcome: Outcome::Unknown,
-                ..
-            } => 504,
             Self::RequestRefused {
                 refusal: Some(Refusal::Duplicate),
                 ..
             } => 409,
+            Self::RequestRefused {
+                outcome: Outcome::Unknown,
+                ..
+            } => 504,
             Self::RequestRefused { .. } => 503,
         }
     }
