Let admit end only once the replica votes

Cause: admit ended when the replica was a learner. Admit now waits until the leader has committed a membership in which the replica votes and the replaced one doesn't.

Ruled out: a fault of the election; the membership of two without its second voter can have no majority.

--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -80,6 +80,12 @@
         /// The name.
         name: String,
     },
+    /// The admitted replica has not caught up in time.
+    #[error("{name} is admitted, but has not caught up in time and does not vote yet")]
+    NotVoting {
+        /// The name.
+        name: String,
+    },
     /// An answer is no JSON of the expected shape.
     #[error("the answer is not readable")]
     Answer(#[from] serde_json::Error),
@@ -100,9 +106,11 @@
             Self::Unsettled { error, .. } => error.exit_code(),
             Self::Unreachable(_) => ExitCode::Unreachable,
             Self::NotInForce { .. } => ExitCode::NotInForce,
-            Self::Dump { .. } | Self::NoLearner { .. } | Self::Answer(_) | Self::Output(_) => {
-                ExitCode::Failed
-            }
+            Self::Dump { .. }
+            | Self::NoLearner { .. }
+            | Self::NotVoting { .. }
+            | Self::Answer(_)
+            | Self::Output(_) => ExitCode::Failed,
         }
     }
 }
--- a/crates/ctl/src/help.rs
+++ b/crates/ctl/src/help.rs
@@ -14,7 +14,7 @@
   drain TYPE NAME                         empty an upstream, entry, failure_domain or region
   undrain TYPE NAME                       end a drain
   replicas                                show each control replica's view of the replicas
-  admit NAME                              admit a replica that came back without its disk
+  admit NAME                              admit a replica that lost its disk; wait until it votes
   dump ADDRESS                            print the state of the process at ADDRESS
 
 options:
--- a/crates/ctl/src/replicas.rs
+++ b/crates/ctl/src/replicas.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use control::Replicas;
 use hyper::Method;
-use raft::ReplicaId;
+use raft::{ReplicaId, Role};
 use serde::Serialize;
 use std::{io::Write, time::Duration};
 use tokio::time::{Instant, sleep};
@@ -29,6 +29,26 @@
     replicas: Option<Replicas>,
 }
 
+impl View {
+    /// The view of a leader under which the admitted replica votes for good.
+    fn where_votes(&self, admitted: &AdmitBody) -> Option<&Replicas> {
+        let id = ReplicaId {
+            name: admitted.name.to_string(),
+            incarnation: admitted.incarnation,
+        };
+        self.replicas.as_ref().filter(|view| {
+            let voters = &view.membership.voters;
+            view.role == Role::Leader
+                && view.applied_index >= view.membership_index
+                && voters.contains(&id)
+                && admitted
+                    .replaces
+                    .as_ref()
+                    .is_none_or(|old| !voters.contains(old))
+        })
+    }
+}
+
 async fn ask(caller: &Caller, server: &str) -> Result<ClientAnswer, ClientError> {
     caller
         .client()
@@ -100,7 +120,7 @@
     ids.map(ReplicaId::to_string).collect::<Vec<_>>().join(",")
 }
 
-/// Admits the replica with this name that is not a member yet, once it answers.
+/// Admits the replica with this name that does not vote yet, and waits until it does.
 pub(crate) async fn admit(
     caller: &mut Caller,
     name: &str,
@@ -119,17 +139,30 @@
             None => sleep(ASK_PERIOD).await,
         }
     };
-    let body = serde_json::to_vec(&body)?.into();
-    let admitted: Replicas = caller.call(Method::POST, "/v1/replicas", body).await?;
+    let json_body = serde_json::to_vec(&body)?.into();
+    caller
+        .call::<Replicas>(Method::POST, "/v1/replicas", json_body)
+        .await?;
+    let admitted = loop {
+        let views = views(caller).await?;
+        match views.iter().find_map(|view| view.where_votes(&body)) {
+            Some(view) => break view.clone(),
+            None if Instant::now() + ASK_PERIOD >= deadline => {
+                return Err(CtlError::NotVoting {
+                    name: name.to_owned(),
+                });
+            }
+            None => sleep(ASK_PERIOD).await,
+        }
+    };
     if json {
         writeln!(out, "{}", serde_json::to_string(&admitted)?)?;
         return Ok(());
     }
     writeln!(
         out,
-        "admitted {name}; voters {}, learners {}",
-        ids(admitted.membership.voters.iter()),
-        ids(admitted.membership.learners.iter())
+        "{name} votes; voters {}",
+        ids(admitted.membership.voters.iter())
     )?;
     Ok(())
 }
