--- a/crates/state/tests/resends.rs
+++ b/crates/state/tests/resends.rs
@@ -5,6 +5,9 @@
 use resources::{apply, command, deployment, put, region};
 use state::{Command, RETAIN_MIN_MS, RETAIN_MIN_REQUESTS, RETAINED_MAX_REQUESTS, Rejection, State};
 
+/// The most that a snapshot takes when as many answers are kept as may be, in bytes.
+const SNAPSHOT_MAX_BYTES: usize = 6 * 1024 * 1024;
+
 fn change(number: u64, at_ms: u64) -> Command {
     let operation = put(region("gauteng", number as u32 + 1), number);
     command(&format!("r{number}"), at_ms, operation)
@@ -68,6 +71,9 @@
             .apply(number + 1, &change(number, 1))
             .expect("there is room");
     }
+    let snapshot_bytes = state.encode().expect("JSON").len();
+    println!("snapshot with {max} answers: {snapshot_bytes} bytes");
+    assert!(snapshot_bytes <= SNAPSHOT_MAX_BYTES);
     let full = state.apply(max + 1, &change(max, 1));
     assert_eq!(full, Err(Rejection::AnswersFull));
     assert!(state.apply(max + 2, &change(0, 1)).is_ok(), "a resend");
