Reserve the demo's and the tests' networks, and stop processes at the same time

Two deployments on one machine took each other's addresses: the tests' were fixed. Each now reserves its network by a listener, and tests take any free one. Stopping six entries one after the other took 39 s, as each waits out its look-ups; at the same time it takes as long as one of them. Latencies were printed as 0: saturating_record clamps to the range of a histogram that has none yet.

--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -2,14 +2,16 @@
 
 use crate::{
     checker::Verdict,
-    deployment::{Deployment, Network, WIRECRAFT, control_name, entry_name},
+    deployment::{Deployment, Network, Reservation, WIRECRAFT, control_name, entry_name},
     process::Binaries,
     record::Request,
     report::{Table, summary},
     stage::{Stage, StageError},
 };
-use std::{path::PathBuf, time::Duration};
+use std::{fmt::Display, path::PathBuf, time::Duration};
 
+/// Microseconds in a second.
+const US_PER_S: f64 = 1_000_000.0;
 /// The bound of each wait of the demo.
 const BOUND: Duration = Duration::from_secs(20);
 /// Requests that finish between two steps of the demo.
@@ -22,6 +24,8 @@
 pub struct Options {
     /// The folder of the declarations.
     pub declarations: PathBuf,
+    /// The second part of its addresses.
+    pub network: u8,
     /// Go on with the deployment, without callers, until interrupted.
     pub hold: bool,
     /// Leave settings, logs and data in place.
@@ -34,12 +38,13 @@
 ///
 /// [`StageError`] when a step fails.
 pub async fn run(options: &Options) -> Result<bool, StageError> {
-    let mut deployment = Deployment::new(Binaries::find()?, Network::new(0, 1)).await?;
+    let network = Reservation::new(Network::new(options.network, 1))?;
+    let mut deployment = Deployment::new(Binaries::find()?, network).await?;
     if options.keep {
         println!("files kept in {}", deployment.keep().display());
     }
     let mut stage = Stage::set(deployment, &options.declarations, &WIRECRAFT).await?;
-    println!("every resource is in force on every entry");
+    announce(&stage, "every resource is in force on every entry");
     let requests = send_through_failures(&mut stage).await?;
     let verdict = stage.judge(&requests).await;
     if options.hold {
@@ -57,30 +62,37 @@
     let callers = stage.callers(&WIRECRAFT)?;
     callers.more_finished(STEP_REQUESTS, BOUND).await?;
 
-    println!("draining browse-1 by a declaration");
+    announce(stage, "draining browse-1 by a declaration");
     stage.drain("browse-1").await?;
     callers.more_finished(STEP_REQUESTS, BOUND).await?;
 
-    println!("order-2 announces that it leaves");
+    announce(stage, "order-2 announces that it leaves");
     stage.leave("order-2").await?;
     callers.more_finished(STEP_REQUESTS, BOUND).await?;
 
-    println!("killing {}", entry_name(KILLED_ENTRY_VM));
+    announce(
+        stage,
+        format_args!("killing {}", entry_name(KILLED_ENTRY_VM)),
+    );
     stage.kill_entry(KILLED_ENTRY_VM).await?;
     callers.more_finished(STEP_REQUESTS, BOUND).await?;
 
-    let killed = stage.kill_leader().await?;
-    let leader = stage.deployment.leader(BOUND).await?;
-    println!(
-        "killed {}, which led; {} leads now",
-        control_name(killed),
-        control_name(leader)
-    );
+    let killed = control_name(stage.kill_leader().await?);
+    announce(stage, format_args!("killed {killed}, which led"));
+    let leader = control_name(stage.deployment.leader(BOUND).await?);
+    announce(stage, format_args!("{leader} leads; draining stock-3"));
     stage.drain("stock-3").await?;
     callers.more_finished(STEP_REQUESTS, BOUND).await?;
+    announce(stage, "stopping the callers");
     Ok(callers.stop().await)
 }
 
+/// Prints a step with the seconds since the records began.
+fn announce(stage: &Stage, step: impl Display) {
+    let seconds = stage.clock.now_us().0 as f64 / US_PER_S;
+    println!("{seconds:>6.1} s  {step}");
+}
+
 fn print_results(requests: &[Request], verdict: &Verdict) {
     println!("\n{}", Table::new(requests));
     for violation in &verdict.violations {
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -6,7 +6,9 @@
 mod wirecraft;
 
 pub use crate::deployment::{
-    network::{CONTROL_VMS, ENTRY_VMS, Network, control_name, entry_name},
+    network::{
+        CONTROL_VMS, ENTRY_VMS, Network, NetworkTaken, Reservation, control_name, entry_name,
+    },
     wirecraft::{WIRECRAFT, Workload, all_loads, all_upstreams},
 };
 
@@ -23,6 +25,7 @@
 };
 use tempfile::TempDir;
 use thiserror::Error;
+use tokio::task::JoinSet;
 
 /// Why a deployment could not do what it was told.
 #[derive(Debug, Error)]
@@ -56,7 +59,7 @@
 /// The real processes of a deployment; dropping it kills them and removes their files.
 #[derive(Debug)]
 pub struct Deployment {
-    network: Network,
+    network: Reservation,
     binaries: Binaries,
     daemons: BTreeMap<String, Daemon>,
     folder: TempDir,
@@ -68,7 +71,7 @@
     /// # Errors
     ///
     /// [`DeploymentError`] when files can't be written or founding fails.
-    pub async fn new(binaries: Binaries, network: Network) -> Result<Self, DeploymentError> {
+    pub async fn new(binaries: Binaries, network: Reservation) -> Result<Self, DeploymentError> {
         let folder =
             TempDir::with_prefix("oleanderwell-").map_err(|source| DeploymentError::File {
                 path: std::env::temp_dir(),
@@ -90,7 +93,7 @@
     /// Its addresses.
     #[must_use]
     pub const fn network(&self) -> Network {
-        self.network
+        self.network.network()
     }
 
     /// The folder with its settings, logs and data.
@@ -109,13 +112,13 @@
         let key = self.folder().join("key");
         write(&key, settings::KEY)?;
         for vm in ENTRY_VMS {
-            let text = settings::entry(self.network, vm, &key);
+            let text = settings::entry(self.network(), vm, &key);
             write(&self.settings(&entry_name(vm)), &text)?;
         }
         for vm in CONTROL_VMS {
             let data = self.data(vm);
             fs::create_dir(&data).map_err(file_error(&data))?;
-            let text = settings::control(self.network, vm, &key, &data);
+            let text = settings::control(self.network(), vm, &key, &data);
             write(&self.settings(&control_name(vm)), &text)?;
         }
         Ok(())
@@ -210,6 +213,33 @@
         let status = self.take(name)?.stop(bound).await?;
         Ok(status.success())
     }
+
+    /// Stops those of these processes that run, at the same time, and names what did not end with
+    /// exit code 0.
+    ///
+    /// # Errors
+    ///
+    /// [`DeploymentError`] when one doesn't end within `bound`.
+    pub async fn stop_each(
+        &mut self,
+        names: &[String],
+        bound: Duration,
+    ) -> Result<Vec<String>, DeploymentError> {
+        let mut stopping = JoinSet::new();
+        for name in names {
+            if let Some(daemon) = self.daemons.remove(name) {
+                let name = name.clone();
+                stopping.spawn(async move { (name, daemon.stop(bound).await) });
+            }
+        }
+        let mut failed = Vec::new();
+        while let Some(Ok((name, status))) = stopping.join_next().await {
+            if !status?.success() {
+                failed.push(name);
+            }
+        }
+        Ok(failed)
+    }
 }
 
 impl Drop for Deployment {
--- a/crates/standin/src/deployment/control.rs
+++ b/crates/standin/src/deployment/control.rs
@@ -102,7 +102,7 @@
     /// [`DeploymentError::Process`] when it fails.
     pub async fn ctl(&self, arguments: &[&str]) -> Result<String, DeploymentError> {
         let controls: Vec<String> = self
-            .network
+            .network()
             .controls()
             .iter()
             .map(SocketAddr::to_string)
--- a/crates/standin/src/deployment/network.rs
+++ b/crates/standin/src/deployment/network.rs
@@ -1,6 +1,11 @@
 //! The addresses and names of a deployment's processes.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::{
+    io,
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    ops::RangeInclusive,
+};
+use thiserror::Error;
 
 /// VMs that run an entry.
 pub const ENTRY_VMS: [u8; 7] = [1, 2, 3, 4, 5, 6, 7];
@@ -17,6 +22,10 @@
 const CONTROL_PORT: u16 = 8090;
 /// The port of a control replica for the system's own processes.
 const CONTROL_PEER_PORT: u16 = 7090;
+/// The port that a reservation holds, and the last part of its address.
+const RESERVATION: (u8, u16) = (254, 7000);
+/// The networks that tests choose from.
+const FREE_NETWORKS: RangeInclusive<u8> = 10..=250;
 /// The port of an upstream.
 const UPSTREAM_PORT: u16 = 9000;
 
@@ -95,6 +104,60 @@
     }
 }
 
+/// Another deployment uses the network.
+#[derive(Debug, Error)]
+#[error("another deployment runs on 127.{second}.{third}.0")]
+pub struct NetworkTaken {
+    /// The second part of its addresses.
+    pub second: u8,
+    /// The third part of its addresses.
+    pub third: u8,
+    #[source]
+    source: io::Error,
+}
+
+/// A network that no other deployment on this machine uses while this lives.
+#[derive(Debug)]
+pub struct Reservation {
+    network: Network,
+    _held: TcpListener,
+}
+
+impl Reservation {
+    /// Reserves a network.
+    ///
+    /// # Errors
+    ///
+    /// [`NetworkTaken`] when another deployment holds it.
+    pub fn new(network: Network) -> Result<Self, NetworkTaken> {
+        let (host, port) = RESERVATION;
+        let held = TcpListener::bind(network.address(0, host, port));
+        let held = held.map_err(|source| NetworkTaken {
+            second: network.second,
+            third: network.third,
+            source,
+        })?;
+        Ok(Self {
+            network,
+            _held: held,
+        })
+    }
+
+    /// Reserves any network that is free.
+    #[must_use]
+    pub fn any() -> Option<Self> {
+        FREE_NETWORKS
+            .into_iter()
+            .find_map(|second| Self::new(Network::new(second, 1)).ok())
+    }
+
+    /// The network.
+    #[must_use]
+    pub const fn network(&self) -> Network {
+        self.network
+    }
+}
+
 /// The name of the entry on a VM.
 #[must_use]
 pub fn entry_name(vm: u8) -> String {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,6 +1,6 @@
 //! Entry point of the stand-ins.
 
-use anyhow::{Context, bail};
+use anyhow::Context;
 use lexopt::{
     Arg::{Long, Value},
     Parser, ValueExt,
@@ -13,11 +13,12 @@
 };
 
 const HELP: &str = "\
-Usage: standin demo [--declarations FOLDER] [--hold] [--keep]
+Usage: standin demo [--declarations FOLDER] [--network N] [--hold] [--keep]
 
 Runs the Wirecraft deployment on loopback addresses, with stand-ins for its callers and upstreams.
 
   --declarations FOLDER  what to apply [examples/wirecraft]
+  --network N            use 127.N.1.0 and 127.N.2.0 [0]
   --hold                 keep the deployment running after the requests, until interrupted
   --keep                 leave settings, logs and data in place
 ";
@@ -34,6 +35,7 @@
     let mut parser = Parser::from_env();
     let mut options = Options {
         declarations: PathBuf::from("examples/wirecraft"),
+        network: 0,
         hold: false,
         keep: false,
     };
@@ -42,6 +44,7 @@
         match argument {
             Value(name) if !demo && name == "demo" => demo = true,
             Long("declarations") => options.declarations = parser.value()?.parse()?,
+            Long("network") => options.network = parser.value()?.parse()?,
             Long("hold") => options.hold = true,
             Long("keep") => options.keep = true,
             Long("help") => return Ok(Command::Help),
@@ -60,17 +63,25 @@
     let mut terminate = signal(SignalKind::terminate())?;
     tokio::select! {
         held = run(options) => {
-            if !held.context("the demo could not be carried through")? {
-                bail!("an invariant was violated, or nothing finished");
-            }
-            Ok(ExitCode::SUCCESS)
+            let held = held.context("the demo could not be carried through")?;
+            Ok(if held { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
         _ = interrupt.recv() => Ok(ExitCode::from(INTERRUPTED)),
         _ = terminate.recv() => Ok(ExitCode::from(INTERRUPTED)),
     }
 }
 
-fn main() -> anyhow::Result<ExitCode> {
+fn main() -> ExitCode {
+    match carry_out() {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("standin: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn carry_out() -> anyhow::Result<ExitCode> {
     match parse()? {
         Command::Help => {
             print!("{HELP}");
--- a/crates/standin/src/report.rs
+++ b/crates/standin/src/report.rs
@@ -39,7 +39,7 @@
             Outcome::Finished => {
                 self.finished += 1;
                 if let Some(latency_us) = self.latency_us.as_mut() {
-                    latency_us.saturating_record(request.latency_us());
+                    let _ = latency_us.record(request.latency_us());
                 }
             }
             Outcome::DidNotRun => self.not_run += 1,
--- a/crates/standin/src/stage.rs
+++ b/crates/standin/src/stage.rs
@@ -6,8 +6,8 @@
     clock::Clock,
     condition::{Pending, wait_for_answer, wait_until},
     deployment::{
-        CONTROL_VMS, Deployment, DeploymentError, ENTRY_VMS, Workload, all_loads, all_upstreams,
-        control_name, entry_name,
+        CONTROL_VMS, Deployment, DeploymentError, ENTRY_VMS, NetworkTaken, Workload, all_loads,
+        all_upstreams, control_name, entry_name,
     },
     process::ProcessError,
     record::{Request, Run},
@@ -36,6 +36,9 @@
     /// A process could not be started.
     #[error(transparent)]
     Process(#[from] ProcessError),
+    /// Its addresses are in use.
+    #[error(transparent)]
+    NetworkTaken(#[from] NetworkTaken),
     /// Requests did not finish.
     #[error(transparent)]
     NoProgress(#[from] NoProgress),
@@ -227,17 +230,10 @@
     ///
     /// [`StageError`] when a process does not end in time.
     pub async fn stop_all(&mut self) -> Result<Vec<String>, StageError> {
-        let mut failed = Vec::new();
         let entries = ENTRY_VMS.map(entry_name);
         let controls = CONTROL_VMS.map(control_name);
-        for name in entries.iter().chain(&controls) {
-            if self.deployment.daemon(name).is_err() {
-                continue;
-            }
-            if !self.deployment.stop(name, STOP_BOUND).await? {
-                failed.push(name.clone());
-            }
-        }
+        let mut failed = self.deployment.stop_each(&entries, STOP_BOUND).await?;
+        failed.extend(self.deployment.stop_each(&controls, STOP_BOUND).await?);
         Ok(failed)
     }
 }
--- a/crates/standin/tests/failures/controls.rs
+++ b/crates/standin/tests/failures/controls.rs
@@ -91,7 +91,7 @@
 
 #[tokio::test]
 async fn accepted_changes_survive_killed_leaders_and_followers() {
-    let mut stage = stage(15).await;
+    let mut stage = stage().await;
     let mut stream = Stream::new(&stage);
     stream.send(&stage, 20).await;
     let first = stage.kill_leader().await.unwrap();
@@ -121,7 +121,7 @@
 
 #[tokio::test]
 async fn all_replicas_restart_with_every_accepted_change() {
-    let mut stage = stage(16).await;
+    let mut stage = stage().await;
     let mut stream = Stream::new(&stage);
     stream.send(&stage, 200).await;
     for vm in CONTROL_VMS {
@@ -139,7 +139,7 @@
 
 #[tokio::test]
 async fn lost_disks_one_after_the_other_lose_no_change() {
-    let mut stage = stage(17).await;
+    let mut stage = stage().await;
     let mut stream = Stream::new(&stage);
     stream.send(&stage, 20).await;
     for lost in [CONTROL_VMS[2], CONTROL_VMS[0]] {
@@ -162,7 +162,7 @@
 
 #[tokio::test]
 async fn of_two_operators_with_equal_versions_one_wins() {
-    let stage = stage(18).await;
+    let stage = stage().await;
     let controls = stage.deployment.network().controls();
     let mut first = Operator::new("first", &controls);
     let mut second = Operator::new("second", &controls);
--- a/crates/standin/tests/failures/entries.rs
+++ b/crates/standin/tests/failures/entries.rs
@@ -10,7 +10,7 @@
 
 #[tokio::test]
 async fn a_killed_entry_breaks_no_invariant() {
-    let mut stage = stage(11).await;
+    let mut stage = stage().await;
     let callers = stage.callers(&WORKLOADS).unwrap();
     callers.more_finished(300, BOUND).await.unwrap();
     stage.kill_entry(2).await.unwrap();
@@ -25,7 +25,7 @@
 
 #[tokio::test]
 async fn planned_stops_cut_off_nothing_and_exit_with_0() {
-    let mut stage = stage(12).await;
+    let mut stage = stage().await;
     let callers = stage.callers(&WORKLOADS).unwrap();
     callers.more_finished(300, BOUND).await.unwrap();
     for name in [entry_name(1), entry_name(4), control_name(3)] {
@@ -46,7 +46,7 @@
 
 #[tokio::test]
 async fn a_frozen_entry_takes_no_stale_work_when_it_wakes() {
-    let mut stage = stage(13).await;
+    let mut stage = stage().await;
     let name = entry_name(2);
     stage.failures.push(Failure::Entry {
         name: EntryName::new(&name).unwrap(),
--- a/crates/standin/tests/failures/leaving.rs
+++ b/crates/standin/tests/failures/leaving.rs
@@ -23,7 +23,7 @@
 async fn a_leaving_upstream_gets_no_new_work_from_any_entry() {
     let folder = TempDir::new().unwrap();
     declare_relays(folder.path());
-    let deployment = deployment(14).await;
+    let deployment = deployment().await;
     let network = deployment.network();
     let mut relays = Vec::new();
     for vm in ENTRY_VMS {
--- a/crates/standin/tests/failures/real.rs
+++ b/crates/standin/tests/failures/real.rs
@@ -3,7 +3,7 @@
 use standin::{
     caller::Load,
     checker::Verdict,
-    deployment::{Deployment, Network, Workload, entry_name},
+    deployment::{Deployment, Reservation, Workload, entry_name},
     process::Binaries,
     stage::Stage,
 };
@@ -44,16 +44,16 @@
 }
 
 /// A deployment on its own addresses, not started yet.
-pub async fn deployment(second: u8) -> Deployment {
+pub async fn deployment() -> Deployment {
     let binaries = Binaries::find().unwrap();
-    Deployment::new(binaries, Network::new(second, 1))
+    Deployment::new(binaries, Reservation::any().unwrap())
         .await
         .unwrap()
 }
 
 /// A deployment with its declarations in force.
-pub async fn stage(second: u8) -> Stage {
-    let deployment = deployment(second).await;
+pub async fn stage() -> Stage {
+    let deployment = deployment().await;
     Stage::set(deployment, &declarations(), &WORKLOADS)
         .await
         .unwrap()
