--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -5,17 +5,20 @@
 //! the rules and their reasons.
 
 mod claimant;
+mod decision;
 mod holder;
 mod key;
 mod layout;
 mod message;
 mod recovery;
+mod set_log;
 mod table;
 mod tally;
 mod timing;
 
 pub use crate::{
-    claimant::{Claimant, ClaimantInput, ClaimantOutput, Decision, Unavailable},
+    claimant::Claimant,
+    decision::{ClaimantInput, ClaimantOutput, Decision, Unavailable},
     holder::{Holder, HolderInput, HolderStatus, Outgoing},
     key::{ClaimKey, InvalidKey, KEY_MAX_BYTES},
     layout::{EntrySet, HOLDERS, Layout, Place},
@@ -23,5 +26,6 @@
         ANSWER_MAX_BYTES, Attempt, Ending, HeldClaim, HeldRecord, Message, Peer, Progress,
         Receiver, Refusal, Verdict,
     },
+    set_log::SetLog,
     timing::{Limits, Timing},
 };
