Ask announcements for their token, cancel what an operator left, tell a learner apart

Cause: the settings took announcement tokens but nobody asked for them; an operator that hung up left its request waiting; a learner called itself ready.

--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -92,6 +92,13 @@
     pub answer: oneshot::Sender<Result<Answer, ApiError>>,
 }
 
+/// The operator of a request has left.
+#[derive(Clone, Copy, Debug)]
+pub struct Cancel {
+    /// The request.
+    pub request: u64,
+}
+
 /// Asks for the whole state.
 #[derive(Clone, Copy, Debug)]
 pub struct Dump;
@@ -222,14 +229,28 @@
 }
 
 impl Message<Ask> for ControlActor {
-    type Reply = ();
+    type Reply = u64;
 
-    async fn handle(&mut self, Ask { body, answer }: Ask, _: &mut Context<Self, Self::Reply>) {
+    async fn handle(
+        &mut self,
+        Ask { body, answer }: Ask,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
         self.args.metrics.requests.inc();
         let request = self.next_request;
         self.next_request += 1;
         self.requests.insert(request, answer);
         self.step(Input::Request { request, body });
+        request
+    }
+}
+
+impl Message<Cancel> for ControlActor {
+    type Reply = ();
+
+    async fn handle(&mut self, Cancel { request }: Cancel, _: &mut Context<Self, Self::Reply>) {
+        self.requests.remove(&request);
+        self.step(Input::Cancel { request });
     }
 }
 
--- a/crates/daemon/src/control/http.rs
+++ b/crates/daemon/src/control/http.rs
@@ -1,8 +1,8 @@
 //! The HTTP interface of a control replica.
 
 use crate::{
-    control::actor::{Ask, ControlActor, Dump},
-    http::{Body, error, json, read_body, text},
+    control::actor::{Ask, Cancel, ControlActor, Dump},
+    http::{Body, bearer_token, error, json, metrics, read_body, same_token},
 };
 use api::{BODY_MAX_BYTES, HttpAnswer, HttpRequest, encode, parse};
 use bytes::Bytes;
@@ -11,10 +11,11 @@
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::Incoming,
-    header::{AUTHORIZATION, CONTENT_TYPE, HeaderValue},
+    header::{CONTENT_TYPE, HeaderValue},
 };
 use kameo::actor::ActorRef;
 use prometheus_client::registry::Registry;
+use raft::Role;
 use serde_json::json;
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -35,7 +36,7 @@
     /// Answers a request.
     pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
         let answer = match request.uri().path() {
-            "/metrics" => self.metrics(),
+            "/metrics" => metrics(&self.registry),
             "/ready" => self.ready().await,
             "/dump" => self.dump().await,
             _ => self.ask(request).await,
@@ -61,46 +62,37 @@
 
     async fn answer(&self, body: control::Request) -> Result<Answer, ApiError> {
         let (answer, answered) = oneshot::channel();
-        let told = self.actor.tell(Ask { body, answer }).await;
-        told.map_err(|_| ApiError::Unavailable)?;
-        answered.await.unwrap_or(Err(ApiError::Unavailable))
+        let asked = self.actor.ask(Ask { body, answer }).await;
+        let request = asked.map_err(|_| ApiError::Unavailable)?;
+        let mut guard = CancelGuard {
+            actor: self.actor.clone(),
+            request: Some(request),
+        };
+        let answer = answered.await.unwrap_or(Err(ApiError::Unavailable));
+        guard.request = None;
+        answer
     }
 
     fn authorize(&self, headers: &HeaderMap) -> Result<(), ApiError> {
-        let token = headers
-            .get(AUTHORIZATION)
-            .and_then(|value| value.to_str().ok());
-        let token = token
-            .and_then(|value| value.strip_prefix("Bearer "))
-            .unwrap_or("");
-        let accepted = self
-            .tokens
-            .iter()
-            .any(|known| same(known.as_bytes(), token.as_bytes()));
+        let token = bearer_token(headers);
+        let accepted = self.tokens.iter().any(|known| same_token(known, token));
         if self.tokens.is_empty() || accepted {
             return Ok(());
         }
         Err(ApiError::Unauthorized)
     }
 
-    fn metrics(&self) -> Result<Response<Body>, ApiError> {
-        let mut encoded = String::new();
-        prometheus_client::encoding::text::encode(&mut encoded, &self.registry)
-            .map_err(|_| ApiError::TooBusy)?;
-        Ok(text(
-            "application/openmetrics-text; version=1.0.0; charset=utf-8",
-            encoded,
-        ))
-    }
-
     async fn ready(&self) -> Result<Response<Body>, ApiError> {
         let Ok(Answer::Replicas(replicas)) = self.answer(control::Request::Replicas).await else {
             return Err(ApiError::Unavailable);
         };
-        if replicas.leader.is_some() {
-            return Ok(json(StatusCode::OK, &json!({"ready": true})));
-        }
-        let body = json!({"ready": false, "reason": "no-leader"});
+        let reason = match (replicas.role, &replicas.leader) {
+            (Role::Learner, _) => "not-a-voter",
+            (Role::Failed, _) => "storage-failed",
+            (_, None) => "no-leader",
+            (_, Some(_)) => return Ok(json(StatusCode::OK, &json!({"ready": true}))),
+        };
+        let body = json!({"ready": false, "reason": reason});
         Ok(json(StatusCode::SERVICE_UNAVAILABLE, &body))
     }
 
@@ -122,11 +114,16 @@
     response
 }
 
-/// Compares without telling by the time taken where the first difference is.
-fn same(a: &[u8], b: &[u8]) -> bool {
-    let different = a
-        .iter()
-        .zip(b)
-        .fold(0, |different, (a, b)| different | (a ^ b));
-    a.len() == b.len() && different == 0
+/// Cancels a request whose operator leaves before the answer.
+struct CancelGuard {
+    actor: ActorRef<ControlActor>,
+    request: Option<u64>,
+}
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        if let Some(request) = self.request {
+            let _ = self.actor.tell(Cancel { request }).try_send();
+        }
+    }
 }
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -13,7 +13,7 @@
         pool::{Connection, Pool},
         relay::{Relay, RelayedBody, RequestGuard},
     },
-    http::{Body, error, json, read_body, text},
+    http::{Body, bearer_token, error, json, metrics, read_body, same_token},
 };
 use claim::ClaimKey;
 use http_body_util::BodyExt;
@@ -26,9 +26,10 @@
 use prometheus_client::registry::Registry;
 use route::Settled;
 use serde_json::json;
+use settings::AnnounceToken;
 use std::{sync::Arc, time::Instant};
 use tokio::sync::mpsc::UnboundedReceiver;
-use types::{ApiError, Outcome, Refusal, ServiceName, UpstreamName};
+use types::{Announcement, ApiError, Outcome, Refusal, ServiceName, UpstreamName};
 
 /// The largest body of a caller's request.
 const REQUEST_MAX_BYTES: usize = 1024 * 1024;
@@ -57,6 +58,8 @@
     pub metrics: Arc<EntryMetrics>,
     /// Every counter of the process.
     pub registry: Arc<Registry>,
+    /// The tokens that announcements need one of; none when they need no token.
+    pub tokens: Arc<[AnnounceToken]>,
     /// Begins the names of attempts, unique to this run of this entry.
     pub run: Arc<str>,
 }
@@ -71,7 +74,7 @@
             (("s", service), rest) => self.forward(service, rest.unwrap_or(""), request).await,
             (("v1", "lookup"), Some(service)) => self.lookup(service, request.method()).await,
             (("v1", "upstreams"), Some(name)) => self.announce(name, request).await,
-            (("metrics", ""), None) => self.metrics(),
+            (("metrics", ""), None) => metrics(&self.registry),
             (("ready", ""), None) => self.ready().await,
             (("dump", ""), None) => self.dump().await,
             _ => Err(ApiError::NotFound),
@@ -108,11 +111,13 @@
         }
         let name = UpstreamName::new(name)
             .map_err(|invalid| ApiError::InvalidName { name: invalid.name })?;
-        let body = read_body(request.into_body(), ANNOUNCEMENT_MAX_BYTES).await?;
-        let announcement =
+        let (head, body) = request.into_parts();
+        let body = read_body(body, ANNOUNCEMENT_MAX_BYTES).await?;
+        let announcement: Announcement =
             serde_json::from_slice(&body).map_err(|error| ApiError::MalformedJson {
                 reason: error.to_string(),
             })?;
+        self.authorize(&head.headers, &announcement.service)?;
         let renew = self.actor.ask(Announce { name, announcement }).await;
         Ok(json(
             StatusCode::OK,
@@ -120,14 +125,23 @@
         ))
     }
 
-    fn metrics(&self) -> Result<Response<Body>, ApiError> {
-        let mut encoded = String::new();
-        prometheus_client::encoding::text::encode(&mut encoded, &self.registry)
-            .map_err(|_| ApiError::TooBusy)?;
-        Ok(text(
-            "application/openmetrics-text; version=1.0.0; charset=utf-8",
-            encoded,
-        ))
+    /// Whether the token of an announcement is bound to its service.
+    fn authorize(&self, headers: &HeaderMap, service: &ServiceName) -> Result<(), ApiError> {
+        if self.tokens.is_empty() {
+            return Ok(());
+        }
+        let given = bearer_token(headers);
+        let known = self
+            .tokens
+            .iter()
+            .find(|known| same_token(&known.token, given));
+        let known = known.ok_or(ApiError::Unauthorized)?;
+        if known.services.contains(service) {
+            return Ok(());
+        }
+        Err(ApiError::Forbidden {
+            service: service.to_string(),
+        })
     }
 
     async fn ready(&self) -> Result<Response<Body>, ApiError> {
--- a/crates/daemon/src/entry/start.rs
+++ b/crates/daemon/src/entry/start.rs
@@ -96,6 +96,7 @@
         clock,
         metrics,
         registry: Arc::new(registry),
+        tokens: own.announce_tokens.clone().into(),
         run: format!("{}-{:x}", settings.node.name, identity.incarnation).into(),
     };
     let server = serve(own.listen, move |request, _| http.clone().handle(request)).await?;
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -3,9 +3,11 @@
 mod body;
 mod reply;
 mod server;
+mod token;
 
 pub use self::{
     body::read_body,
-    reply::{Body, error, json, text},
+    reply::{Body, error, json, metrics},
     server::{Server, serve},
+    token::{bearer_token, same_token},
 };
--- a/crates/daemon/src/http/reply.rs
+++ b/crates/daemon/src/http/reply.rs
@@ -6,6 +6,7 @@
     Response, StatusCode,
     header::{CONTENT_TYPE, HeaderValue},
 };
+use prometheus_client::registry::Registry;
 use serde::Serialize;
 use std::io;
 use types::ApiError;
@@ -26,7 +27,7 @@
 }
 
 /// An answer with a text body.
-pub fn text(content_type: &'static str, body: String) -> Response<Body> {
+fn text(content_type: &'static str, body: String) -> Response<Body> {
     with_body(StatusCode::OK, content_type, body.into_bytes())
 }
 
@@ -50,3 +51,18 @@
         .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
     response
 }
+
+/// Every counter of a process in the Prometheus text format.
+///
+/// # Errors
+///
+/// When a counter can't be encoded.
+pub fn metrics(registry: &Registry) -> Result<Response<Body>, ApiError> {
+    let mut encoded = String::new();
+    prometheus_client::encoding::text::encode(&mut encoded, registry)
+        .map_err(|_| ApiError::TooBusy)?;
+    Ok(text(
+        "application/openmetrics-text; version=1.0.0; charset=utf-8",
+        encoded,
+    ))
+}
--- /dev/null
+++ b/crates/daemon/src/http/token.rs
@@ -0,0 +1,20 @@
+//! Bearer tokens of operators and upstreams.
+
+use hyper::{HeaderMap, header::AUTHORIZATION};
+
+/// The bearer token of a request; empty when there is none.
+pub fn bearer_token(headers: &HeaderMap) -> &str {
+    let value = headers
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok());
+    value
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .unwrap_or("")
+}
+
+/// Compares without telling by the time taken where the first difference is.
+pub fn same_token(known: &str, given: &str) -> bool {
+    let pairs = known.bytes().zip(given.bytes());
+    let different = pairs.fold(0, |different, (a, b)| different | (a ^ b));
+    known.len() == given.len() && different == 0
+}
