Send a peer whose log is unknown its entries only once

Cause: refusals of several messages under way each made the leader send the same entries again, up to one message of the largest size for each. A probe now notes where it started, and a refusal that asks for just that is taken for one of an earlier message for two heartbeats.

--- a/crates/raft/examples/measure.rs
+++ b/crates/raft/examples/measure.rs
@@ -55,6 +55,7 @@
     let mut group = Group::with_sizes(layout.voters, layout.delay_us, seed, SIZES);
     group.sync_us = SYNC_US;
     group.jitter_us = JITTER_US;
+    group.in_order = true;
     group.on_send = count;
     group.run_until(Group::has_settled);
     group
--- a/crates/raft/src/progress.rs
+++ b/crates/raft/src/progress.rs
@@ -12,17 +12,23 @@
 /// How the peer is being brought up to date.
 #[derive(Debug)]
 pub(crate) enum Mode {
-    /// The peer's log is unknown: one message at a time.
-    Probe {
-        /// Whether an answer is awaited.
-        waiting: bool,
-    },
+    /// The peer's log is unknown: one message at a time, which is awaited if there is one.
+    Probe(Option<Probe>),
     /// Messages follow one another without waiting for answers.
     Replicate,
     /// The peer needs entries that are gone.
     Snapshot(Transfer),
 }
 
+/// A message under way to a peer whose log is unknown.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Probe {
+    /// Its first index.
+    pub(crate) from_index: u64,
+    /// Until when a refusal that asks for this index may be one of an earlier message.
+    pub(crate) settled_at_us: u64,
+}
+
 /// A snapshot on its way to a peer, one part at a time.
 #[derive(Debug)]
 pub(crate) struct Transfer {
@@ -83,7 +89,7 @@
         Self {
             match_index: 0,
             next_index,
-            mode: Mode::Probe { waiting: false },
+            mode: Mode::Probe(None),
             alive_until_us,
             heard_round: 0,
             in_flight: VecDeque::new(),
@@ -118,7 +124,7 @@
             self.in_flight_bytes -= flight.size_bytes;
         }
         match &self.mode {
-            Mode::Probe { .. } => self.mode = Mode::Replicate,
+            Mode::Probe(_) => self.mode = Mode::Replicate,
             Mode::Snapshot(transfer) if index >= transfer.snapshot.index => self.probe(index + 1),
             Mode::Snapshot(_) | Mode::Replicate => {}
         }
@@ -127,11 +133,24 @@
     /// Goes on from `next_index` with one message at a time.
     pub(crate) fn probe(&mut self, next_index: u64) {
         self.next_index = next_index.max(self.match_index + 1);
-        self.mode = Mode::Probe { waiting: false };
+        self.mode = Mode::Probe(None);
         self.in_flight.clear();
         self.in_flight_bytes = 0;
     }
 
+    /// Takes a refusal: goes on from where the peer's log ends or differs.
+    pub(crate) fn go_back(&mut self, next_index: u64, now_us: u64) {
+        let is_outdated = next_index <= self.match_index || next_index >= self.next_index;
+        match &mut self.mode {
+            Mode::Snapshot(_) => {}
+            Mode::Probe(under_way) if next_index >= self.next_index => *under_way = None,
+            Mode::Probe(Some(probe))
+                if next_index == probe.from_index && now_us < probe.settled_at_us => {}
+            Mode::Probe(_) | Mode::Replicate if is_outdated => {}
+            Mode::Probe(_) | Mode::Replicate => self.probe(next_index),
+        }
+    }
+
     /// Starts to send a snapshot.
     pub(crate) fn start_transfer(&mut self, snapshot: Arc<Snapshot>) {
         self.probe(snapshot.index + 1);
--- a/crates/raft/src/replica/lead.rs
+++ b/crates/raft/src/replica/lead.rs
@@ -5,7 +5,7 @@
     api::{Output, ProposeError},
     log::{Log, size_bytes},
     message::{Entry, Message, Payload, ReplicaId},
-    progress::{Mode, Progress},
+    progress::{Mode, Probe, Progress},
 };
 use std::collections::BTreeMap;
 
@@ -35,7 +35,7 @@
     pub(super) fn next_deadline_us(&self) -> u64 {
         let resends = self.peers.values().filter_map(|peer| match &peer.mode {
             Mode::Snapshot(transfer) => Some(transfer.resend_at_us),
-            Mode::Probe { .. } | Mode::Replicate => None,
+            Mode::Probe(_) | Mode::Replicate => None,
         });
         resends
             .chain([self.heartbeat_at_us])
@@ -178,24 +178,25 @@
         let progress = leader.peers.get_mut(to)?;
         let next_index = progress.next_index;
         let has_room = progress.has_room(in_flight_max_bytes);
-        let is_replicating = match &mut progress.mode {
-            Mode::Snapshot(_) | Mode::Probe { waiting: true } => return None,
-            Mode::Replicate if next_index > self.log.last_index() => return None,
-            Mode::Replicate if !has_room => return None,
+        match &mut progress.mode {
+            Mode::Snapshot(_) | Mode::Probe(Some(_)) => return None,
+            Mode::Replicate if next_index > self.log.last_index() || !has_room => return None,
             _ if next_index <= self.log.base_index() => {
                 self.start_transfer(to);
                 return None;
             }
-            Mode::Replicate => true,
-            Mode::Probe { waiting } => {
-                *waiting = true;
-                false
+            Mode::Replicate => {}
+            Mode::Probe(under_way) => {
+                *under_way = Some(Probe {
+                    from_index: next_index,
+                    settled_at_us: self.now_us + 2 * self.config.heartbeat_us,
+                });
             }
-        };
+        }
         let entries = self
             .log
             .entries_from(next_index, self.config.append_max_bytes);
-        if let (true, Some(last)) = (is_replicating, entries.last()) {
+        if let Some(last) = entries.last() {
             progress.note_sent(last.index, entries.iter().map(size_bytes).sum());
         }
         Some(head.message(&self.log, next_index - 1, entries))
@@ -244,13 +245,14 @@
         else {
             return;
         };
+        let now_us = self.now_us;
         let Some(progress) = self.heard_peer(from, round) else {
             return;
         };
         if success {
             progress.acknowledge(match_index);
         } else {
-            go_back(progress, match_index);
+            progress.go_back(match_index, now_us);
         }
         self.advance_commit();
         self.advance_reads();
@@ -322,13 +324,3 @@
         }
     }
 }
-
-/// Takes a refusal: goes on from where the peer's log ends or differs.
-fn go_back(progress: &mut Progress, next_index: u64) {
-    match &mut progress.mode {
-        Mode::Snapshot(_) => {}
-        Mode::Probe { waiting } if next_index >= progress.next_index => *waiting = false,
-        _ if next_index <= progress.match_index || next_index >= progress.next_index => {}
-        Mode::Probe { .. } | Mode::Replicate => progress.probe(next_index),
-    }
-}
--- a/crates/raft/tests/group/mod.rs
+++ b/crates/raft/tests/group/mod.rs
@@ -127,6 +127,8 @@
     /// The largest random addition to each delay and sync.
     pub jitter_us: u64,
     pub loss_percent: u64,
+    /// Whether messages between two nodes keep their order, as over a connection.
+    pub in_order: bool,
     /// Links that lose everything, one way each.
     pub cut: BTreeSet<(usize, usize)>,
     /// Called with each message sent.
@@ -178,6 +180,7 @@
             sync_us: 1_000,
             jitter_us: 0,
             loss_percent: 0,
+            in_order: false,
             cut: BTreeSet::new(),
             on_send: |_, _, _| {},
             sent_messages: 0,
@@ -259,7 +262,11 @@
                 if self.random(100) < self.loss_percent {
                     return;
                 }
-                let due_us = self.now_us + self.delay_us + self.random(self.jitter_us + 1);
+                let mut due_us = self.now_us + self.delay_us + self.random(self.jitter_us + 1);
+                if self.in_order {
+                    let same_way = self.flying.iter().filter(|f| f.from == id && f.to == to);
+                    due_us = due_us.max(same_way.map(|f| f.due_us).max().unwrap_or(0));
+                }
                 self.flying.push(Flying {
                     due_us,
                     from: id,
