--- a/crates/raft/tests/rules.rs
+++ b/crates/raft/tests/rules.rs
@@ -297,6 +297,27 @@
     assert!(leader.sent().count() <= 2 * 64);
 }
 
+#[test]
+fn refusals_of_messages_under_way_bring_one_message_again() {
+    let mut leader = Replica::leader(&["a", "b", "c"], Vec::new());
+    leader.acknowledge("b", 1);
+    for request in 0..10 {
+        let data = vec![0; 10];
+        leader.input(Input::Propose { request, data });
+    }
+    leader.outputs.clear();
+    for _ in 0..9 {
+        let refusal = Message::Appended {
+            term: leader.raft.status().term,
+            success: false,
+            match_index: 2,
+            round: 0,
+        };
+        leader.receive("b", refusal);
+    }
+    assert_eq!(leader.sent().count(), 1);
+}
+
 #[test]
 fn unanswered_proposals_are_bounded() {
     let mut leader = Replica::leader(&["a", "b", "c"], Vec::new());
