--- a/crates/raft/tests/group/mod.rs
+++ b/crates/raft/tests/group/mod.rs
@@ -12,7 +12,7 @@
 
 use self::node::write;
 
-use raft::{Entry, Input, Message, Output, Raft, RaftConfig, ReplicaId, Restored, Role, Status};
+use raft::{Input, Message, Output, Raft, RaftConfig, ReplicaId, Restored, Role, Status};
 use std::collections::{BTreeSet, VecDeque};
 
 pub const HEARTBEAT_US: u64 = 100_000;
