Bound the work of one recovery message and of choosing holders

A holder with many keys looked through all of them for one answer to an entry that shares few, and sorted every declared entry for each key. An answer now looks at a bounded number of records and says where the next ones start, which need not be a key that it carried; the three holders are found by scans instead of a sort, once for each claim.

--- a/crates/claim/src/holder.rs
+++ b/crates/claim/src/holder.rs
@@ -9,7 +9,7 @@
     timing::{Limits, Timing},
 };
 use serde::Serialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use types::{EntryName, TimeUs};
 
 /// What a holder takes in.
@@ -183,13 +183,12 @@
                 after,
                 missing,
                 records,
-                done,
+                next,
             } if asker_incarnation == self.peer.incarnation => {
                 let part = Part {
                     after: after.as_ref(),
                     missing: &missing,
-                    last: records.last().map(|record| &record.key),
-                    done,
+                    next: next.as_ref(),
                 };
                 self.recovered(now_us, from, &part, &records);
                 None
@@ -209,35 +208,36 @@
     fn claim(&mut self, now_us: TimeUs, epoch: u64, key: &ClaimKey, attempt: &Attempt) -> Verdict {
         match self.check_claim(now_us, epoch, key, attempt) {
             Err(verdict) => verdict,
-            Ok(()) => {
+            Ok(fellows) => {
                 let claim = HeldClaim {
                     attempt: attempt.clone(),
                     progress: Progress::Claimed,
                 };
                 let expires_us = now_us.after_us(self.timing.keep_us());
                 match self.table.put(key, claim, expires_us) {
-                    true => self.granted(key),
+                    true => self.granted(&fellows),
                     false => refused(Refusal::Full),
                 }
             }
         }
     }
 
-    /// Whether the attempt may be given the key now.
+    /// The key's holders, if the attempt may be given the key now.
     fn check_claim(
         &self,
         now_us: TimeUs,
         epoch: u64,
         key: &ClaimKey,
         attempt: &Attempt,
-    ) -> Result<(), Verdict> {
+    ) -> Result<BTreeSet<EntryName>, Verdict> {
         if self.lease_until_us.reached(now_us) {
             return Err(refused(Refusal::Lease));
         }
         let Some(layout) = self.layout.as_ref().filter(|known| known.epoch == epoch) else {
             return Err(refused(Refusal::Epoch));
         };
-        if !layout.is_declared() || !layout.all_holders(key).contains(&self.peer.entry) {
+        let fellows = layout.all_holders(key);
+        if !layout.is_declared() || !fellows.contains(&self.peer.entry) {
             return Err(refused(Refusal::NotHolder));
         }
         match self.table.owner(key) {
@@ -261,15 +261,10 @@
         if !knows {
             return Err(refused(Refusal::Recovering));
         }
-        Ok(())
+        Ok(fellows)
     }
 
-    fn granted(&self, key: &ClaimKey) -> Verdict {
-        let fellows = self
-            .layout
-            .as_ref()
-            .map(|layout| layout.all_holders(key))
-            .unwrap_or_default();
+    fn granted(&self, fellows: &BTreeSet<EntryName>) -> Verdict {
         let seen = self
             .seen
             .iter()
@@ -307,7 +302,7 @@
             return None;
         }
         let layout = self.layout.as_ref().filter(|known| known.epoch >= epoch)?;
-        let (records, done) = self.table.chunk(now_us, after.as_ref(), |key| {
+        let (records, next) = self.table.chunk(now_us, after.as_ref(), |key| {
             layout.all_holders(key).contains(&from.entry)
         });
         Some(Message::Recovered {
@@ -315,7 +310,7 @@
             after,
             missing: self.missing(),
             records,
-            done,
+            next,
         })
     }
 
--- a/crates/claim/src/layout.rs
+++ b/crates/claim/src/layout.rs
@@ -2,7 +2,7 @@
 
 use crate::key::ClaimKey;
 use serde::{Deserialize, Serialize};
-use std::{cmp::Reverse, collections::BTreeSet};
+use std::collections::BTreeSet;
 use types::{DomainName, EntryName, RegionName};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -47,22 +47,36 @@
     #[must_use]
     pub fn holders(&self, key: &ClaimKey) -> Vec<&EntryName> {
         let bytes = key.hashed_bytes();
-        let score =
-            |place: &Place| xxh3_64_with_seed(&bytes, xxh3_64(place.entry.as_str().as_bytes()));
-        let mut ranked: Vec<&Place> = self.places.iter().collect();
-        ranked.sort_by_cached_key(|place| Reverse((score(place), &place.entry)));
+        let scored: Vec<(u64, &Place)> = self
+            .places
+            .iter()
+            .map(|place| (score(&bytes, place), place))
+            .collect();
         let mut chosen: Vec<&Place> = Vec::with_capacity(HOLDERS);
         for spread in [Spread::Regions, Spread::Domains, Spread::Any] {
-            for place in &ranked {
-                if chosen.len() < HOLDERS && spread.allows(&chosen, place) {
-                    chosen.push(place);
-                }
+            while chosen.len() < HOLDERS
+                && let Some(place) = best(&scored, &chosen, spread)
+            {
+                chosen.push(place);
             }
         }
         chosen.into_iter().map(|place| &place.entry).collect()
     }
 }
 
+fn score(key: &[u8], place: &Place) -> u64 {
+    xxh3_64_with_seed(key, xxh3_64(place.entry.as_str().as_bytes()))
+}
+
+/// The allowed place with the highest score.
+fn best<'a>(scored: &[(u64, &'a Place)], chosen: &[&Place], spread: Spread) -> Option<&'a Place> {
+    scored
+        .iter()
+        .filter(|(_, place)| spread.allows(chosen, place))
+        .max()
+        .map(|(_, place)| *place)
+}
+
 /// How far apart the next holder must stand from those chosen.
 #[derive(Clone, Copy)]
 enum Spread {
--- a/crates/claim/src/message.rs
+++ b/crates/claim/src/message.rs
@@ -199,8 +199,8 @@
         missing: Vec<EntryName>,
         /// The next records in the order of their keys.
         records: Vec<HeldRecord>,
-        /// Whether these are the last.
-        done: bool,
+        /// Where the next records start; none when these are the last.
+        next: Option<ClaimKey>,
     },
 }
 
--- a/crates/claim/src/recovery.rs
+++ b/crates/claim/src/recovery.rs
@@ -33,8 +33,7 @@
 pub(crate) struct Part<'a> {
     pub(crate) after: Option<&'a ClaimKey>,
     pub(crate) missing: &'a [EntryName],
-    pub(crate) last: Option<&'a ClaimKey>,
-    pub(crate) done: bool,
+    pub(crate) next: Option<&'a ClaimKey>,
 }
 
 /// Which keys a holder may grant after its start.
@@ -175,11 +174,10 @@
             return;
         };
         transfer.ask_us = now_us;
-        if !part.done {
-            transfer.after = part.last.cloned();
+        transfer.after = part.next.cloned();
+        if transfer.after.is_some() {
             return;
         }
-        transfer.after = None;
         transfer.whole = Some(std::mem::take(&mut transfer.lacked));
         if !is_complete(transfer) {
             transfer.ask_us = now_us.after_us(RECOVER_AGAIN_US);
--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -11,8 +11,9 @@
 };
 use types::TimeUs;
 
-/// Records and answer bytes that one message of a recovery carries.
-const CHUNK_RECORDS: usize = 256;
+/// Records that are looked at for each one that a message of a recovery may carry.
+const SCANNED_PER_RECORD: usize = 16;
+/// Answer bytes that one message of a recovery carries.
 const CHUNK_ANSWER_BYTES: usize = 256 * 1024;
 
 /// What is kept of one key.
@@ -198,34 +199,40 @@
         true
     }
 
-    /// The records after `after` whose key `wanted` names, and whether they are the last.
+    /// The records after `after` whose key is wanted, and the key to go on after unless these are
+    /// the last.
     pub(crate) fn chunk(
         &self,
         now_us: TimeUs,
         after: Option<&ClaimKey>,
         wanted: impl Fn(&ClaimKey) -> bool,
-    ) -> (Vec<HeldRecord>, bool) {
+    ) -> (Vec<HeldRecord>, Option<ClaimKey>) {
         let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let records_max = self.limits.recovery_records;
+        let scanned_max = records_max * SCANNED_PER_RECORD;
         let mut bytes = 0;
         let mut chunk = Vec::new();
-        for (key, record) in self.records.range::<ClaimKey, _>((start, Bound::Unbounded)) {
+        let mut last = after;
+        let records = self.records.range::<ClaimKey, _>((start, Bound::Unbounded));
+        for (scanned, (key, record)) in records.enumerate() {
+            let full = chunk.len() >= records_max || bytes >= CHUNK_ANSWER_BYTES;
+            if full || scanned >= scanned_max {
+                return (chunk, last.cloned());
+            }
+            last = Some(key);
             if record.claims.is_empty() || !wanted(key) {
                 continue;
             }
-            if chunk.len() >= CHUNK_RECORDS || bytes >= CHUNK_ANSWER_BYTES {
-                return (chunk, false);
-            }
-            let answers = record
-                .claims
-                .iter()
-                .map(|claim| answer_bytes(&claim.progress));
-            bytes += answers.sum::<usize>();
+            let answers = record.claims.iter();
+            bytes += answers
+                .map(|claim| answer_bytes(&claim.progress))
+                .sum::<usize>();
             chunk.push(HeldRecord {
                 key: key.clone(),
                 claims: record.claims.clone(),
                 remaining_us: record.expires_us.since_us(now_us),
             });
         }
-        (chunk, true)
+        (chunk, None)
     }
 }
--- a/crates/claim/src/timing.rs
+++ b/crates/claim/src/timing.rs
@@ -52,6 +52,8 @@
     pub keys: usize,
     /// Bytes of answers that a holder keeps; a further answer is not kept.
     pub answer_bytes: usize,
+    /// Records that one message of a recovery carries.
+    pub recovery_records: usize,
     /// Attempts that a claimant follows at once; a further one is refused.
     pub attempts: usize,
 }
@@ -61,6 +63,7 @@
         Self {
             keys: 100_000,
             answer_bytes: 8 * 1024 * 1024,
+            recovery_records: 256,
             attempts: 10_000,
         }
     }
--- a/crates/claim/tests/at_most_once.rs
+++ b/crates/claim/tests/at_most_once.rs
@@ -18,7 +18,7 @@
     hash::{BuildHasher, RandomState},
 };
 
-const KEYS: usize = 2;
+const KEYS: usize = 3;
 const CASES: u32 = 600;
 const STEPS: usize = 240;
 
@@ -139,7 +139,11 @@
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let result = runner.run(&vec(op(), 1..=STEPS), |ops| {
-        let mut world = World::new(ENTRIES, Limits::default());
+        let limits = Limits {
+            recovery_records: 1,
+            ..Limits::default()
+        };
+        let mut world = World::new(ENTRIES, limits);
         world.declare(set(0..ENTRIES));
         world.confirm_all();
         for op in ops {
--- a/crates/claim/tests/lost_memory.rs
+++ b/crates/claim/tests/lost_memory.rs
@@ -5,7 +5,7 @@
 use crate::support::{
     ENTRIES, TIMING, World, claimed_by, entry, key, no_majority, roles, set, settled_request,
 };
-use claim::Limits;
+use claim::{Limits, Message};
 
 #[test]
 fn a_restarted_holder_grants_only_what_it_recovered() {
@@ -156,3 +156,24 @@
     let other = settled_request(&mut world, outsider, &key(2));
     assert!(world.ran(&other));
 }
+
+#[test]
+fn a_recovery_in_many_parts_is_whole() {
+    let mut world = World::declared(ENTRIES);
+    let numbers = 0..2_000;
+    for number in numbers.clone() {
+        settled_request(&mut world, number % ENTRIES, &key(number));
+    }
+    let before = world.nodes[0].holder.status().keys;
+    world.restart(0);
+    world.confirm(0);
+    let mut parts = 0;
+    while !world.network.is_empty() {
+        let envelope = world.network.remove(0);
+        parts += usize::from(matches!(envelope.message, Message::Recovered { .. }));
+        world.deliver(envelope);
+    }
+    assert!(parts > ENTRIES, "{parts} parts");
+    assert_eq!(world.nodes[0].holder.status().keys, before);
+    assert!(world.nodes[0].holder.status().missing.is_empty());
+}
--- a/crates/wire/src/claim_message.rs
+++ b/crates/wire/src/claim_message.rs
@@ -45,13 +45,13 @@
             after,
             missing,
             records,
-            done,
+            next,
         } => Body::ClaimRecovered(peer::ClaimRecovered {
             asker_incarnation,
             after: after.as_ref().map(key_to_wire),
             missing: missing.into_iter().map(String::from).collect(),
             records: records.into_iter().map(record_to_wire).collect(),
-            done,
+            next: next.as_ref().map(key_to_wire),
         }),
     }
 }
@@ -97,7 +97,7 @@
                 .into_iter()
                 .map(record_from_wire)
                 .collect::<Result<_, _>>()?,
-            done: part.done,
+            next: optional_key_from_wire(part.next)?,
         },
         _ => return Ok(None),
     }))
--- a/crates/wire/tests/claim_message.rs
+++ b/crates/wire/tests/claim_message.rs
@@ -97,7 +97,7 @@
             after: Some(key()),
             missing: vec![entry()],
             records,
-            done: true,
+            next: Some(key()),
         },
     ];
     answers.chain(ends).chain(others).collect()
