Keep a claim in fewer bytes and forget released keys early

A key that nobody claims any more is forgotten after the decision's time instead of the whole horizon, so that refused requests don't fill holders.

--- a/crates/claim/src/holder.rs
+++ b/crates/claim/src/holder.rs
@@ -286,7 +286,8 @@
         ending: Ending,
     ) -> Option<Message> {
         let expires_us = now_us.after_us(self.timing.keep_us());
-        let noted = self.table.end(key, &attempt, ending, expires_us);
+        let forget_us = now_us.after_us(self.timing.decide_us);
+        let noted = self.table.end(key, &attempt, ending, expires_us, forget_us);
         noted.then_some(Message::EndNoted { attempt })
     }
 
--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -8,6 +8,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     ops::Bound,
+    sync::Arc,
 };
 use types::TimeUs;
 
@@ -41,8 +42,8 @@
 #[derive(Debug)]
 pub(crate) struct Table {
     limits: Limits,
-    records: BTreeMap<ClaimKey, Record>,
-    expiries: BTreeSet<(TimeUs, ClaimKey)>,
+    records: BTreeMap<Arc<ClaimKey>, Record>,
+    expiries: BTreeSet<(TimeUs, Arc<ClaimKey>)>,
     answer_bytes: usize,
 }
 
@@ -107,26 +108,37 @@
 
     /// Keeps a key until `expires_us` at least; false when there is no room.
     fn keep(&mut self, key: &ClaimKey, expires_us: TimeUs) -> bool {
-        if let Some(record) = self.records.get_mut(key) {
+        if let Some(record) = self.records.get(key) {
             if record.expires_us < expires_us {
-                self.expiries.remove(&(record.expires_us, key.clone()));
-                self.expiries.insert((expires_us, key.clone()));
-                record.expires_us = expires_us;
+                self.set_expiry(key, expires_us);
             }
             return true;
         }
         if self.records.len() >= self.limits.keys {
             return false;
         }
+        let key = Arc::new(key.clone());
         let record = Record {
             expires_us,
             ..Record::default()
         };
-        self.records.insert(key.clone(), record);
-        self.expiries.insert((expires_us, key.clone()));
+        self.records.insert(Arc::clone(&key), record);
+        self.expiries.insert((expires_us, key));
         true
     }
 
+    fn set_expiry(&mut self, key: &ClaimKey, expires_us: TimeUs) {
+        let Some((key, _)) = self.records.get_key_value(key) else {
+            return;
+        };
+        let key = Arc::clone(key);
+        if let Some(record) = self.records.get_mut(&key) {
+            let before_us = std::mem::replace(&mut record.expires_us, expires_us);
+            self.expiries.remove(&(before_us, Arc::clone(&key)));
+            self.expiries.insert((expires_us, key));
+        }
+    }
+
     /// Adds a claim, or takes over its progress when that is further; false when there is no room.
     pub(crate) fn put(&mut self, key: &ClaimKey, claim: HeldClaim, expires_us: TimeUs) -> bool {
         if !self.keep(key, expires_us) {
@@ -153,6 +165,7 @@
             None => {
                 self.answer_bytes += answer_bytes(&progress);
                 let attempt = claim.attempt;
+                record.claims.reserve_exact(1);
                 record.claims.push(HeldClaim { attempt, progress });
             }
         }
@@ -171,16 +184,18 @@
         }
     }
 
-    /// Takes in how an attempt ended; false when there is no room.
+    /// Takes in how an attempt ended; false when there is no room. A key that nobody claims any
+    /// more is forgotten at `forget_us`.
     pub(crate) fn end(
         &mut self,
         key: &ClaimKey,
         attempt: &Attempt,
         ending: Ending,
         expires_us: TimeUs,
+        forget_us: TimeUs,
     ) -> bool {
         let progress = match ending {
-            Ending::DidNotRun => return self.release(key, attempt, expires_us),
+            Ending::DidNotRun => return self.release(key, attempt, forget_us),
             Ending::Unknown => Progress::Unknown,
             Ending::Finished { status, answer } => Progress::Finished { status, answer },
         };
@@ -188,13 +203,16 @@
         self.put(key, HeldClaim { attempt, progress }, expires_us)
     }
 
-    fn release(&mut self, key: &ClaimKey, attempt: &Attempt, expires_us: TimeUs) -> bool {
-        if !self.keep(key, expires_us) {
+    fn release(&mut self, key: &ClaimKey, attempt: &Attempt, forget_us: TimeUs) -> bool {
+        if !self.keep(key, forget_us) {
             return false;
         }
         if let Some(record) = self.records.get_mut(key) {
             record.claims.retain(|claim| claim.attempt != *attempt);
             record.released = Some(attempt.clone());
+            if record.claims.is_empty() {
+                self.set_expiry(key, forget_us);
+            }
         }
         true
     }
@@ -212,12 +230,12 @@
         let scanned_max = records_max * SCANNED_PER_RECORD;
         let mut bytes = 0;
         let mut chunk = Vec::new();
-        let mut last = after;
+        let mut last = None;
         let records = self.records.range::<ClaimKey, _>((start, Bound::Unbounded));
         for (scanned, (key, record)) in records.enumerate() {
             let full = chunk.len() >= records_max || bytes >= CHUNK_ANSWER_BYTES;
             if full || scanned >= scanned_max {
-                return (chunk, last.cloned());
+                return (chunk, last.map(|key| ClaimKey::clone(key)));
             }
             last = Some(key);
             if record.claims.is_empty() || !wanted(key) {
@@ -228,7 +246,7 @@
                 .map(|claim| answer_bytes(&claim.progress))
                 .sum::<usize>();
             chunk.push(HeldRecord {
-                key: key.clone(),
+                key: key.as_ref().clone(),
                 claims: record.claims.clone(),
                 remaining_us: record.expires_us.since_us(now_us),
             });
--- a/crates/claim/src/timing.rs
+++ b/crates/claim/src/timing.rs
@@ -61,7 +61,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            keys: 100_000,
+            keys: 250_000,
             answer_bytes: 8 * 1024 * 1024,
             recovery_records: 256,
             attempts: 10_000,
