--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -6,6 +6,7 @@
     run::{Experiment, run},
     scenario::{Chooser, Scenario},
 };
+use route::Policy;
 use std::{fmt::Write, sync::Mutex, thread};
 use strum::IntoEnumIterator;
 
@@ -14,9 +15,34 @@
 /// Experiments that run at once.
 const THREADS: usize = 4;
 
+const INTRODUCTION: &str = "\
+# Routing: results
+
+Written by `cargo run --release --package lab -- report --output docs/ROUTING-RESULTS.md`. Virtual
+time, fakes of workers and links, every chooser against the same arrivals and the same work. Ten
+seconds are measured; the incident comes in their middle. Work is log-normal (sigma 0.8) around each
+service's mean. Region shares sum up to the region's slots and link shares to the link's rate.
+
+- `all-knowing` sees every worker at once, has one queue, knows each request's work, and is bound by
+  no share and no cap: a limit, not a rival. `p99 / limit` compares with it.
+- `rate` is what finished in the measured time, in percent of what all slots could finish; in the
+  scenarios that lose slots, of what they could before.
+- `region room` is the least part of a region's slots that no running request took, `share room` the
+  same with requests and answers on their way, as the entries count; the all-knowing chooser frees a
+  slot before its answer has arrived, so its `share room` falls below zero. `link room` is the least
+  part of a link's rate left in 100 ms.
+- `failed` are answers of status 500. Finished, refused, unknown and failed are of the requests sent in
+  the measured time.
+";
+
 const HEAD: &str = "\
-| chooser | p50 ms | p99 ms | p99.9 ms | p99 / limit | finished % | refused % | unknown % | failed % | rate % | region room % | link room % | drain ms | attempts |
-| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |
+| chooser | p50 ms | p99 ms | p99.9 ms | p99 / limit | finished % | refused % | unknown % | failed % | rate % | region room % | share room % | link room % | drain ms | attempts |
+| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |
+";
+
+const SUMMARY_HEAD: &str = "\
+| deployment | p99 / limit at 80% (at most 1.2) | rate % at 120% (at least 95) | least region room % | least share room % | least link room % | caps passed | run twice |
+| --- | --- | --- | --- | --- | --- | --- | --- |
 ";
 
 /// One table: every chooser in one scenario at one load.
@@ -46,7 +72,7 @@
         .map_or_else(String::new, |ms| ms.to_string());
     let _ = writeln!(
         text,
-        "| {chooser} | {:.1} | {:.1} | {:.1} | {ratio} | {:.2} | {:.2} | {:.3} | {:.2} | {:.1} | {:.0} | {:.0} | {drain} | {:.2} |",
+        "| {chooser} | {:.1} | {:.1} | {:.1} | {ratio} | {:.2} | {:.2} | {:.3} | {:.2} | {:.1} | {:.0} | {:.0} | {:.0} | {drain} | {:.2} |",
         ms(results.latency.p50_us),
         ms(results.latency.p99_us),
         ms(results.latency.p999_us),
@@ -56,6 +82,7 @@
         percent(outcomes.failed),
         results.finished_percent,
         results.region_headroom_percent,
+        results.share_headroom_percent,
         results.link_headroom_percent,
         results.attempts_per_request,
     );
@@ -108,10 +135,55 @@
     done.into_iter().map(|(_, results)| results).collect()
 }
 
+/// The targets and what was measured.
+fn summary(experiments: &[Experiment], results: &[Results], seed: u64) -> String {
+    let adaptive = Chooser::Routers(Policy::Adaptive);
+    let find = |deployment, load, chooser| {
+        let mut all = experiments.iter().zip(results);
+        all.find(|(e, _)| {
+            (e.deployment, e.load_percent, e.chooser) == (deployment, load, chooser)
+                && e.scenario == Scenario::Calm
+        })
+        .map(|(_, results)| results)
+    };
+    let mut text = format!("\n## Targets, adaptive policy, seed {seed}\n\n{SUMMARY_HEAD}");
+    for deployment in Deployment::iter() {
+        let (Some(at_80), Some(at_120), Some(limit)) = (
+            find(deployment, 80, adaptive),
+            find(deployment, 120, adaptive),
+            find(deployment, 80, Chooser::AllKnowing),
+        ) else {
+            continue;
+        };
+        let of_deployment = experiments.iter().zip(results).filter(|(experiment, _)| {
+            (experiment.deployment, experiment.chooser) == (deployment, adaptive)
+        });
+        let of_deployment: Vec<&Results> = of_deployment.map(|(_, results)| results).collect();
+        let least = |room: fn(&Results) -> f64| {
+            of_deployment
+                .iter()
+                .map(|r| room(r))
+                .fold(f64::INFINITY, f64::min)
+        };
+        let _ = writeln!(
+            text,
+            "| {deployment} | {:.2} | {:.1} | {:.0} | {:.0} | {:.0} | {} | {} |",
+            at_80.latency.p99_us as f64 / limit.latency.p99_us as f64,
+            at_120.finished_percent,
+            least(|results| results.region_headroom_percent),
+            least(|results| results.share_headroom_percent),
+            least(|results| results.link_headroom_percent),
+            of_deployment.iter().map(|r| r.caps_passed).sum::<u64>(),
+            of_deployment.iter().map(|r| r.second_runs).sum::<u64>(),
+        );
+    }
+    text
+}
+
 /// Every table, as a page.
 #[must_use]
 pub fn report(seed: u64) -> String {
-    let mut page = String::new();
+    let mut page = INTRODUCTION.to_owned();
     let choosers = Chooser::all();
     let mut experiments = Vec::new();
     for deployment in Deployment::iter() {
@@ -126,6 +198,7 @@
         }
     }
     let results = run_all(&experiments);
+    page.push_str(&summary(&experiments, &results, seed));
     let tables = experiments
         .chunks(choosers.len())
         .zip(results.chunks(choosers.len()));
