--- a/crates/route/src/deadline.rs
+++ b/crates/route/src/deadline.rs
@@ -4,7 +4,7 @@
 use types::TimeUs;
 
 /// Times the service's mean latency that must be left when a request leaves the queue.
-const LEAVE_FACTOR: u64 = 2;
+const LEAVE_FACTOR: u64 = 3;
 /// Times the service's mean latency that must be left after the expected wait, but never more than
 /// half of the time.
 const ENTER_FACTOR: u64 = 5;
--- a/crates/route/src/declare.rs
+++ b/crates/route/src/declare.rs
@@ -80,7 +80,7 @@
         let mut upstream = Upstream::new(name, announcement, region);
         upstream.drained = self.is_drained(&upstream);
         let fresh = match self.config.policy {
-            Policy::Adaptive => Evidence::fresh(),
+            Policy::Adaptive => Evidence::fresh(announcement.slots),
             _ => Evidence::new(),
         };
         upstream.evidence = fresh.clone();
--- a/crates/route/src/evidence.rs
+++ b/crates/route/src/evidence.rs
@@ -16,6 +16,8 @@
 const SLOW_PERCENT: u64 = 300;
 /// Answers of a started upstream that its cache may need to become warm.
 const GRACE_ANSWERS: u32 = 64;
+/// A started upstream gets this part of its slots at first.
+const START_DIVISOR: u32 = 2;
 /// Length of a first ejection; each further one in a row is twice as long.
 const EJECTION_MS: u64 = 1_000;
 /// Doublings of an ejection at most.
@@ -105,9 +107,9 @@
     }
 
     /// An upstream that has just started.
-    pub(crate) const fn fresh() -> Self {
+    pub(crate) const fn fresh(slots: u32) -> Self {
         Self {
-            start_limit: Some(1),
+            start_limit: Some(slots.div_ceil(START_DIVISOR)),
             grace_answers: GRACE_ANSWERS,
             ..Self::new()
         }
@@ -124,7 +126,7 @@
     }
 
     /// Counts a whole answer.
-    pub(crate) fn answered(&mut self, latency_us: u64, slots: u32, service_us: Option<u64>) {
+    pub(crate) fn answered(&mut self, latency_us: u64, slots: u32) {
         self.latency_us.add(latency_us);
         self.errors_permille.add(0);
         self.grace_answers = self.grace_answers.saturating_sub(1);
@@ -133,10 +135,7 @@
         if self.latency_us.samples >= 2 * SAMPLES {
             self.ejections_in_row = 0;
         }
-        let usual = service_us.is_none_or(|usual_us| latency_us * 100 < usual_us * SLOW_PERCENT);
-        if let Some(limit) = self.start_limit
-            && usual
-        {
+        if let Some(limit) = self.start_limit {
             self.start_limit = Some(limit + 1).filter(|&limit| limit < slots);
         }
     }
--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -44,9 +44,7 @@
                 let bound_us = service_us.map_or(u64::MAX, |us| us * OUTLIER_FACTOR);
                 service.latency_us.add(latency_us.min(bound_us));
                 service.mover.answered(elsewhere, Some(latency_us));
-                upstream
-                    .evidence
-                    .answered(latency_us, upstream.slots, service_us);
+                upstream.evidence.answered(latency_us, upstream.slots);
             }
             Ending::Finished { .. } | Ending::Broken | Ending::CutShort => {
                 service.mover.answered(elsewhere, None);
