Scale closures after a refusal by the way

Cause: a far upstream that refused was asked again sooner than its refusal took to come back. Closures now last at least the way there and back for an upstream and a quarter of it for a group's borrowed slots.

--- a/crates/route/src/evidence.rs
+++ b/crates/route/src/evidence.rs
@@ -147,10 +147,10 @@
     }
 
     /// Closes it for a short time after a refusal.
-    pub(crate) fn refused(&mut self, now_us: TimeUs) -> TimeUs {
+    pub(crate) fn refused(&mut self, now_us: TimeUs, way_us: u64) -> TimeUs {
         let doublings = self.refusals_in_row.min(COOLING_DOUBLINGS);
         self.refusals_in_row += 1;
-        let until_us = now_us.after_us(COOLING_US << doublings);
+        let until_us = now_us.after_us(COOLING_US.max(way_us) << doublings);
         self.cooling_until_us = Some(until_us);
         until_us
     }
--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -53,15 +53,16 @@
             Ending::NotSent => {
                 service.mover.answered(elsewhere, None);
                 upstream.evidence.failed();
-                self.close_for_a_while(now_us, upstream_id);
+                self.close_for_a_while(now_us, upstream_id, way_us);
             }
             Ending::Refused => {
                 if borrowed {
                     let doublings = group.refusals_in_row.min(GROUP_DOUBLINGS);
                     group.refusals_in_row += 1;
-                    group.closed_until_us = now_us.after_us(GROUP_CLOSED_US << doublings);
+                    group.closed_until_us =
+                        now_us.after_us(GROUP_CLOSED_US.max(way_us / 4) << doublings);
                 }
-                self.close_for_a_while(now_us, upstream_id);
+                self.close_for_a_while(now_us, upstream_id, way_us);
             }
             Ending::Cancelled => return,
         }
@@ -86,9 +87,9 @@
         }
     }
 
-    fn close_for_a_while(&mut self, now_us: TimeUs, id: usize) {
+    fn close_for_a_while(&mut self, now_us: TimeUs, id: usize, way_us: u64) {
         if self.config.policy == Policy::Adaptive {
-            let until_us = self.table.upstreams[id].evidence.refused(now_us);
+            let until_us = self.table.upstreams[id].evidence.refused(now_us, way_us);
             self.wakeups.insert((until_us, id));
         }
     }
