--- a/crates/standin/tests/failures/controls.rs
+++ b/crates/standin/tests/failures/controls.rs
@@ -4,7 +4,7 @@
 use hyper::StatusCode;
 use serde_json::{Value, json};
 use standin::{
-    condition::wait_for_answer,
+    condition::{Pending, wait_for_answer, wait_until},
     deployment::{CONTROL_VMS, control_name},
     operator::Operator,
     stage::Stage,
@@ -89,6 +89,17 @@
     .unwrap();
 }
 
+/// Admits a replica as soon as it is there and waits to be admitted.
+async fn admit(stage: &Stage, vm: u8) {
+    let name = control_name(vm);
+    wait_until("a replica to admit", BOUND, || async {
+        let admitted = stage.deployment.ctl(&["admit", &*name]).await;
+        admitted.map_err(Pending::new)
+    })
+    .await
+    .unwrap();
+}
+
 #[tokio::test]
 async fn accepted_changes_survive_killed_leaders_and_followers() {
     let mut stage = stage().await;
@@ -147,8 +158,7 @@
         stream.send(&stage, 10).await;
         stage.deployment.empty_data(lost).unwrap();
         stage.deployment.start(&control_name(lost)).unwrap();
-        let admit = ["admit", &*control_name(lost)];
-        stage.deployment.ctl(&admit).await.unwrap();
+        admit(&stage, lost).await;
         wait_until_ready(&stage, lost).await;
         stream.assert_kept(&stage, lost).await;
     }
