--- a/crates/control/src/shares.rs
+++ b/crates/control/src/shares.rs
@@ -7,7 +7,7 @@
 use share::{Allocator, Grant, HolderId, Pool, PoolRow, Want};
 use state::State;
 use std::collections::BTreeSet;
-use types::{Kind, Resource, Spec, TimeUs};
+use types::{Key, Kind, RegionName, Resource, ResourceName, Spec, TimeUs};
 
 /// The name of the reads by which the leader makes sure that it leads; no request has it.
 pub(crate) const LEADERSHIP_READ: u64 = 0;
@@ -128,10 +128,9 @@
         }
         leadership.follow_limits(state);
         let allocator = &mut leadership.allocator;
-        wants
-            .iter()
-            .filter_map(|want| allocator.ask(now_us, holder, want))
-            .collect()
+        let stands_in = standing_region(state, holder);
+        let ask = |want| allocator.ask(now_us, holder, is_near(stands_in, want), want);
+        wants.iter().filter_map(ask).collect()
     }
 
     /// Every pool, for the dump.
@@ -192,6 +191,29 @@
     }
 }
 
+/// The region in which a declared entry stands.
+fn standing_region<'a>(state: &'a State, holder: &HolderId) -> Option<&'a RegionName> {
+    let name = ResourceName::new(holder.entry.as_str()).ok()?;
+    match &state
+        .get(&Key {
+            kind: Kind::Entry,
+            name,
+        })?
+        .spec
+    {
+        Spec::Entry(entry) => Some(&entry.region),
+        _ => None,
+    }
+}
+
+/// Whether an entry stands where the wanted pool's limit holds; every user of a link does.
+fn is_near(stands_in: Option<&RegionName>, want: &Want) -> bool {
+    match &want.pool {
+        Pool::Region { region } => stands_in == Some(region),
+        Pool::Link { .. } => true,
+    }
+}
+
 fn longest_deadline_ms(state: &State) -> u64 {
     let deadlines =
         state
--- a/crates/share/src/allocator.rs
+++ b/crates/share/src/allocator.rs
@@ -21,6 +21,7 @@
 #[derive(Debug, Default)]
 struct Party {
     asked: u64,
+    near: bool,
     demand: u64,
     held: u64,
     held_until_us: TimeUs,
@@ -94,6 +95,7 @@
             .values()
             .map(|party| Claim {
                 demand: party.demand,
+                near: party.near,
             })
             .collect();
         let shares = fair_shares(self.limit, &claims);
@@ -185,7 +187,14 @@
     }
 
     /// Answers one want of a holder, unless its pool is unknown or a later want has overtaken it.
-    pub fn ask(&mut self, now_us: TimeUs, holder: &HolderId, want: &Want) -> Option<Grant> {
+    /// `near` tells whether the holder stands where the pool's limit holds.
+    pub fn ask(
+        &mut self,
+        now_us: TimeUs,
+        holder: &HolderId,
+        near: bool,
+        want: &Want,
+    ) -> Option<Grant> {
         let counted_until_us = now_us.after_ms(counted_ms(self.longest_deadline_ms));
         let inherits_until_us = self.began_us.after_ms(counted_ms(self.longest_deadline_ms));
         let id = self.next_id();
@@ -196,6 +205,7 @@
         if want.asked <= party.asked {
             return None;
         }
+        party.near = near;
         party.hear(want, counted_until_us);
         let amount = if inherits {
             want.held.min(state.limit)
