Never pass a region's declared capacity or a link's declared rate

Cause: without a share, or with one handed out before the capacity was lowered, one entry alone could pass the operators' figure. Both removals turn the new test red.

--- a/crates/route/src/declare.rs
+++ b/crates/route/src/declare.rs
@@ -1,12 +1,12 @@
 //! Declared resources and announcements.
 
 use crate::{
-    Output, Policy, evidence::Evidence, request::Stage, router::Router, shift::Cap,
+    Output, Policy, evidence::Evidence, request::Stage, router::Router, shift::Cap, table::Link,
     upstream::Upstream,
 };
 use types::{
-    Announcement, DrainTarget, EntryName, EntrySpec, Refusal, Resource, ResourceName, ServiceName,
-    Spec, UpstreamName,
+    Announcement, DrainTarget, EntryName, EntrySpec, Refusal, RegionName, Resource, ResourceName,
+    ServiceName, Spec, UpstreamName,
 };
 
 impl Router {
@@ -18,9 +18,12 @@
                 }
             }
             Spec::Link(spec) => {
-                let a = self.table.region_id(&spec.a);
-                let b = self.table.region_id(&spec.b);
-                let link = (a, b, spec.delay_us);
+                let link = Link {
+                    a: self.table.region_id(&spec.a),
+                    b: self.table.region_id(&spec.b),
+                    delay_us: spec.delay_us,
+                    limit_kbps: spec.limit_kbps,
+                };
                 self.table.links.insert(resource.name.clone(), link);
                 self.table.apply_links();
             }
@@ -37,7 +40,9 @@
             Spec::Shift(spec) => {
                 self.shifts.insert(resource.name.clone(), spec.clone());
             }
-            Spec::Region(_) => {}
+            Spec::Region(spec) => {
+                self.set_capacity(&resource.name, Some(spec.capacity_slots));
+            }
         }
         self.apply_shifts();
         self.deal_homes();
@@ -68,7 +73,7 @@
             Spec::Shift(_) => {
                 self.shifts.remove(&resource.name);
             }
-            Spec::Region(_) => {}
+            Spec::Region(_) => self.set_capacity(&resource.name, None),
         }
         self.apply_shifts();
         self.deal_homes();
@@ -152,6 +157,13 @@
         }
     }
 
+    fn set_capacity(&mut self, name: &ResourceName, capacity_slots: Option<u32>) {
+        if let Ok(name) = RegionName::new(name.as_str()) {
+            let id = self.table.region_id(&name);
+            self.table.regions[id].room.capacity_slots = capacity_slots;
+        }
+    }
+
     /// Gives every service's ledger its cap and what is declared to move out of its region.
     fn apply_shifts(&mut self) {
         for id in 0..self.table.services.len() {
--- a/crates/route/src/room.rs
+++ b/crates/route/src/room.rs
@@ -14,6 +14,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct RegionRoom {
     share: Option<Share>,
+    /// The declared capacity, where one is declared.
+    pub(crate) capacity_slots: Option<u32>,
     /// Requests in flight there from this entry.
     pub(crate) in_flight: u32,
 }
@@ -24,12 +26,14 @@
         self.share = Some(Share { slots, expires_us });
     }
 
-    /// Requests that this entry may have in flight there; no bound gives `u32::MAX`.
+    /// Requests that this entry may have in flight there, never more than the declared capacity; no
+    /// bound gives `u32::MAX`.
     pub(crate) fn allowed_slots(&self, now_us: TimeUs, fallback: Fallback) -> u32 {
+        let capacity_slots = self.capacity_slots.unwrap_or(u32::MAX);
         match (self.share, fallback) {
             (Some(share), _) if share.expires_us.reached(now_us) => 0,
-            (Some(share), _) => share.slots,
-            (None, Fallback::Unlimited) => u32::MAX,
+            (Some(share), _) => share.slots.min(capacity_slots),
+            (None, Fallback::Unlimited) => capacity_slots,
             (None, Fallback::Zero) => 0,
         }
     }
@@ -44,6 +48,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct LinkRoom {
     rate: Option<Rate>,
+    /// The declared rate, where a link is declared.
+    pub(crate) limit_kbps: Option<u64>,
     /// When all that was started has been carried at the share's rate.
     busy_until_us: TimeUs,
 }
@@ -65,14 +71,18 @@
         match self.rate {
             Some(rate) if rate.expires_us.reached(now_us) || rate.kbps == 0 => false,
             Some(_) => self.busy_until_us <= now_us.after_us(burst_us),
-            None => fallback == Fallback::Unlimited,
+            None if fallback == Fallback::Zero => false,
+            None => self.busy_until_us <= now_us.after_us(burst_us),
         }
     }
 
     /// Counts an answer of this size.
     pub(crate) fn take(&mut self, now_us: TimeUs, bytes: u64) {
-        let Some(rate) = self.rate else { return };
-        let carry_us = (bytes * 8_000).div_ceil(rate.kbps.max(1));
+        let limit_kbps = self.limit_kbps.unwrap_or(u64::MAX);
+        let kbps = self
+            .rate
+            .map_or(limit_kbps, |rate| rate.kbps.min(limit_kbps));
+        let carry_us = (bytes * 8_000).div_ceil(kbps.max(1));
         self.busy_until_us = self.busy_until_us.max(now_us).after_us(carry_us);
     }
 }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -27,6 +27,19 @@
     pub(crate) delay_us: Option<u64>,
 }
 
+/// A declared link.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Link {
+    /// The region at one end.
+    pub(crate) a: usize,
+    /// The region at the other.
+    pub(crate) b: usize,
+    /// The one-way delay.
+    pub(crate) delay_us: u64,
+    /// The rate, each way.
+    pub(crate) limit_kbps: u64,
+}
+
 /// Services, regions and upstreams, by index.
 #[derive(Debug)]
 pub(crate) struct Table {
@@ -41,7 +54,7 @@
     /// What moves out of a region at most where no shift is declared.
     pub(crate) cap: Cap,
     /// Declared links by resource.
-    pub(crate) links: BTreeMap<ResourceName, (usize, usize, u64)>,
+    pub(crate) links: BTreeMap<ResourceName, Link>,
     region_ids: BTreeMap<RegionName, usize>,
     service_ids: BTreeMap<ServiceName, usize>,
     upstream_ids: BTreeMap<UpstreamName, usize>,
@@ -154,11 +167,13 @@
     pub(crate) fn apply_links(&mut self) {
         for region in &mut self.regions {
             region.delay_us = None;
+            region.link.limit_kbps = None;
         }
-        for &(a, b, delay_us) in self.links.values() {
-            match (a, b) {
+        for link in self.links.values() {
+            match (link.a, link.b) {
                 (OWN_REGION, other) | (other, OWN_REGION) => {
-                    self.regions[other].delay_us = Some(delay_us);
+                    self.regions[other].delay_us = Some(link.delay_us);
+                    self.regions[other].link.limit_kbps = Some(link.limit_kbps);
                 }
                 _ => {}
             }
--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -5,7 +5,7 @@
 use common::{Bench, Step, announcement, config, of, region, uncapped};
 use route::{Fallback, Input, Limits, Output, Policy, Settled};
 use strum::IntoEnumIterator;
-use types::{DrainTarget, Outcome, Refusal, TimeUs, UpstreamState};
+use types::{DrainTarget, Outcome, Refusal, RegionSpec, Spec, TimeUs, UpstreamState};
 
 fn refusal(step: &Step) -> Option<Refusal> {
     match step {
@@ -90,6 +90,25 @@
     assert_eq!(of(third, &outputs), Step::Forwarded("near".into()));
 }
 
+#[test]
+fn the_declared_capacity_bounds_a_region_without_a_share() {
+    let mut bench = Bench::new(config());
+    let spec = RegionSpec {
+        capacity_slots: 2,
+        failure_domains: Vec::new(),
+    };
+    bench.declare("here", Spec::Region(spec));
+    bench.upstream("near", "browse", "here-a", 9);
+    assert!(matches!(bench.arrive("browse", true).1, Step::Forwarded(_)));
+    assert!(matches!(bench.arrive("browse", true).1, Step::Forwarded(_)));
+    assert_eq!(bench.arrive("browse", true).1, Step::Nothing);
+    bench.share("here", 9, TimeUs(u64::MAX));
+    assert!(
+        bench.take_forwarded().len() == 2,
+        "a share never exceeds it"
+    );
+}
+
 #[test]
 fn without_any_share_the_fallback_holds() {
     let mut bench = Bench::new(config().with_fallback(Fallback::Zero));
