Say when the next tick is due, and measure a declared shift

Cause: an entry's task should sleep until time alone can change something, not tick all the time. And the lab had no shift: a third of a service now moves to upstreams with cold caches in its last scenario.

--- a/crates/lab/src/entries.rs
+++ b/crates/lab/src/entries.rs
@@ -2,7 +2,7 @@
 
 use crate::{deployment::Site, events::EndingCode, names, shares::SHARE_US, worker::Worker};
 use route::{Fallback, Input, Limits, Output, Policy, RequestId, Router, RouterConfig};
-use types::{DrainSpec, DrainTarget, RegionName, Resource, Spec, TimeUs, UpstreamName};
+use types::{DrainSpec, DrainTarget, RegionName, Resource, ShiftSpec, Spec, TimeUs, UpstreamName};
 
 /// Routers at the entries.
 #[derive(Debug)]
@@ -131,6 +131,12 @@
         self.routers[entry].wanted_slots(&self.regions[region])
     }
 
+    /// A shift is declared.
+    pub fn shift(&mut self, entry: usize, now_us: u64, spec: &ShiftSpec) -> Vec<Output> {
+        let resource = names::resource("shift", Spec::Shift(spec.clone()));
+        self.step(entry, now_us, Input::Declared(&resource))
+    }
+
     /// A share of a region's capacity.
     pub fn share(&mut self, entry: usize, now_us: u64, region: usize, slots: u32) -> Vec<Output> {
         let region = self.regions[region].clone();
--- a/crates/lab/src/incident.rs
+++ b/crates/lab/src/incident.rs
@@ -2,18 +2,25 @@
 
 use crate::{
     events::Event,
+    names,
     scenario::Scenario,
     worker::Fault,
     world::{Front, World},
 };
-use route::Output;
-use types::Outcome;
+use route::{Cap, Output};
+use types::{Outcome, ShiftSpec};
 
 /// How long a restart takes.
 const RESTART_US: u64 = 500_000;
 /// How long an announcement lasts without renewal, and a cached look-up answer at most.
 const EXPIRY_US: u64 = 1_800_000;
-/// The region that is lost or drained.
+/// The service that is shifted.
+const SHIFTED_SERVICE: usize = 0;
+/// The region that it is shifted from.
+const FROM_REGION: usize = 0;
+/// The part that is shifted in the end.
+const SHIFT_PERCENT: u32 = 33;
+/// The region that is lost or drained, or that a shift goes to.
 const REGION: usize = 1;
 /// The entries that are lost.
 const LOST_ENTRIES: [usize; 2] = [3, 4];
@@ -38,7 +45,7 @@
     }
 
     /// The incident begins.
-    pub fn incident(&mut self, now_us: u64, scenario: Scenario) {
+    pub fn incident(&mut self, now_us: u64, scenario: Scenario, cap: Cap) {
         match scenario {
             Scenario::Calm | Scenario::StaleLoad | Scenario::LyingHealth => {}
             Scenario::ColdRestart => {
@@ -56,6 +63,7 @@
                     .push(now_us + EXPIRY_US, Event::AnnouncementsExpire);
             }
             Scenario::RegionDrain => self.drain_region(now_us),
+            Scenario::Shift => self.shift(now_us, cap),
         }
     }
 
@@ -126,6 +134,28 @@
         }
     }
 
+    fn shift(&mut self, now_us: u64, cap: Cap) {
+        for worker in &mut self.workers {
+            if worker.service == SHIFTED_SERVICE && worker.region == REGION {
+                worker.start_cold();
+            }
+        }
+        let spec = ShiftSpec {
+            service: names::service(&self.site, SHIFTED_SERVICE),
+            from: names::region(&self.site, FROM_REGION),
+            to: names::region(&self.site, REGION),
+            target_percent: SHIFT_PERCENT,
+            cap_percent: cap.percent,
+            interval_ms: cap.interval_ms,
+        };
+        for entry in self.entries_up() {
+            if let Front::Routers(entries) = &mut self.front {
+                let outputs = entries.shift(entry, now_us, &spec);
+                self.apply(now_us, &outputs);
+            }
+        }
+    }
+
     fn drain_region(&mut self, now_us: u64) {
         self.draining = Some((REGION, now_us));
         if let Front::AllKnowing(chooser) = &mut self.front {
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -260,7 +260,7 @@
             give_shares(world, now_us);
             world.events.push(now_us + SHARES_US, Event::Shares);
         }
-        Event::Incident => world.incident(now_us, experiment.scenario),
+        Event::Incident => world.incident(now_us, experiment.scenario, experiment.cap),
         Event::Recovery => {
             world.recovery();
             for worker in (0..world.workers.len()).step_by(3) {
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -22,6 +22,8 @@
     EntryLoss,
     /// A region is drained.
     RegionDrain,
+    /// A third of the first service's traffic is shifted to upstreams with cold caches.
+    Shift,
 }
 
 /// Who chooses the upstreams.
--- a/crates/route/src/homes.rs
+++ b/crates/route/src/homes.rs
@@ -4,6 +4,7 @@
 //! other entry does, and borrows other slots only when those are taken.
 
 use crate::{Policy, router::Router, table::OWN_REGION};
+use std::collections::HashMap;
 use types::{DomainName, EntryName, UpstreamName};
 
 impl Router {
@@ -54,8 +55,7 @@
         });
         let deals = deal(&self.config.entry, entries.collect(), sources);
         for &id in &members {
-            let dealt = deals.iter().find(|(source, _)| *source == id);
-            let home_slots = dealt.map_or(0, |&(_, slots)| slots);
+            let home_slots = deals.get(&id).copied().unwrap_or(0);
             self.table.set_home_slots(id, home_slots);
         }
     }
@@ -88,11 +88,11 @@
     own: &EntryName,
     mut entries: Vec<Dealt<'_>>,
     mut sources: Vec<Source<'_>>,
-) -> Vec<(usize, u32)> {
+) -> HashMap<usize, u32> {
     entries.sort_by_key(|entry| entry.name);
     sources.sort_by_key(|source| source.name);
     let Some(own) = entries.iter().position(|entry| entry.name == own) else {
-        return sources.iter().map(|source| (source.id, 0)).collect();
+        return HashMap::new();
     };
     let mut left = quotas(
         entries.len(),
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -17,6 +17,9 @@
 /// Grants are counted in rounds of this many to keep browsing its part.
 const ROUND_PERCENT: u32 = 100;
 
+/// How long requests wait for a link or the cap before room is looked for again.
+const RETRY_US: u64 = 5_000;
+
 /// Decides for one entry which upstream runs each request, and which requests run at all.
 #[derive(Debug)]
 pub struct Router {
@@ -110,6 +113,20 @@
         self.dispatch(now_us, outputs);
     }
 
+    /// When the next [`Input::Tick`] is due, if no other event comes before; `None` while nothing
+    /// waits and nothing is closed.
+    #[must_use]
+    pub fn next_tick_us(&self, now_us: TimeUs) -> Option<TimeUs> {
+        let deadline_us = self.deadlines.first().map(|&(deadline_us, _)| deadline_us);
+        let wakeup_us = self.wakeups.first().map(|&(until_us, _)| until_us);
+        let waiting = !self.waiting.is_empty();
+        let retry_us = waiting.then(|| now_us.after_us(RETRY_US));
+        [deadline_us, wakeup_us, retry_us]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
     /// Whether requests of the service wait.
     pub(crate) fn is_waiting(&self, service: usize) -> bool {
         self.waiting.contains(&service)
--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -74,6 +74,25 @@
     assert_eq!(refusal(&of(second, &outputs)), Some(Refusal::Deadline));
 }
 
+#[test]
+fn ticks_are_due_only_while_something_waits_or_is_closed() {
+    let mut bench = Bench::new(config());
+    bench.upstream("near", "browse", "here-a", 1);
+    let (first, _) = bench.arrive("browse", true);
+    assert_eq!(bench.router.next_tick_us(bench.now_us), None);
+    bench.arrive_until("browse", true, bench.now_us.after_ms(2));
+    let due_us = bench.now_us.after_ms(2);
+    assert_eq!(bench.router.next_tick_us(bench.now_us), Some(due_us));
+    bench.now_us = due_us;
+    bench.step(Input::Tick);
+    assert_eq!(bench.router.next_tick_us(bench.now_us), None);
+    bench.arrive("browse", true);
+    let soon_us = bench.now_us.after_ms(5);
+    assert_eq!(bench.router.next_tick_us(bench.now_us), Some(soon_us));
+    bench.finish(first);
+    assert_eq!(bench.router.next_tick_us(bench.now_us), None);
+}
+
 #[test]
 fn a_share_bounds_its_region_until_it_expires() {
     let mut bench = Bench::new(config());
