--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -121,15 +121,6 @@
                 blocked = Some(Refusal::NoCapacity);
                 continue;
             }
-            if config.policy == Policy::Adaptive
-                && pass != Pass::Home
-                && let Some((freed, until_us)) = group.freed.take()
-                && !until_us.reached(now_us)
-                && table.upstreams[freed].is_open_to_borrow()
-                && !request.tried.contains(&freed)
-            {
-                return Ok(Some(freed));
-            }
             let mut draw = Draw {
                 upstreams: &table.upstreams,
                 tried: &request.tried,
--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -9,8 +9,6 @@
 const FAILURE_STATUS: u16 = 500;
 /// How long a refusal closes a group's borrowed slots at first; doubled by each further one.
 const GROUP_CLOSED_US: u64 = 2_000;
-/// How long a freed slot is likely to stay free.
-const FREED_US: u64 = 2_000;
 /// Doublings of a group's closure at most.
 const GROUP_DOUBLINGS: u32 = 3;
 
@@ -42,7 +40,6 @@
                 let service_us = service.latency_us.get();
                 if borrowed {
                     group.refusals_in_row = group.refusals_in_row.saturating_sub(1);
-                    group.freed = Some((upstream_id, now_us.after_us(FREED_US)));
                 }
                 let bound_us = service_us.map_or(u64::MAX, |us| us * OUTLIER_FACTOR);
                 service.latency_us.add(latency_us.min(bound_us));
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -27,8 +27,6 @@
     pub(crate) open: Vec<usize>,
     /// Until when it gets nothing because its upstreams refused.
     pub(crate) closed_until_us: TimeUs,
-    /// The upstream whose borrowed slot was freed last, and until when that counts.
-    pub(crate) freed: Option<(usize, TimeUs)>,
     /// Refusals since the last answer.
     pub(crate) refusals_in_row: u32,
     /// Those that take new work at all.
@@ -73,7 +71,6 @@
             home: Vec::new(),
             open: Vec::new(),
             closed_until_us: TimeUs(0),
-            freed: None,
             refusals_in_row: 0,
             usable: 0,
             cursor: 0,
--- a/crates/route/src/upstream.rs
+++ b/crates/route/src/upstream.rs
@@ -91,11 +91,6 @@
         self.is_usable() && !self.evidence.is_closed() && self.in_flight < self.limit_slots()
     }
 
-    /// Whether it takes one more request in a slot that was not dealt to this entry.
-    pub(crate) fn is_open_to_borrow(&self) -> bool {
-        self.has_room() && !self.has_home_room()
-    }
-
     /// Requests that may be in flight there from this entry now.
     pub(crate) fn limit_slots(&self) -> u32 {
         let start_limit = self.evidence.start_limit.unwrap_or(u32::MAX);
