--- a/crates/standin/src/deployment/network.rs
+++ b/crates/standin/src/deployment/network.rs
@@ -25,7 +25,7 @@
 /// The port that a reservation holds, and the last part of its address.
 const RESERVATION: (u8, u16) = (254, 7000);
 /// The networks that tests choose from.
-const FREE_NETWORKS: RangeInclusive<u8> = 10..=250;
+const FREE_NETWORKS: RangeInclusive<u8> = 30..=250;
 /// The port of an upstream.
 const UPSTREAM_PORT: u16 = 9000;
 
