--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -8,11 +8,13 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     ops::Bound,
+    sync::Arc,
 };
 use types::TimeUs;
 
-/// Records and answer bytes that one message of a recovery carries.
-const CHUNK_RECORDS: usize = 256;
+/// Records that are looked at for each one that a message of a recovery may carry.
+const SCANNED_PER_RECORD: usize = 16;
+/// Answer bytes that one message of a recovery carries.
 const CHUNK_ANSWER_BYTES: usize = 256 * 1024;
 
 /// What is kept of one key.
@@ -40,8 +42,8 @@
 #[derive(Debug)]
 pub(crate) struct Table {
     limits: Limits,
-    records: BTreeMap<ClaimKey, Record>,
-    expiries: BTreeSet<(TimeUs, ClaimKey)>,
+    records: BTreeMap<Arc<ClaimKey>, Record>,
+    expiries: BTreeSet<(TimeUs, Arc<ClaimKey>)>,
     answer_bytes: usize,
 }
 
@@ -106,26 +108,37 @@
 
     /// Keeps a key until `expires_us` at least; false when there is no room.
     fn keep(&mut self, key: &ClaimKey, expires_us: TimeUs) -> bool {
-        if let Some(record) = self.records.get_mut(key) {
+        if let Some(record) = self.records.get(key) {
             if record.expires_us < expires_us {
-                self.expiries.remove(&(record.expires_us, key.clone()));
-                self.expiries.insert((expires_us, key.clone()));
-                record.expires_us = expires_us;
+                self.set_expiry(key, expires_us);
             }
             return true;
         }
         if self.records.len() >= self.limits.keys {
             return false;
         }
+        let key = Arc::new(key.clone());
         let record = Record {
             expires_us,
             ..Record::default()
         };
-        self.records.insert(key.clone(), record);
-        self.expiries.insert((expires_us, key.clone()));
+        self.records.insert(Arc::clone(&key), record);
+        self.expiries.insert((expires_us, key));
         true
     }
 
+    fn set_expiry(&mut self, key: &ClaimKey, expires_us: TimeUs) {
+        let Some((key, _)) = self.records.get_key_value(key) else {
+            return;
+        };
+        let key = Arc::clone(key);
+        if let Some(record) = self.records.get_mut(&key) {
+            let before_us = std::mem::replace(&mut record.expires_us, expires_us);
+            self.expiries.remove(&(before_us, Arc::clone(&key)));
+            self.expiries.insert((expires_us, key));
+        }
+    }
+
     /// Adds a claim, or takes over its progress when that is further; false when there is no room.
     pub(crate) fn put(&mut self, key: &ClaimKey, claim: HeldClaim, expires_us: TimeUs) -> bool {
         if !self.keep(key, expires_us) {
@@ -152,6 +165,7 @@
             None => {
                 self.answer_bytes += answer_bytes(&progress);
                 let attempt = claim.attempt;
+                record.claims.reserve_exact(1);
                 record.claims.push(HeldClaim { attempt, progress });
             }
         }
@@ -170,16 +184,18 @@
         }
     }
 
-    /// Takes in how an attempt ended; false when there is no room.
+    /// Takes in how an attempt ended; false when there is no room. A key that nobody claims any
+    /// more is forgotten at `forget_us`.
     pub(crate) fn end(
         &mut self,
         key: &ClaimKey,
         attempt: &Attempt,
         ending: Ending,
         expires_us: TimeUs,
+        forget_us: TimeUs,
     ) -> bool {
         let progress = match ending {
-            Ending::DidNotRun => return self.release(key, attempt, expires_us),
+            Ending::DidNotRun => return self.release(key, attempt, forget_us),
             Ending::Unknown => Progress::Unknown,
             Ending::Finished { status, answer } => Progress::Finished { status, answer },
         };
@@ -187,45 +203,54 @@
         self.put(key, HeldClaim { attempt, progress }, expires_us)
     }
 
-    fn release(&mut self, key: &ClaimKey, attempt: &Attempt, expires_us: TimeUs) -> bool {
-        if !self.keep(key, expires_us) {
+    fn release(&mut self, key: &ClaimKey, attempt: &Attempt, forget_us: TimeUs) -> bool {
+        if !self.keep(key, forget_us) {
             return false;
         }
         if let Some(record) = self.records.get_mut(key) {
             record.claims.retain(|claim| claim.attempt != *attempt);
             record.released = Some(attempt.clone());
+            if record.claims.is_empty() {
+                self.set_expiry(key, forget_us);
+            }
         }
         true
     }
 
-    /// The records after `after` whose key `wanted` names, and whether they are the last.
+    /// The records after `after` whose key is wanted, and the key to go on after unless these are
+    /// the last.
     pub(crate) fn chunk(
         &self,
         now_us: TimeUs,
         after: Option<&ClaimKey>,
         wanted: impl Fn(&ClaimKey) -> bool,
-    ) -> (Vec<HeldRecord>, bool) {
+    ) -> (Vec<HeldRecord>, Option<ClaimKey>) {
         let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let records_max = self.limits.recovery_records;
+        let scanned_max = records_max * SCANNED_PER_RECORD;
         let mut bytes = 0;
         let mut chunk = Vec::new();
-        for (key, record) in self.records.range::<ClaimKey, _>((start, Bound::Unbounded)) {
+        let mut last = None;
+        let records = self.records.range::<ClaimKey, _>((start, Bound::Unbounded));
+        for (scanned, (key, record)) in records.enumerate() {
+            let full = chunk.len() >= records_max || bytes >= CHUNK_ANSWER_BYTES;
+            if full || scanned >= scanned_max {
+                return (chunk, last.map(|key| ClaimKey::clone(key)));
+            }
+            last = Some(key);
             if record.claims.is_empty() || !wanted(key) {
                 continue;
             }
-            if chunk.len() >= CHUNK_RECORDS || bytes >= CHUNK_ANSWER_BYTES {
-                return (chunk, false);
-            }
-            let answers = record
-                .claims
-                .iter()
-                .map(|claim| answer_bytes(&claim.progress));
-            bytes += answers.sum::<usize>();
+            let answers = record.claims.iter();
+            bytes += answers
+                .map(|claim| answer_bytes(&claim.progress))
+                .sum::<usize>();
             chunk.push(HeldRecord {
-                key: key.clone(),
+                key: key.as_ref().clone(),
                 claims: record.claims.clone(),
                 remaining_us: record.expires_us.since_us(now_us),
             });
         }
-        (chunk, true)
+        (chunk, None)
     }
 }
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -8,12 +8,14 @@
             Ready,
         },
         forward::{Attempt, Call, Target, attempt, strip_connection_headers},
+        kept::KeptAnswer,
         metrics::EntryMetrics,
         pool::{Connection, Pool},
         relay::{Relay, RelayedBody, RequestGuard},
     },
-    http::{Body, error, json, read_body, text},
+    http::{Body, bearer_token, error, json, metrics, read_body, same_token},
 };
+use claim::ClaimKey;
 use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri,
@@ -24,9 +26,10 @@
 use prometheus_client::registry::Registry;
 use route::Settled;
 use serde_json::json;
+use settings::AnnounceToken;
 use std::{sync::Arc, time::Instant};
 use tokio::sync::mpsc::UnboundedReceiver;
-use types::{ApiError, Outcome, ServiceName, UpstreamName};
+use types::{Announcement, ApiError, Outcome, Refusal, ServiceName, UpstreamName};
 
 /// The largest body of a caller's request.
 const REQUEST_MAX_BYTES: usize = 1024 * 1024;
@@ -38,6 +41,8 @@
 const REFUSAL: HeaderName = HeaderName::from_static("ow-refusal");
 const UPSTREAM: HeaderName = HeaderName::from_static("ow-upstream");
 const ATTEMPTS: HeaderName = HeaderName::from_static("ow-attempts");
+const REPLAYED: HeaderName = HeaderName::from_static("ow-replayed");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const DEADLINE_MS: HeaderName = HeaderName::from_static("ow-deadline-ms");
 
 /// What the handlers of an entry's interface need.
@@ -53,6 +58,8 @@
     pub metrics: Arc<EntryMetrics>,
     /// Every counter of the process.
     pub registry: Arc<Registry>,
+    /// The tokens that announcements need one of; none when they need no token.
+    pub tokens: Arc<[AnnounceToken]>,
     /// Begins the names of attempts, unique to this run of this entry.
     pub run: Arc<str>,
 }
@@ -67,7 +74,7 @@
             (("s", service), rest) => self.forward(service, rest.unwrap_or(""), request).await,
             (("v1", "lookup"), Some(service)) => self.lookup(service, request.method()).await,
             (("v1", "upstreams"), Some(name)) => self.announce(name, request).await,
-            (("metrics", ""), None) => self.metrics(),
+            (("metrics", ""), None) => metrics(&self.registry),
             (("ready", ""), None) => self.ready().await,
             (("dump", ""), None) => self.dump().await,
             _ => Err(ApiError::NotFound),
@@ -104,11 +111,13 @@
         }
         let name = UpstreamName::new(name)
             .map_err(|invalid| ApiError::InvalidName { name: invalid.name })?;
-        let body = read_body(request.into_body(), ANNOUNCEMENT_MAX_BYTES).await?;
-        let announcement =
+        let (head, body) = request.into_parts();
+        let body = read_body(body, ANNOUNCEMENT_MAX_BYTES).await?;
+        let announcement: Announcement =
             serde_json::from_slice(&body).map_err(|error| ApiError::MalformedJson {
                 reason: error.to_string(),
             })?;
+        self.authorize(&head.headers, &announcement.service)?;
         let renew = self.actor.ask(Announce { name, announcement }).await;
         Ok(json(
             StatusCode::OK,
@@ -116,14 +125,23 @@
         ))
     }
 
-    fn metrics(&self) -> Result<Response<Body>, ApiError> {
-        let mut encoded = String::new();
-        prometheus_client::encoding::text::encode(&mut encoded, &self.registry)
-            .map_err(|_| ApiError::TooBusy)?;
-        Ok(text(
-            "application/openmetrics-text; version=1.0.0; charset=utf-8",
-            encoded,
-        ))
+    /// Whether the token of an announcement is bound to its service.
+    fn authorize(&self, headers: &HeaderMap, service: &ServiceName) -> Result<(), ApiError> {
+        if self.tokens.is_empty() {
+            return Ok(());
+        }
+        let given = bearer_token(headers);
+        let known = self
+            .tokens
+            .iter()
+            .find(|known| same_token(&known.token, given));
+        let known = known.ok_or(ApiError::Unauthorized)?;
+        if known.services.contains(service) {
+            return Ok(());
+        }
+        Err(ApiError::Forbidden {
+            service: service.to_string(),
+        })
     }
 
     async fn ready(&self) -> Result<Response<Body>, ApiError> {
@@ -148,12 +166,15 @@
     ) -> Result<Response<Body>, ApiError> {
         let service = service_name(service)?;
         let patience_ms = patience_ms(request.headers())?;
+        let key = claim_key(&service, request.headers())?;
         let started = Instant::now();
         let (head, body) = request.into_parts();
         let body = read_body(body, REQUEST_MAX_BYTES).await?;
+        let keeps_answer = key.is_some();
         let arrive = Arrive {
             service,
             patience_ms,
+            key,
         };
         let admission = self
             .actor
@@ -172,6 +193,7 @@
             uri: upstream_uri(rest, head.uri.query())?,
             headers,
             body,
+            keeps_answer,
         };
         let guard = RequestGuard::new(self.actor.clone(), request);
         let response = self.carry_out(call, guard, directives).await;
@@ -208,6 +230,10 @@
                     guard.settled();
                     return refusal(settled, attempts);
                 }
+                Directive::Replay { status, answer } => {
+                    guard.settled();
+                    return replay(status, &answer);
+                }
                 Directive::Cancel => continue,
             };
             attempts = target.attempt;
@@ -221,7 +247,9 @@
                     response,
                     connection,
                 } => {
+                    let keeps_answer = call.keeps_answer;
                     let answer = Answer {
+                        keeps_answer,
                         response,
                         connection,
                         upstream,
@@ -233,6 +261,7 @@
                     let ended = Ended {
                         request: guard.request(),
                         ending,
+                        answer: None,
                     };
                     let _ = self.actor.tell(ended).await;
                 }
@@ -250,6 +279,7 @@
 
     async fn answer(&self, answer: Answer, guard: RequestGuard) -> Response<Body> {
         let Answer {
+            keeps_answer,
             response,
             connection,
             upstream,
@@ -269,6 +299,7 @@
             address: target.address,
             connection,
             deadline: self.clock.instant(target.deadline_us),
+            kept: keeps_answer.then(|| KeptAnswer::of(&head.headers)),
         };
         strip_connection_headers(&mut head.headers);
         mark(&mut head.headers, Outcome::Finished, target.attempt);
@@ -282,6 +313,7 @@
 /// An upstream's answer under way.
 #[derive(Debug)]
 struct Answer {
+    keeps_answer: bool,
     response: Response<Incoming>,
     connection: Connection,
     upstream: UpstreamName,
@@ -299,6 +331,23 @@
     }
 }
 
+/// The kept answer of an earlier request with the same key.
+fn replay(status: u16, answer: &[u8]) -> Response<Body> {
+    let Some(mut response) = KeptAnswer::decode(answer).map(KeptAnswer::into_response) else {
+        let settled = Settled {
+            outcome: Outcome::Finished,
+            refusal: Some(Refusal::Duplicate),
+        };
+        return refusal(settled, 0);
+    };
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    mark(response.headers_mut(), Outcome::Finished, 0);
+    response
+        .headers_mut()
+        .insert(REPLAYED, HeaderValue::from_static("true"));
+    response
+}
+
 fn refusal(settled: Settled, attempts: u32) -> Response<Body> {
     let Settled { outcome, refusal } = settled;
     let mut response = error(&ApiError::RequestRefused { outcome, refusal });
@@ -320,6 +369,20 @@
     ServiceName::new(service).map_err(|invalid| ApiError::InvalidName { name: invalid.name })
 }
 
+fn claim_key(service: &ServiceName, headers: &HeaderMap) -> Result<Option<ClaimKey>, ApiError> {
+    let Some(value) = headers.get(IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    let key = value
+        .to_str()
+        .ok()
+        .and_then(|key| ClaimKey::new(service, key).ok());
+    let malformed = || ApiError::MalformedHeader {
+        name: IDEMPOTENCY_KEY.as_str().to_owned(),
+    };
+    key.map(Some).ok_or_else(malformed)
+}
+
 fn patience_ms(headers: &HeaderMap) -> Result<Option<u64>, ApiError> {
     let Some(value) = headers.get(DEADLINE_MS) else {
         return Ok(None);
--- a/crates/daemon/src/entry/start.rs
+++ b/crates/daemon/src/entry/start.rs
@@ -96,6 +96,7 @@
         clock,
         metrics,
         registry: Arc::new(registry),
+        tokens: own.announce_tokens.clone().into(),
         run: format!("{}-{:x}", settings.node.name, identity.incarnation).into(),
     };
     let server = serve(own.listen, move |request, _| http.clone().handle(request)).await?;
@@ -135,7 +136,7 @@
             .map(|replica| replica.name.clone())
             .collect(),
         lookup_lifetime_ms: own.lookup_lifetime_ms,
-        seed,
+        incarnation: seed,
     };
     EntryCore::new(config, router, clock.now_us())
 }
--- a/crates/raft/tests/group/mod.rs
+++ b/crates/raft/tests/group/mod.rs
@@ -3,97 +3,40 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 mod checks;
+mod node;
 
-pub use self::checks::Checks;
-
-use raft::{
-    Entry, Input, Message, Output, Persist, Raft, RaftConfig, ReplicaId, Restored, Role, Status,
+pub use self::{
+    checks::Checks,
+    node::{Machine, Node},
 };
+
+use self::node::write;
+
+use raft::{Input, Message, Output, Raft, RaftConfig, ReplicaId, Restored, Role, Status};
 use std::collections::{BTreeSet, VecDeque};
 
 pub const HEARTBEAT_US: u64 = 100_000;
 pub const ELECTION_US: u64 = 500_000;
 
-/// A state machine that is told by its index and the digest of everything applied.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Machine {
-    pub index: u64,
-    pub digest: u64,
-}
-
-impl Machine {
-    fn encode(self) -> Vec<u8> {
-        [self.index.to_le_bytes(), self.digest.to_le_bytes()].concat()
-    }
-
-    fn decode(data: &[u8]) -> Self {
-        let word = |at: usize| u64::from_le_bytes(data[at..at + 8].try_into().unwrap());
-        Self {
-            index: word(0),
-            digest: word(8),
-        }
-    }
-}
-
-pub struct Node {
-    pub id: ReplicaId,
-    pub raft: Option<Raft>,
-    pub machine: Machine,
-    pub answers: Vec<Output>,
-    /// Until when no other may lead if it leads, by the latest read that it answered.
-    pub sure_until_us: u64,
-    /// A paused node takes nothing in and sees no time pass.
-    pub paused: bool,
-    disk: Restored,
-    writes: VecDeque<(u64, Persist)>,
+/// The periods of replicas and the sizes of messages and snapshots.
+#[derive(Clone, Copy, Debug)]
+pub struct Tuning {
+    pub heartbeat_us: u64,
+    pub election_us: u64,
+    pub append_max_bytes: usize,
+    pub part_bytes: usize,
+    /// What the state machine's contents add to each snapshot.
+    pub contents_bytes: usize,
 }
 
-impl Node {
-    fn has_on_disk(&self, index: u64, term: u64) -> bool {
-        let base = self.disk.snapshot.as_ref().map_or(0, |s| s.index);
-        let entries = &self.disk.entries;
-        index <= base || entries.iter().any(|e| (e.index, e.term) == (index, term))
-    }
-
-    fn has_any_on_disk(&self, index: u64) -> bool {
-        self.has_on_disk(index, 0) || self.disk.entries.iter().any(|e| e.index == index)
-    }
-
-    /// What a message promises to remember is on the disk.
-    fn check_promise(&self, to: &ReplicaId, message: &Message) {
-        let vote = (&self.disk.hard_state.voted_for, self.disk.hard_state.term);
-        match message {
-            Message::Vote {
-                pre: false,
-                granted: true,
-                term,
-            } => {
-                assert_eq!(vote, (&Some(to.clone()), *term), "a vote is synced");
-            }
-            Message::RequestVote {
-                pre: false, term, ..
-            } => {
-                assert_eq!(vote, (&Some(self.id.clone()), *term), "a vote is synced");
-            }
-            Message::Appended {
-                success: true,
-                match_index,
-                ..
-            } => {
-                let term = self.raft.as_ref().unwrap().term_at(*match_index);
-                let is_held = match term {
-                    Some(term) => self.has_on_disk(*match_index, term),
-                    None => self.has_any_on_disk(*match_index),
-                };
-                assert!(is_held, "entry {match_index} of {term:?} is synced");
-            }
-            Message::SnapshotReceived {
-                done: true, index, ..
-            } => assert!(self.has_any_on_disk(*index), "a snapshot is synced"),
-            _ => {}
-        }
-    }
-}
+/// Sizes that bring about many messages.
+const SMALL: Tuning = Tuning {
+    heartbeat_us: HEARTBEAT_US,
+    election_us: ELECTION_US,
+    append_max_bytes: 512,
+    part_bytes: 5,
+    contents_bytes: 0,
+};
 
 struct Flying {
     due_us: u64,
@@ -111,6 +54,8 @@
     /// The largest random addition to each delay and sync.
     pub jitter_us: u64,
     pub loss_percent: u64,
+    /// Whether messages between two nodes keep their order, as over a connection.
+    pub in_order: bool,
     /// Links that lose everything, one way each.
     pub cut: BTreeSet<(usize, usize)>,
     /// Called with each message sent.
@@ -120,6 +65,7 @@
     flying: Vec<Flying>,
     next_incarnation: u64,
     seed: u64,
+    tuning: Tuning,
 }
 
 pub fn replica(name: usize, incarnation: u64) -> ReplicaId {
@@ -131,6 +77,10 @@
 
 impl Group {
     pub fn new(voters: usize, delay_us: u64, seed: u64) -> Self {
+        Self::with_tuning(voters, delay_us, seed, SMALL)
+    }
+
+    pub fn with_tuning(voters: usize, delay_us: u64, seed: u64, tuning: Tuning) -> Self {
         let ids: BTreeSet<_> = (0..voters).map(|name| replica(name, 1)).collect();
         let founders = raft::Membership {
             voters: ids.clone(),
@@ -157,6 +107,7 @@
             sync_us: 1_000,
             jitter_us: 0,
             loss_percent: 0,
+            in_order: false,
             cut: BTreeSet::new(),
             on_send: |_, _, _| {},
             sent_messages: 0,
@@ -164,6 +115,7 @@
             flying: Vec::new(),
             next_incarnation: 2,
             seed,
+            tuning,
         };
         for node in 0..voters {
             group.restart(node);
@@ -178,10 +130,10 @@
         self.seed += 1;
         let config = RaftConfig {
             id: self.nodes[node].id.clone(),
-            heartbeat_us: HEARTBEAT_US,
-            election_us: ELECTION_US,
-            append_max_bytes: 512,
-            snapshot_part_bytes: 5,
+            heartbeat_us: self.tuning.heartbeat_us,
+            election_us: self.tuning.election_us,
+            append_max_bytes: self.tuning.append_max_bytes,
+            snapshot_part_bytes: self.tuning.part_bytes,
             seed: self.seed.wrapping_mul(0x9e37_79b9) + node as u64,
         };
         let state = &mut self.nodes[node];
@@ -220,7 +172,7 @@
         raft.step(self.now_us, input, &mut outputs);
         for output in outputs {
             if let Output::Apply(entry) = &output {
-                self.check_majority(&before, entry);
+                self.check_majority(&before, node, entry);
             }
             self.take(node, output);
         }
@@ -237,7 +189,11 @@
                 if self.random(100) < self.loss_percent {
                     return;
                 }
-                let due_us = self.now_us + self.delay_us + self.random(self.jitter_us + 1);
+                let mut due_us = self.now_us + self.delay_us + self.random(self.jitter_us + 1);
+                if self.in_order {
+                    let same_way = self.flying.iter().filter(|f| f.from == id && f.to == to);
+                    due_us = due_us.max(same_way.map(|f| f.due_us).max().unwrap_or(0));
+                }
                 self.flying.push(Flying {
                     due_us,
                     from: id,
@@ -259,11 +215,16 @@
             }
             Output::Changed(status) => {
                 self.checks.changed(&status);
+                if status.role != Role::Leader {
+                    self.nodes[node].sure_until_us = 0;
+                }
                 self.check_leases(&status);
             }
             Output::ReadReady { request, index } => {
                 let asked_us = self.checks.read_ready(request, index);
-                self.nodes[node].sure_until_us = asked_us + ELECTION_US;
+                if self.status(node).role == Role::Leader {
+                    self.nodes[node].sure_until_us = asked_us + self.tuning.election_us;
+                }
                 self.nodes[node].answers.push(output);
             }
             Output::Proposed { .. } | Output::Rejected { .. } => {
@@ -280,32 +241,6 @@
         (self.seed >> 33) % bound
     }
 
-    /// No replica leads while another that leads relies on the promises not to vote.
-    fn check_leases(&self, status: &Status) {
-        if status.role != Role::Leader {
-            return;
-        }
-        for other in self.nodes.iter().filter(|other| other.id != status.id) {
-            let view = other.raft.as_ref().map(Raft::status);
-            let leads = view.is_some_and(|v| v.role == Role::Leader && v.term < status.term);
-            assert!(!leads || self.now_us >= other.sure_until_us, "two leaders");
-        }
-    }
-
-    /// An entry is on the disks of a majority when a leader commits it in the state `status`.
-    fn check_majority(&self, status: &Status, entry: &Entry) {
-        if status.role != Role::Leader {
-            return;
-        }
-        let voters = &status.membership.voters;
-        let lacks = |n: &&Node| voters.contains(&n.id) && !n.has_on_disk(entry.index, entry.term);
-        let lacking = self.nodes.iter().filter(lacks).count();
-        assert!(
-            lacking < voters.len().div_ceil(2),
-            "{entry:?} is on a majority"
-        );
-    }
-
     /// Delivers the message at `position`, whenever it was due; a copy stays with `again`.
     pub fn deliver(&mut self, position: usize, again: bool) {
         if self.flying.is_empty() {
@@ -349,7 +284,8 @@
 
     pub fn snapshot(&mut self, node: usize) {
         let machine = self.nodes[node].machine;
-        let data = machine.encode();
+        let mut data = machine.encode();
+        data.resize(data.len() + self.tuning.contents_bytes, 0);
         let index = machine.index;
         self.input(node, Input::SnapshotTaken { index, data });
     }
@@ -457,23 +393,3 @@
             && status.membership.voters.len() == self.nodes.len()
     }
 }
-
-/// The fake disk.
-fn write(disk: &mut Restored, persist: Persist) {
-    if let Some(snapshot) = persist.snapshot {
-        disk.entries.retain(|e| e.index > snapshot.index);
-        disk.snapshot = Some(snapshot);
-    }
-    if let Some(index) = persist.truncate_from {
-        disk.entries.retain(|e| e.index < index);
-    }
-    for entry in persist.entries {
-        let base = disk.snapshot.as_ref().map_or(0, |s| s.index);
-        let last = disk.entries.last().map_or(base, |e| e.index);
-        assert_eq!(entry.index, last + 1, "the log on the disk has no gap");
-        disk.entries.push(entry);
-    }
-    if let Some(hard_state) = persist.hard_state {
-        disk.hard_state = hard_state;
-    }
-}
