--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -157,7 +157,6 @@
     }
 
     fn note_change(&self, status: &Status) {
-        self.args.metrics.note(status);
         info!(self.args.log, "replica changed";
             "role" => ?status.role,
             "term" => status.term,
@@ -205,6 +204,7 @@
 
     async fn handle(&mut self, _: Tick, _: &mut Context<Self, Self::Reply>) {
         self.step(Input::Tick);
+        self.args.metrics.note(&self.args.core.status());
     }
 }
 
