--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -230,14 +230,14 @@
         let scanned_max = records_max * SCANNED_PER_RECORD;
         let mut bytes = 0;
         let mut chunk = Vec::new();
-        let mut last = None;
+        let mut last: Option<&ClaimKey> = None;
         let records = self.records.range::<ClaimKey, _>((start, Bound::Unbounded));
         for (scanned, (key, record)) in records.enumerate() {
             let full = chunk.len() >= records_max || bytes >= CHUNK_ANSWER_BYTES;
             if full || scanned >= scanned_max {
-                return (chunk, last.map(|key| ClaimKey::clone(key)));
+                return (chunk, last.cloned());
             }
-            last = Some(key);
+            last = Some(key.as_ref());
             if record.claims.is_empty() || !wanted(key) {
                 continue;
             }
