--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -237,7 +237,7 @@
             if full || scanned >= scanned_max {
                 return (chunk, last.cloned());
             }
-            last = Some(key);
+            last = Some(key.as_ref());
             if record.claims.is_empty() || !wanted(key) {
                 continue;
             }
