Test answers over real sockets: late, out of order, cut off, not wanted, kept

Cause: that a caller gets the whole answer to its own request, or sees that it has none, was held by no test over real connections. The dump now shows the entry's shares and its router, which the tests wait on.

--- /dev/null
+++ b/crates/daemon/tests/answers.rs
@@ -0,0 +1,289 @@
+//! Answers over real sockets: late, out of order, cut off, and not wanted any more. Every caller
+//! gets the whole answer to its own request, or sees that it has none.
+
+mod support;
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    thread::{self, JoinHandle},
+};
+use support::{
+    Daemon, Upstream, answer, exchange, get, header, read_head, status, wait, whole_body, with_body,
+};
+
+/// A caller in a thread of its own.
+fn call(entry: SocketAddr, path: &str) -> JoinHandle<Vec<u8>> {
+    let request = get(path);
+    thread::spawn(move || exchange(entry, &request).expect("an answer"))
+}
+
+/// Calls until the first request reaches the upstream; the entry may not know of it at once.
+fn first_call(daemon: &Daemon, path: &str) -> JoinHandle<Vec<u8>> {
+    wait("the upstream is known", || {
+        daemon.dump().contains("\"heard_here\":true")
+    });
+    wait("the region's share is granted", || {
+        daemon.dump().contains("\"shares\":[{")
+    });
+    call(daemon.entry, path)
+}
+
+#[test]
+fn a_body_cut_off_never_looks_whole() {
+    let daemon = Daemon::start();
+    let upstream = Upstream::new();
+    let _announcing = daemon.announce("browse", upstream.address);
+    let cut = [
+        "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nonly this",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nonly this\r\n",
+    ];
+    for answer in cut {
+        let caller = first_call(&daemon, "/s/browse/a");
+        let mut stream = upstream.accept();
+        read_head(&mut stream).expect("the request");
+        stream
+            .write_all(answer.as_bytes())
+            .expect("a part of the answer");
+        drop(stream);
+        let answer = caller.join().expect("the caller ended");
+        assert_eq!(
+            whole_body(&answer),
+            None,
+            "{}",
+            String::from_utf8_lossy(&answer)
+        );
+    }
+}
+
+#[test]
+fn a_late_answer_reaches_nobody_and_its_connection_is_not_used_again() {
+    let daemon = Daemon::start();
+    let upstream = Upstream::new();
+    let _announcing = daemon.announce("payout", upstream.address);
+    let first = first_call(&daemon, "/s/payout/first");
+    let mut late = upstream.accept();
+    read_head(&mut late).expect("the request");
+    let told = first.join().expect("the caller ended");
+    assert_eq!(
+        (status(&told), header(&told, "ow-outcome")),
+        (504, "unknown".to_owned())
+    );
+    let second = call(daemon.entry, "/s/payout/second");
+    let mut stream = upstream.accept();
+    let _ = late.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst");
+    let head = read_head(&mut stream).expect("the second request on a connection of its own");
+    assert!(head.starts_with("GET /second "), "{head}");
+    answer(&mut stream, "second");
+    let told = second.join().expect("the caller ended");
+    assert_eq!(whole_body(&told).as_deref(), Some("second"));
+}
+
+#[test]
+fn bytes_after_an_answer_are_nobodys_answer() {
+    let daemon = Daemon::start();
+    let upstream = Upstream::new();
+    let _announcing = daemon.announce("browse", upstream.address);
+    let first = first_call(&daemon, "/s/browse/first");
+    let mut stream = upstream.accept();
+    read_head(&mut stream).expect("the request");
+    let one = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n";
+    let both = format!("{one}first{one}stale");
+    stream.write_all(both.as_bytes()).expect("two answers");
+    let told = first.join().expect("the caller ended");
+    assert_eq!(whole_body(&told).as_deref(), Some("first"));
+    let second = call(daemon.entry, "/s/browse/second");
+    let mut stream = upstream.accept();
+    let head = read_head(&mut stream).expect("the second request on a connection of its own");
+    assert!(head.starts_with("GET /second "), "{head}");
+    answer(&mut stream, "second");
+    let told = second.join().expect("the caller ended");
+    assert_eq!(whole_body(&told).as_deref(), Some("second"));
+}
+
+#[test]
+fn answers_on_one_connection_go_to_their_own_callers() {
+    let daemon = Daemon::start();
+    let upstream = Upstream::new();
+    let _announcing = daemon.announce("browse", upstream.address);
+    let mut caller = first_call(&daemon, "/s/browse/0");
+    let mut stream = upstream.accept();
+    for round in 0..5 {
+        let head = read_head(&mut stream).expect("the request");
+        assert!(head.starts_with(&format!("GET /{round} ")), "{head}");
+        answer(&mut stream, &format!("answer {round}"));
+        let told = caller.join().expect("the caller ended");
+        assert_eq!(whole_body(&told), Some(format!("answer {round}")));
+        assert_eq!(header(&told, "ow-outcome"), "finished");
+        caller = call(daemon.entry, &format!("/s/browse/{}", round + 1));
+    }
+    let head = read_head(&mut stream).expect("the request");
+    assert!(head.starts_with("GET /5 "), "{head}");
+    answer(&mut stream, "last");
+    assert_eq!(
+        whole_body(&caller.join().expect("the caller ended")).as_deref(),
+        Some("last")
+    );
+    assert!(!upstream.has_connection());
+}
+
+#[test]
+fn a_caller_that_leaves_cancels_the_request_at_the_upstream() {
+    let daemon = Daemon::start();
+    let upstream = Upstream::new();
+    let _announcing = daemon.announce("browse", upstream.address);
+    wait("the upstream is known", || {
+        daemon.dump().contains("\"heard_here\":true")
+    });
+    wait("the region's share is granted", || {
+        daemon.dump().contains("\"shares\":[{")
+    });
+    let mut caller = TcpStream::connect(daemon.entry).expect("a connection");
+    caller
+        .write_all(get("/s/browse/a").as_bytes())
+        .expect("the request is written");
+    let mut stream = upstream.accept();
+    read_head(&mut stream).expect("the request");
+    drop(caller);
+    let mut byte = [0];
+    assert!(matches!(stream.read(&mut byte), Ok(0) | Err(_)));
+    wait("nothing is in flight", || {
+        daemon.dump().contains("\"in_flight\":0")
+    });
+}
+
+#[test]
+fn a_refusal_of_the_upstream_lets_the_request_run_elsewhere_or_tells_that_it_did_not_run() {
+    let daemon = Daemon::start();
+    let upstream = Upstream::new();
+    let _announcing = daemon.announce("payout", upstream.address);
+    let caller = first_call(&daemon, "/s/payout/a");
+    let refusing = thread::spawn(move || {
+        let mut refused = 0;
+        let mut stream = upstream.accept();
+        while read_head(&mut stream).is_some() {
+            let refusal = "HTTP/1.1 503 Busy\r\now-did-not-run: true\r\ncontent-length: 0\r\n\r\n";
+            if stream.write_all(refusal.as_bytes()).is_err() {
+                break;
+            }
+            refused += 1;
+        }
+        refused
+    });
+    let told = caller.join().expect("the caller ended");
+    assert_eq!(
+        (status(&told), header(&told, "ow-outcome")),
+        (503, "did-not-run".to_owned())
+    );
+    drop(daemon);
+    assert!(refusing.join().expect("the upstream ended") >= 1);
+}
+
+#[test]
+fn a_broken_attempt_of_a_payout_is_told_as_unknown_and_never_sent_again() {
+    let daemon = Daemon::start();
+    let upstream = Upstream::new();
+    let _announcing = daemon.announce("payout", upstream.address);
+    let caller = first_call(&daemon, "/s/payout/a");
+    let mut stream = upstream.accept();
+    read_head(&mut stream).expect("the request");
+    drop(stream);
+    let told = caller.join().expect("the caller ended");
+    assert_eq!(
+        (status(&told), header(&told, "ow-outcome")),
+        (504, "unknown".to_owned())
+    );
+    assert!(!upstream.has_connection());
+}
+
+#[test]
+fn a_resend_with_its_key_gets_the_kept_answer() {
+    let daemon = Daemon::start();
+    let upstream = Upstream::new();
+    let _announcing = daemon.announce("payout", upstream.address);
+    wait("the upstream is known", || {
+        daemon.dump().contains("\"heard_here\":true")
+    });
+    wait("the region's share is granted", || {
+        daemon.dump().contains("\"shares\":[{")
+    });
+    let request = with_body("POST", "/s/payout/a", "idempotency-key: k1\r\n", "pay");
+    let (entry, first) = (daemon.entry, request.clone());
+    let caller = thread::spawn(move || exchange(entry, &first).expect("an answer"));
+    let mut stream = upstream.accept();
+    let head = read_head(&mut stream).expect("the request");
+    assert!(head.contains("content-length: 3"), "{head}");
+    let mut body = [0; 3];
+    stream.read_exact(&mut body).expect("the body");
+    answer(&mut stream, "paid");
+    assert_eq!(
+        whole_body(&caller.join().expect("the caller ended")).as_deref(),
+        Some("paid")
+    );
+    let again = exchange(daemon.entry, &request).expect("an answer");
+    assert_eq!(whole_body(&again).as_deref(), Some("paid"));
+    assert_eq!(header(&again, "ow-replayed"), "true");
+    assert!(!upstream.has_connection());
+}
+
+#[test]
+fn bad_input_gets_a_typed_error_and_the_process_goes_on() {
+    let daemon = Daemon::start();
+    let large = "x".repeat(2 * 1024 * 1024);
+    let cases = [
+        (
+            daemon.entry,
+            with_body("PUT", "/v1/upstreams/a", "", "{"),
+            400,
+            "malformed_json",
+        ),
+        (
+            daemon.entry,
+            with_body("PUT", "/v1/upstreams/A", "", "{}"),
+            400,
+            "invalid_name",
+        ),
+        (
+            daemon.entry,
+            with_body("PUT", "/v1/upstreams/a", "", &large),
+            413,
+            "body_too_large",
+        ),
+        (
+            daemon.entry,
+            with_body("POST", "/v1/lookup/browse", "", ""),
+            405,
+            "method_not_allowed",
+        ),
+        (daemon.entry, get("/v1/lookup/none"), 404, "not_found"),
+        (daemon.entry, get("/nowhere"), 404, "not_found"),
+        (
+            daemon.control,
+            get("/v1/resources/regio"),
+            404,
+            "unknown_kind",
+        ),
+        (
+            daemon.control,
+            with_body("POST", "/v1/apply", "", "[1"),
+            400,
+            "malformed_json",
+        ),
+        (
+            daemon.control,
+            with_body("POST", "/v1/apply", "", &large),
+            413,
+            "body_too_large",
+        ),
+    ];
+    for (address, request, code, error) in cases {
+        let answer = exchange(address, &request).expect("an answer");
+        let text = String::from_utf8_lossy(&answer);
+        assert_eq!(status(&answer), code, "{text}");
+        assert!(text.contains(&format!("\"type\":\"{error}\"")), "{text}");
+    }
+    assert_eq!(
+        status(&exchange(daemon.entry, &get("/ready")).expect("an answer")),
+        200
+    );
+}
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -13,6 +13,7 @@
 use member::{Announced, Event, MemberRow, Members, PeerAnswer};
 use route::{Ending, RequestId, Router, RouterConfig, Settled};
 use serde::Serialize;
+use share::HeldRow;
 use std::collections::BTreeMap;
 use types::{
     Announcement, CONFIG_LEASE_MS, EntryName, LookupAnswer, Outcome, Refusal, ReplicaName,
@@ -75,6 +76,8 @@
     lease_left_ms: u64,
     stopping: bool,
     in_flight: usize,
+    shares: Vec<HeldRow<'a>>,
+    router: route::Snapshot,
     claims: HolderStatus,
     waiting_for_claims: usize,
     upstreams: Vec<MemberRow<'a>>,
@@ -212,6 +215,8 @@
             lease_left_ms: self.lease.until_us().since_us(now_us) / 1_000,
             stopping: self.is_stopping(),
             in_flight: self.shares.live_requests(),
+            shares: self.shares.rows(now_us),
+            router: self.router.snapshot(now_us),
             claims: self.claims.status(),
             waiting_for_claims: self.claims.waiting(),
             upstreams: self.members.rows(now_us).collect(),
--- a/crates/entry/src/shares.rs
+++ b/crates/entry/src/shares.rs
@@ -2,7 +2,7 @@
 
 use crate::config::Config;
 use route::{RequestId, Router};
-use share::{Grant, Holder, Pool, Want};
+use share::{Grant, HeldRow, Holder, Pool, Want};
 use std::collections::BTreeMap;
 use types::{RegionName, ReplicaName, ServiceName, Spec, TimeUs};
 
@@ -104,6 +104,11 @@
         self.live.remove(&request);
     }
 
+    /// What may be used now, for the process dump.
+    pub fn rows(&self, now_us: TimeUs) -> Vec<HeldRow<'_>> {
+        self.holder.rows(now_us).collect()
+    }
+
     /// Whether wants go to this replica: to the one that grants, or to all while none does.
     pub fn asks(&self, replica: &ReplicaName, now_us: TimeUs) -> bool {
         let granter = self
--- a/crates/share/src/holder.rs
+++ b/crates/share/src/holder.rs
@@ -4,6 +4,7 @@
     LEASE_MS,
     pool::{Grant, GrantId, Pool, Want},
 };
+use serde::Serialize;
 use std::collections::BTreeMap;
 use types::TimeUs;
 
@@ -78,4 +79,26 @@
             .get(pool)
             .map_or((0, TimeUs::default()), |held| (held.amount, held.until_us))
     }
+
+    /// What may be used now, for the process dump.
+    pub fn rows(&self, now_us: TimeUs) -> impl Iterator<Item = HeldRow<'_>> {
+        let usable = move |held: &Held| held.amount > 0 && !held.until_us.reached(now_us);
+        self.held
+            .iter()
+            .filter(move |(_, held)| usable(held))
+            .map(move |(pool, held)| HeldRow {
+                pool,
+                amount: held.amount,
+                left_ms: held.until_us.since_us(now_us) / 1_000,
+            })
+    }
+}
+
+/// What an entry may use of a pool, as the process dump shows it.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub struct HeldRow<'a> {
+    pool: &'a Pool,
+    amount: u64,
+    left_ms: u64,
 }
--- a/crates/share/src/lib.rs
+++ b/crates/share/src/lib.rs
@@ -13,7 +13,7 @@
 pub use crate::{
     allocator::{Allocator, HolderRow, PoolRow},
     fair::{Claim, fair_shares},
-    holder::Holder,
+    holder::{HeldRow, Holder},
     pool::{Grant, GrantId, HolderId, Pool, Want},
 };
 
