Keep the lease when a replica comes back without its disk

Cause: a replica that lost its disk answers polls with membership index 0 and no voters until it is admitted. In a deployment whose membership never changed all indexes are 0, and the last name among them won the choice of the newest membership. When that was the emptied replica, no entry renewed its lease: 3 s later the whole deployment answered did-not-run until an operator admitted the replica. Seen by hand on 127.60.1.x: control-5 killed, its folder emptied, started; every entry lost its lease 3 s after it came back and had it again 0.25 s after admit.

Answers without a membership now don't count as the newest one. Ruled out: looking at the learner's vote alone, since a learner that has caught up may know a newer membership than the others, and that one counts.

--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -76,14 +76,13 @@
     /// The latest time such that a majority of the newest known membership answered later polls
     /// and supports `applied_index`.
     fn confirmed_us(&self, applied_index: u64) -> Option<TimeUs> {
+        // A replica that lost its disk knows no membership before it is admitted.
         let newest = self
             .supports
             .values()
+            .filter(|support| support.voters > 0)
             .max_by_key(|support| support.membership_index)?;
         let quorum = usize::try_from(newest.voters / 2 + 1).ok()?;
-        if newest.voters == 0 {
-            return None;
-        }
         let mut asked: Vec<TimeUs> = self
             .supports
             .values()
--- a/crates/entry/tests/lease.rs
+++ b/crates/entry/tests/lease.rs
@@ -47,6 +47,20 @@
     assert!(!is_ready(&world));
 }
 
+#[test]
+fn a_replica_that_came_back_without_its_disk_costs_nothing() {
+    for emptied in ["control-1", "control-2", "control-3"] {
+        let mut world = World::new(1);
+        let replica = world.replica(emptied);
+        replica.last_index = 0;
+        replica.applied_index = 0;
+        replica.votes = false;
+        replica.voters = 0;
+        world.pass_ms(3 * CONFIG_LEASE_MS);
+        assert!(is_ready(&world), "{emptied}");
+    }
+}
+
 #[test]
 fn answers_under_an_older_membership_confirm_nothing() {
     let mut world = World::new(1);
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -38,6 +38,7 @@
     pub applied_index: u64,
     pub votes: bool,
     pub membership_index: u64,
+    pub voters: u32,
     /// Answers with a list of everything, which is empty, rather than with what changed.
     pub lists_nothing: bool,
 }
@@ -82,6 +83,7 @@
             applied_index: 1,
             votes: true,
             membership_index: 0,
+            voters: 3,
             lists_nothing: false,
         };
         let replicas = REPLICAS.map(|name| (name.parse().expect("valid name"), replica.clone()));
@@ -279,7 +281,7 @@
             last_index: replica.last_index,
             applied_index: replica.applied_index,
             membership_index: replica.membership_index,
-            voters: 3,
+            voters: replica.voters,
             votes: replica.votes,
             complete: replica.lists_nothing,
             changes: if declared { self.changes() } else { Vec::new() },
