Send clients to the entries nearest to their block

Look-ups weighed every entry by the answering entry's own region, so a client that asked an entry elsewhere was sent away from its own region. crates/locate resolves declared blocks into disjoint sorted ranges and finds the longest prefix; the entry orders regions by the links' delays from the client's region. Blocks come from a file named by the settings: a resource for each of 970,000 blocks was ruled out, since all resources may take 512 KiB together.

A look-up walked all resources once for each entry to find drains; it now lists the drains once. An answer names at most 16 entries, spread over clients by rendezvous hashing, since an answer with 720 of them is tens of kilobytes.

Tests: proptest against a plain search, memory and comparisons bounded at 970,000 blocks, weights by block, health and closeness in crates/entry. Room does not weigh yet.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -1,4 +1,4 @@
-//! The encoding of the control replica's HTTP interface, apart from sockets and decisions.
+//! The encoding of HTTP interfaces, most of it the control replica's, apart from sockets and decisions.
 //!
 //! A server hands [`parse`] the parts of a request and sends what [`encode`] makes of the answer.
 
@@ -9,5 +9,5 @@
 pub use crate::{
     body::{AdmitBody, ApplyBody, ChangeBody, DeleteBody, PutBody},
     encode::{HttpAnswer, encode},
-    parse::{BODY_MAX_BYTES, HttpRequest, WATCH_MAX_MS, parse},
+    parse::{BODY_MAX_BYTES, HttpRequest, WATCH_MAX_MS, lookup_client, parse},
 };
--- a/crates/api/src/parse.rs
+++ b/crates/api/src/parse.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use state::{Declaration, Operation, REQUEST_ID_MAX_BYTES};
-use std::str::FromStr;
+use std::{net::IpAddr, str::FromStr};
 use types::{ApiError, Key, Kind, ResourceName, Spec};
 
 /// The largest body of a request, in bytes.
@@ -185,6 +185,25 @@
     })
 }
 
+/// The client that a look-up at an entry names in its query, if any.
+///
+/// # Errors
+///
+/// [`ApiError::InvalidQuery`] for another parameter, or a value that is no address.
+pub fn lookup_client(query: Option<&str>) -> Result<Option<IpAddr>, ApiError> {
+    let mut client = None;
+    let pairs = query.unwrap_or_default().split('&');
+    for pair in pairs.filter(|pair| !pair.is_empty()) {
+        let (parameter, value) = pair.split_once('=').unwrap_or((pair, ""));
+        if parameter != "client" {
+            return Err(invalid_query(parameter));
+        }
+        let value = value.replace("%3A", ":").replace("%3a", ":");
+        client = Some(parse_parameter(parameter, &value)?);
+    }
+    Ok(client)
+}
+
 fn parse_parameter<T: FromStr>(parameter: &str, value: &str) -> Result<T, ApiError> {
     value.parse().map_err(|_| invalid_query(parameter))
 }
--- a/crates/api/tests/http.rs
+++ b/crates/api/tests/http.rs
@@ -1,6 +1,6 @@
 //! Requests and answers as HTTP carries them.
 
-use api::{BODY_MAX_BYTES, HttpRequest, WATCH_MAX_MS, encode, parse};
+use api::{BODY_MAX_BYTES, HttpRequest, WATCH_MAX_MS, encode, lookup_client, parse};
 use control::{Answer, Request};
 use serde_json::{Value, json};
 use state::{List, Operation};
@@ -160,3 +160,25 @@
         json!({"key": {"kind": "region", "name": "gauteng"}, "current_version": 4})
     );
 }
+
+#[test]
+fn a_look_up_names_one_client_or_none() {
+    assert_eq!(lookup_client(None), Ok(None));
+    assert_eq!(lookup_client(Some("")), Ok(None));
+    let client = "2001:db8::1".parse().expect("an address");
+    for query in ["client=2001:db8::1", "client=2001%3Adb8%3a%3A1"] {
+        assert_eq!(lookup_client(Some(query)), Ok(Some(client)));
+    }
+    for query in [
+        "client",
+        "client=",
+        "client=10.0.0",
+        "client=10.0.0.1:80",
+        "klient=10.0.0.1",
+    ] {
+        let (parameter, _) = query.split_once('=').unwrap_or((query, ""));
+        let parameter = parameter.to_owned();
+        let expected = ApiError::InvalidQuery { parameter };
+        assert_eq!(lookup_client(Some(query)), Err(expected));
+    }
+}
--- a/crates/daemon/src/entry/actor.rs
+++ b/crates/daemon/src/entry/actor.rs
@@ -20,7 +20,11 @@
 use member::{Announced, EXPIRES_WITHIN_MS, RENEW_WITHIN_MS};
 use route::{Ending, RequestId, Settled};
 use slog::{Logger, info, warn};
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+};
 use tokio::sync::{mpsc, watch};
 use types::{
     AnnounceAnswer, Announcement, EntryName, LookupAnswer, ReplicaName, ServiceName, TimeUs,
@@ -170,6 +174,8 @@
 pub struct Lookup {
     /// The service.
     pub service: ServiceName,
+    /// The client's address.
+    pub client: IpAddr,
 }
 
 /// Asks for the whole state.
@@ -462,11 +468,11 @@
 
     async fn handle(
         &mut self,
-        Lookup { service }: Lookup,
+        Lookup { service, client }: Lookup,
         _: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
         self.args.metrics.lookups.inc();
-        self.args.core.lookup(self.now_us(), &service)
+        self.args.core.lookup(self.now_us(), &service, client)
     }
 }
 
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -26,7 +26,7 @@
 use prometheus_client::registry::Registry;
 use route::Settled;
 use serde_json::json;
-use std::{sync::Arc, time::Instant};
+use std::{net::IpAddr, sync::Arc, time::Instant};
 use tokio::sync::mpsc::UnboundedReceiver;
 use types::{ApiError, Outcome, Refusal, ServiceName, UpstreamName};
 
@@ -63,13 +63,13 @@
 
 impl EntryHttp {
     /// Answers a request.
-    pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+    pub async fn handle(self, request: Request<Incoming>, client: IpAddr) -> Response<Body> {
         let path = request.uri().path().to_owned();
         let mut parts = path.trim_start_matches('/').splitn(3, '/');
         let route = (parts.next().unwrap_or(""), parts.next().unwrap_or(""));
         let answer = match (route, parts.next()) {
             (("s", service), rest) => self.forward(service, rest.unwrap_or(""), request).await,
-            (("v1", "lookup"), Some(service)) => self.lookup(service, request.method()).await,
+            (("v1", "lookup"), Some(service)) => self.lookup(service, client, &request).await,
             (("v1", "upstreams"), Some(name)) => self.announce(name, request).await,
             (("metrics", ""), None) => self.metrics(),
             (("ready", ""), None) => self.ready().await,
@@ -79,14 +79,20 @@
         answer.unwrap_or_else(|failure| error(&failure))
     }
 
-    async fn lookup(&self, service: &str, method: &Method) -> Result<Response<Body>, ApiError> {
-        if method != Method::GET {
+    async fn lookup(
+        &self,
+        service: &str,
+        asker: IpAddr,
+        request: &Request<Incoming>,
+    ) -> Result<Response<Body>, ApiError> {
+        if request.method() != Method::GET {
             return Err(ApiError::MethodNotAllowed);
         }
         let service = service_name(service)?;
+        let client = api::lookup_client(request.uri().query())?.unwrap_or(asker);
         let answer = self
             .actor
-            .ask(Lookup { service })
+            .ask(Lookup { service, client })
             .await
             .map_err(|_| ApiError::TooBusy)?;
         let answer = answer.ok_or(ApiError::NotFound)?;
--- a/crates/daemon/src/entry/start.rs
+++ b/crates/daemon/src/entry/start.rs
@@ -98,7 +98,10 @@
         registry: Arc::new(registry),
         run: format!("{}-{:x}", settings.node.name, identity.incarnation).into(),
     };
-    let server = serve(own.listen, move |request, _| http.clone().handle(request)).await?;
+    let server = serve(own.listen, move |request, client| {
+        http.clone().handle(request, client.ip())
+    })
+    .await?;
     info!(log, "entry started"; "listen" => %own.listen, "peer_listen" => %own.peer_listen);
     Ok(Entry {
         actor,
@@ -135,6 +138,7 @@
             .map(|replica| replica.name.clone())
             .collect(),
         lookup_lifetime_ms: own.lookup_lifetime_ms,
+        client_blocks: own.client_blocks.clone(),
         incarnation: seed,
     };
     EntryCore::new(config, router, clock.now_us())
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -1,10 +1,11 @@
 //! What goes into an entry's core and what comes out of it.
 
 use claim::{ClaimKey, Layout, Message, Peer};
+use locate::ClientBlocks;
 use member::PeerAnswer;
 use route::{Ending, RequestId};
 use share::{Grant, Want};
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 use types::{DomainName, EntryName, Key, RegionName, ReplicaName, Resource, ServiceName};
 
 /// The fixed parameters of an entry.
@@ -20,6 +21,8 @@
     pub replicas: Vec<ReplicaName>,
     /// How long callers may use a look-up answer.
     pub lookup_lifetime_ms: u64,
+    /// The declared blocks of clients; without them every client is near this entry.
+    pub client_blocks: Option<Arc<ClientBlocks>>,
     /// Differs in each run; greater than that of every earlier run.
     pub incarnation: u64,
 }
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -3,8 +3,8 @@
 use crate::api::{ConfigChange, ReplicaAnswer};
 use std::collections::{BTreeMap, BTreeSet};
 use types::{
-    DrainTarget, EntryName, EntrySpec, Key, Kind, Resource, ResourceName, ServiceName, ServiceSpec,
-    Spec,
+    DrainTarget, EntryName, EntrySpec, Key, Kind, LinkSpec, Resource, ResourceName, ServiceName,
+    ServiceSpec, Spec,
 };
 
 /// What one answer changed.
@@ -74,18 +74,23 @@
             })
     }
 
-    /// Whether a declared drain empties this entry.
-    pub fn drains_entry(&self, name: &EntryName, spec: &EntrySpec) -> bool {
+    /// What the declared drains empty.
+    pub fn drains(&self) -> impl Iterator<Item = &DrainTarget> {
         self.resources
             .values()
-            .any(|resource| match &resource.spec {
-                Spec::Drain(drain) => match &drain.target {
-                    DrainTarget::Upstream(_) => false,
-                    DrainTarget::Entry(entry) => entry == name,
-                    DrainTarget::FailureDomain(domain) => *domain == spec.failure_domain,
-                    DrainTarget::Region(region) => *region == spec.region,
-                },
-                _ => false,
+            .filter_map(|resource| match &resource.spec {
+                Spec::Drain(drain) => Some(&drain.target),
+                _ => None,
+            })
+    }
+
+    /// The declared links.
+    pub fn links(&self) -> impl Iterator<Item = &LinkSpec> {
+        self.resources
+            .values()
+            .filter_map(|resource| match &resource.spec {
+                Spec::Link(link) => Some(link),
+                _ => None,
             })
     }
 
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -13,7 +13,7 @@
 use member::{Announced, Event, MemberRow, Members, PeerAnswer};
 use route::{Ending, RequestId, Router, RouterConfig, Settled};
 use serde::Serialize;
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::IpAddr};
 use types::{
     Announcement, CONFIG_LEASE_MS, EntryName, LookupAnswer, Outcome, Refusal, ReplicaName,
     Resource, ServiceName, ServiceSpec, TimeUs, UpstreamName, poll_interval_ms,
@@ -171,13 +171,21 @@
         self.members.answer(now_us, since_version)
     }
 
-    /// Which entries callers should use for a declared service.
+    /// Which entries a client should use for a declared service.
     #[must_use]
-    pub fn lookup(&self, now_us: TimeUs, service: &ServiceName) -> Option<LookupAnswer> {
+    pub fn lookup(
+        &self,
+        now_us: TimeUs,
+        service: &ServiceName,
+        client: IpAddr,
+    ) -> Option<LookupAnswer> {
+        let blocks = self.own.client_blocks.as_ref();
+        let declared = blocks.and_then(|blocks| blocks.region(client));
         let view = LookupView {
             own_name: &self.own.name,
             own_open: !self.is_stopping() && self.lease.is_held(now_us),
-            near: &self.own.region,
+            near: declared.unwrap_or(&self.own.region),
+            client,
             config: &self.config,
             peers: &self.peers,
             lifetime_ms: self.own.lookup_lifetime_ms,
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -1,5 +1,6 @@
 //! Failures of reading settings.
 
+use locate::BlockError;
 use std::{io, path::PathBuf};
 use thiserror::Error;
 
@@ -142,6 +143,14 @@
         /// The shortest allowed.
         min_bytes: usize,
     },
+    /// The blocks of clients can't be used.
+    #[error("file {}: {source}", path.display())]
+    ClientBlocks {
+        /// The file.
+        path: PathBuf,
+        /// The first mistake.
+        source: Box<BlockError>,
+    },
     /// A line of the announcement tokens can't be read.
     #[error("line {line} of file {} is not TOKEN SERVICE[,SERVICE...]", path.display())]
     InvalidToken {
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -1,6 +1,7 @@
 //! The settings as the daemon uses them.
 
-use std::{net::SocketAddr, path::PathBuf};
+use locate::ClientBlocks;
+use std::{net::SocketAddr, path::PathBuf, sync::Arc};
 use strum::{Display, EnumString};
 use types::{DomainName, RegionName, ReplicaName, ServiceName};
 
@@ -86,6 +87,10 @@
     pub announce_tokens: Vec<AnnounceToken>,
     /// Lifetime of look-up answers.
     pub lookup_lifetime_ms: u64,
+    /// Where the blocks of clients stand, when they are declared.
+    pub client_blocks_file: Option<PathBuf>,
+    /// The blocks of clients. None until [`Settings::read`] read them.
+    pub client_blocks: Option<Arc<ClientBlocks>>,
 }
 
 /// A token and the services that it may announce.
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -165,6 +165,7 @@
             "peer_listen",
             "announce_tokens_file",
             "lookup_lifetime_ms",
+            "client_blocks_file",
         ];
         let Some(section) = self.section(ENTRY, &known)? else {
             return match role.has_entry() {
@@ -186,6 +187,8 @@
             announce_tokens_file: section.optional_path("announce_tokens_file")?,
             announce_tokens: Vec::new(),
             lookup_lifetime_ms,
+            client_blocks_file: section.optional_path("client_blocks_file")?,
+            client_blocks: None,
         };
         Ok(role.has_entry().then_some(entry))
     }
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -4,7 +4,13 @@
     error::{Problem, SettingsError},
     model::{AnnounceToken, Settings},
 };
-use std::{fs, path::Path};
+use locate::{ClientBlocks, ClientBlocksBuilder};
+use std::{
+    fs::{self, File},
+    io::{self, BufRead, BufReader},
+    path::Path,
+    sync::Arc,
+};
 use types::ServiceName;
 
 /// The shortest link key.
@@ -45,6 +51,11 @@
                 .and_then(|text| announce_tokens(&text, path))
                 .map_err(|problem| key_error(file, "entry", "announce_tokens_file", problem))?;
         }
+        if let Some(path) = &entry.client_blocks_file {
+            let blocks = client_blocks(path)
+                .map_err(|problem| key_error(file, "entry", "client_blocks_file", problem))?;
+            entry.client_blocks = Some(Arc::new(blocks));
+        }
         Ok(())
     }
 
@@ -75,11 +86,30 @@
     }
 }
 
-fn read_file(path: &Path) -> Result<String, Problem> {
-    fs::read_to_string(path).map_err(|source| Problem::UnreadableFile {
+fn unreadable(path: &Path) -> impl Fn(io::Error) -> Problem {
+    |source| Problem::UnreadableFile {
         path: path.to_owned(),
         source,
-    })
+    }
+}
+
+fn read_file(path: &Path) -> Result<String, Problem> {
+    fs::read_to_string(path).map_err(unreadable(path))
+}
+
+/// Reads line by line, since the file of a large deployment is larger than what is kept of it.
+fn client_blocks(path: &Path) -> Result<ClientBlocks, Problem> {
+    let file = File::open(path).map_err(unreadable(path))?;
+    let invalid = |error| Problem::ClientBlocks {
+        path: path.to_owned(),
+        source: Box::new(error),
+    };
+    let mut builder = ClientBlocksBuilder::new();
+    for (number, line) in (1..).zip(BufReader::new(file).lines()) {
+        let line = line.map_err(unreadable(path))?;
+        builder.declare_line(number, &line).map_err(invalid)?;
+    }
+    builder.build().map_err(invalid)
 }
 
 /// The lines that hold something, with their numbers from 1.
--- a/crates/settings/tests/read.rs
+++ b/crates/settings/tests/read.rs
@@ -99,6 +99,43 @@
     );
 }
 
+/// Names a file of client blocks with this text in the settings.
+fn with_client_blocks(text: &str) -> TempDir {
+    let dir = scratch();
+    let path = dir.path().join("client.blocks");
+    let settings = fs::read_to_string(dir.path().join("vm.ini")).expect("read");
+    let line = format!("client_blocks_file = {}\n[control]", path.display());
+    let settings = settings.replacen("[control]", &line, 1);
+    fs::write(dir.path().join("vm.ini"), settings).expect("settings written");
+    fs::write(path, text).expect("blocks written");
+    dir
+}
+
+#[test]
+fn reads_client_blocks() {
+    let dir = with_client_blocks("# blocks\n10.0.0.0/8 gauteng\n\n2001:db8::/32 nairobi\n");
+    let settings = Settings::read(&dir.path().join("vm.ini")).expect("valid settings");
+    let blocks = settings.entry.and_then(|entry| entry.client_blocks);
+    let blocks = blocks.expect("client blocks");
+    let region = blocks.region("2001:db8::1".parse().expect("an address"));
+    assert_eq!(region.map(|name| name.as_str()), Some("nairobi"));
+}
+
+#[test]
+fn names_a_wrong_line_of_the_client_blocks() {
+    for (text, problem) in [
+        (
+            "10.0.0.0/8 a\n10.0.0.0/33 a\n",
+            "line 2: \"10.0.0.0/33\" is not an address prefix",
+        ),
+        ("10.0.0.0/8\n", "line 1 is not PREFIX REGION"),
+    ] {
+        let line = error_of(&with_client_blocks(text));
+        let start = "[entry] client_blocks_file: file ";
+        assert!(line.contains(start) && line.ends_with(problem), "{line}");
+    }
+}
+
 #[test]
 fn names_missing_settings() {
     let dir = scratch();
