--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -362,6 +362,7 @@
                 .map(|name| name.parse().expect("valid name"))
                 .to_vec(),
             lookup_lifetime_ms: 5_000,
+            client_blocks: None,
             incarnation,
         };
         EntryCore::new(
