Show on drains and shifts how far each entry has come

Cause: an operator saw a drain in force but not what it still waited for, and nothing of a shift's steps; only each entry's dump told.

Entries report with their polls, and only while a drain or shift is declared; the control replica keeps the last report of each entry within its lease. Ruled out: a resource of its own for progress in the log, since each step of each entry would be a write on a majority of disks.

--- a/crates/control/src/answers.rs
+++ b/crates/control/src/answers.rs
@@ -133,7 +133,12 @@
     }
 
     fn resource_status(&self, resource: &Resource, names_max: usize) -> ResourceStatus {
-        self.entries
-            .status(&self.state, resource.revision, names_max, self.now_us)
+        let progress = self
+            .entries
+            .progress(&resource.key(), names_max, self.now_us);
+        let status = self
+            .entries
+            .status(&self.state, resource.revision, names_max, self.now_us);
+        ResourceStatus { progress, ..status }
     }
 }
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -7,7 +7,7 @@
 use state::{Applied, Changes, CommandError, Item, List, Operation, SnapshotError, Watched};
 use std::collections::BTreeMap;
 use thiserror::Error;
-use types::{ApiError, EntryName, Key, Kind};
+use types::{ApiError, EntryName, Key, Kind, ResourceProgress};
 
 /// The fixed parameters of a control replica.
 #[derive(Clone, Debug)]
@@ -119,6 +119,8 @@
     pub incarnation: u64,
     /// The epoch of the layout of claims that the entry has, if any.
     pub layout_epoch: Option<u64>,
+    /// How far the entry has come with drains and shifts.
+    pub progress: Vec<ResourceProgress>,
     /// What the entry wants of capacities and links.
     pub wants: Vec<Want>,
     /// The revision that the entry can't run, when there is one.
--- a/crates/control/src/entries.rs
+++ b/crates/control/src/entries.rs
@@ -2,9 +2,11 @@
 
 use crate::api::{Poll, PollRejection};
 use serde::Serialize;
-use state::{RejectedBy, ResourceState, ResourceStatus, State, WaitingEntry};
+use state::{EntryProgress, RejectedBy, ResourceState, ResourceStatus, State, WaitingEntry};
 use std::collections::{BTreeMap, VecDeque};
-use types::{CONFIG_LEASE_MS, EntryName, Key, Kind, ResourceName, TimeUs};
+use types::{
+    CONFIG_LEASE_MS, EntryName, Key, Kind, Progress, ResourceName, ResourceProgress, TimeUs,
+};
 
 /// What is added to the lease before an entry counts as fenced, in milliseconds.
 pub const CONFIG_LEASE_MARGIN_MS: u64 = 1_000;
@@ -26,6 +28,7 @@
     applied_index: u64,
     at_us: TimeUs,
     rejected: Option<PollRejection>,
+    progress: Vec<ResourceProgress>,
 }
 
 /// What an entry last said, for the dump.
@@ -100,6 +103,7 @@
             applied_index: poll.applied_index,
             at_us: now_us,
             rejected: poll.rejected.clone(),
+            progress: poll.progress.clone(),
         };
         self.heard.insert(poll.entry.clone(), heard);
     }
@@ -149,6 +153,30 @@
         status
     }
 
+    /// How far the entries have come with a drain or a shift; of a drain, those that still have
+    /// requests in flight.
+    pub(crate) fn progress(
+        &self,
+        key: &Key,
+        names_max: usize,
+        now_us: TimeUs,
+    ) -> Vec<EntryProgress> {
+        let heard = self.heard.iter();
+        let heard = heard.filter(|(_, heard)| !lease_over_us(heard.at_us).reached(now_us));
+        let of_key = heard.filter_map(|(entry, heard)| {
+            let of_key = heard
+                .progress
+                .iter()
+                .find(|progress| progress.key == *key)?;
+            let progress = of_key.progress.clone();
+            (progress != Progress::Drain { in_flight: 0 }).then(|| EntryProgress {
+                entry: entry.clone(),
+                progress,
+            })
+        });
+        of_key.take(names_max).collect()
+    }
+
     pub(crate) fn dump(&self, now_us: TimeUs) -> Vec<EntryDump> {
         self.heard
             .iter()
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -300,6 +300,7 @@
             applied_index,
             incarnation: 1,
             layout_epoch: Some(0),
+            progress: Vec::new(),
             wants: Vec::new(),
             rejected,
         };
--- a/crates/ctl/src/watch.rs
+++ b/crates/ctl/src/watch.rs
@@ -3,7 +3,7 @@
 use crate::{call::Caller, error::CtlError, table::Table};
 use bytes::Bytes;
 use hyper::Method;
-use state::{Change, Item, List, ResourceState, ResourceStatus, Watched};
+use state::{Change, EntryProgress, Item, List, ResourceState, ResourceStatus, Watched};
 use std::{collections::BTreeMap, io::Write, time::Duration};
 use tokio::time::{Instant, sleep};
 use types::Key;
@@ -50,15 +50,32 @@
         .iter()
         .map(|rejected| format!("{}: {}", rejected.entry, rejected.reason));
     let fenced = status.fenced.iter().map(|entry| format!("{entry} fenced"));
+    let progress = status.progress.iter().map(progress_text);
     let parts = [
         some_of(waiting, status.waiting_count),
         some_of(rejected, status.rejected.len() as u32),
         some_of(fenced, status.fenced_count),
+        some_of(progress, status.progress.len() as u32),
     ];
     let parts: Vec<String> = parts.into_iter().filter(|part| !part.is_empty()).collect();
     parts.join(", ")
 }
 
+fn progress_text(at: &EntryProgress) -> String {
+    let entry = &at.entry;
+    match &at.progress {
+        types::Progress::Drain { in_flight } => format!("{entry}: {in_flight} in flight"),
+        types::Progress::Shift {
+            step_percent,
+            target_percent,
+            state,
+            reason,
+        } => {
+            format!("{entry}: {step_percent} of {target_percent}%, {state} ({reason})")
+        }
+    }
+}
+
 fn some_of(texts: impl Iterator<Item = String>, count: u32) -> String {
     let named: Vec<String> = texts.take(NAMES_MAX).collect();
     let more = count.saturating_sub(named.len() as u32);
--- a/crates/daemon/src/control/convert.rs
+++ b/crates/daemon/src/control/convert.rs
@@ -12,6 +12,9 @@
     /// The entry's name is invalid.
     #[error(transparent)]
     Name(#[from] InvalidName),
+    /// A report of progress is no valid JSON.
+    #[error("invalid progress: {0}")]
+    Progress(#[from] serde_json::Error),
     /// A want breaks its rules.
     #[error(transparent)]
     Want(#[from] WireError),
@@ -33,6 +36,11 @@
         applied_index: poll.applied_index,
         incarnation: poll.incarnation,
         layout_epoch: poll.layout_epoch,
+        progress: poll
+            .progress_json
+            .iter()
+            .map(|json| serde_json::from_slice(json))
+            .collect::<Result<_, _>>()?,
         wants: poll
             .wants
             .iter()
--- a/crates/daemon/src/entry/actor.rs
+++ b/crates/daemon/src/entry/actor.rs
@@ -30,7 +30,7 @@
     AnnounceAnswer, Announcement, EntryName, LookupAnswer, ReplicaName, ServiceName, TimeUs,
     UpstreamName,
 };
-use wire::peer::{Frame, frame::Body};
+use wire::peer::{Frame, Poll, frame::Body};
 
 /// What the task of a request is to do next.
 #[derive(Clone, Debug)]
@@ -209,17 +209,17 @@
                     serial,
                     applied_index,
                     layout_epoch,
+                    progress,
                     wants,
                 } => {
                     let links = &self.args.links;
+                    let progress = convert::progress(&progress);
                     let poll = convert::poll(links, applied_index, layout_epoch, &wants);
-                    links.send_replica(
-                        &replica,
-                        Frame {
-                            serial,
-                            body: Some(poll),
-                        },
-                    );
+                    let body = Some(Body::Poll(Poll {
+                        progress_json: progress,
+                        ..poll
+                    }));
+                    links.send_replica(&replica, Frame { serial, body });
                 }
                 Output::Sync {
                     peer,
--- a/crates/daemon/src/entry/convert.rs
+++ b/crates/daemon/src/entry/convert.rs
@@ -4,10 +4,10 @@
 use entry::{ConfigChange, ReplicaAnswer};
 use share::Want;
 use thiserror::Error;
-use types::{InvalidName, Key, ResourceName};
+use types::{InvalidName, Key, ResourceName, ResourceProgress};
 use wire::{
     WireError, grant_from_wire,
-    peer::{Change, Poll, PollAnswer, frame::Body},
+    peer::{Change, Poll, PollAnswer},
     want_to_wire,
 };
 
@@ -29,15 +29,15 @@
 }
 
 /// A poll for changes after `applied_index`.
-pub fn poll(links: &Links, applied_index: u64, layout_epoch: Option<u64>, wants: &[Want]) -> Body {
-    Body::Poll(Poll {
+pub fn poll(links: &Links, applied_index: u64, layout_epoch: Option<u64>, wants: &[Want]) -> Poll {
+    Poll {
         entry: links.own_name.to_string(),
         applied_index,
         incarnation: links.identity.incarnation,
         layout_epoch,
         wants: wants.iter().map(want_to_wire).collect(),
         ..Poll::default()
-    })
+    }
 }
 
 /// The answer to a poll.
@@ -81,3 +81,11 @@
         resource,
     })
 }
+
+/// The wire form of what the entry reports of drains and shifts.
+pub fn progress(progress: &[ResourceProgress]) -> Vec<Vec<u8>> {
+    progress
+        .iter()
+        .filter_map(|progress| serde_json::to_vec(progress).ok())
+        .collect()
+}
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -6,7 +6,9 @@
 use route::{Ending, RequestId};
 use share::{Grant, Want};
 use std::{net::SocketAddr, sync::Arc};
-use types::{DomainName, EntryName, Key, RegionName, ReplicaName, Resource, ServiceName};
+use types::{
+    DomainName, EntryName, Key, RegionName, ReplicaName, Resource, ResourceProgress, ServiceName,
+};
 
 /// The fixed parameters of an entry.
 #[derive(Clone, Debug)]
@@ -153,6 +155,8 @@
         applied_index: u64,
         /// The epoch of the layout that it has, if any.
         layout_epoch: Option<u64>,
+        /// How far it has come with drains and shifts.
+        progress: Vec<ResourceProgress>,
         /// What it wants of capacities and links.
         wants: Vec<Want>,
     },
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -7,6 +7,7 @@
     lease::Lease,
     lookup::LookupView,
     peers::{Outstanding, Peers},
+    progress::ProgressView,
     shares::Shares,
 };
 use claim::{Ending as ClaimEnding, HolderStatus, Limits, Message, Peer, Timing};
@@ -17,7 +18,7 @@
 use std::{collections::BTreeMap, net::IpAddr};
 use types::{
     Announcement, CONFIG_LEASE_MS, EntryName, LookupAnswer, Outcome, Refusal, ReplicaName,
-    Resource, ServiceName, ServiceSpec, TimeUs, UpstreamName, poll_interval_ms,
+    Resource, ResourceProgress, ServiceName, ServiceSpec, TimeUs, UpstreamName, poll_interval_ms,
 };
 
 /// The period of questions to each other entry.
@@ -261,6 +262,7 @@
         let entries = self.config.entries().count();
         self.next_poll_us = now_us.after_ms(poll_interval_ms(entries));
         let applied_index = self.config.applied_index();
+        let progress = self.progress(now_us);
         for (replica, outstanding) in &mut self.polls {
             let serial = self.next_serial;
             self.next_serial += 1;
@@ -275,12 +277,26 @@
                 serial,
                 applied_index,
                 layout_epoch,
+                progress: progress.clone(),
                 wants,
             });
         }
         self.shares.measure_anew(now_us);
     }
 
+    fn progress(&self, now_us: TimeUs) -> Vec<ResourceProgress> {
+        let view = ProgressView {
+            own_name: &self.own.name,
+            own_region: &self.own.region,
+            own_domain: &self.own.failure_domain,
+            config: &self.config,
+            members: &self.members,
+            router: &self.router,
+            shares: &self.shares,
+        };
+        view.report(now_us)
+    }
+
     fn sync(&mut self, now_us: TimeUs, outputs: &mut Vec<Output>) {
         self.next_sync_us = now_us.after_ms(SYNC_PERIOD_MS);
         for (name, peer) in self.peers.iter_mut() {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod lease;
 mod lookup;
 mod peers;
+mod progress;
 mod shares;
 
 pub use crate::{
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -7,8 +7,8 @@
 use route::{Ending, Fallback, RequestId, RouterConfig, Settled};
 use std::collections::BTreeMap;
 use types::{
-    Announcement, EntryName, EntrySpec, Priority, RegionSpec, ReplicaName, Resource, ServiceName,
-    ServiceSpec, Spec, TimeUs, UpstreamState,
+    Announcement, DrainSpec, DrainTarget, EntryName, EntrySpec, Priority, RegionSpec, ReplicaName,
+    Resource, ResourceProgress, ServiceName, ServiceSpec, Spec, TimeUs, UpstreamState,
 };
 
 pub const REPLICAS: [&str; 3] = ["control-1", "control-2", "control-3"];
@@ -70,6 +70,8 @@
     pub replicas: BTreeMap<ReplicaName, Replica>,
     pub told: BTreeMap<(usize, RequestId), Told>,
     pub runs: Vec<Run>,
+    /// What the last poll reported of drains and shifts.
+    pub reported: Vec<ResourceProgress>,
     next_request: u64,
     resources: Vec<Resource>,
 }
@@ -93,6 +95,7 @@
             replicas: BTreeMap::from(replicas),
             told: BTreeMap::new(),
             runs: Vec::new(),
+            reported: Vec::new(),
             next_request: 1,
             resources: resources(entries),
         };
@@ -138,6 +141,15 @@
         }
     }
 
+    /// Declares the drain of an upstream at an index that every replica then has.
+    pub fn drain_upstream(&mut self, name: &str, index: u64) {
+        let target = DrainTarget::Upstream(name.parse().expect("valid name"));
+        let mut drain = declared("drain", Spec::Drain(DrainSpec { target }));
+        drain.revision = index;
+        self.resources.push(drain);
+        self.set_index(index);
+    }
+
     /// Sends a request; what the caller is told follows under the name.
     pub fn send(&mut self, entry: usize, key: Option<&ClaimKey>) -> RequestId {
         let request = RequestId(self.next_request);
@@ -202,8 +214,10 @@
                 serial,
                 applied_index,
                 layout_epoch,
+                progress,
                 ..
             } => {
+                self.reported = progress;
                 self.answer_poll(index, &replica, serial, applied_index, layout_epoch);
             }
             Output::Sync {
@@ -275,7 +289,7 @@
         if !replica.reachable {
             return;
         }
-        let declared = replica.applied_index >= DECLARED && known_index < DECLARED;
+        let declared = replica.applied_index >= DECLARED && known_index < replica.applied_index;
         let epoch = u64::from(replica.applied_index >= DECLARED);
         let answer = ReplicaAnswer {
             last_index: replica.last_index,
@@ -300,7 +314,7 @@
 
     fn changes(&self) -> Vec<ConfigChange> {
         let change = |resource: &Resource| ConfigChange {
-            revision: DECLARED,
+            revision: resource.revision,
             key: resource.key(),
             resource: Some(resource.clone()),
         };
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -25,6 +25,7 @@
     api::{Ending, Input, Output, RequestId, Settled},
     config::{Fallback, Limits, Policy, RouterConfig},
     router::Router,
-    shift::{Cap, Mover, ShiftProgress, ShiftReason, ShiftState},
+    shift::{Cap, Mover, ShiftProgress},
     snapshot::{Counters, RegionSnapshot, ServiceSnapshot, Snapshot, UpstreamSnapshot},
 };
+pub use types::{ShiftReason, ShiftState};
--- a/crates/route/src/shift.rs
+++ b/crates/route/src/shift.rs
@@ -5,8 +5,7 @@
 //! interval, and only when what went there before was absorbed.
 
 use serde::Serialize;
-use strum::Display;
-use types::TimeUs;
+use types::{ShiftReason, ShiftState, TimeUs};
 
 /// Arrivals before an interval's part is measured.
 const LEAST_ARRIVALS: u64 = 20;
@@ -39,40 +38,6 @@
     pub interval_ms: u64,
 }
 
-/// Where a declared shift stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Display)]
-#[serde(rename_all = "kebab-case")]
-#[strum(serialize_all = "kebab-case")]
-pub enum ShiftState {
-    /// The next step follows at the end of the interval.
-    Moving,
-    /// The last step has not been absorbed yet.
-    Paused,
-    /// The receiving region got worse, and a step is taken back.
-    SteppingBack,
-    /// All that was asked for has moved.
-    Done,
-}
-
-/// Why a shift is where it is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Display)]
-#[serde(rename_all = "kebab-case")]
-#[strum(serialize_all = "kebab-case")]
-pub enum ShiftReason {
-    /// The receiving region absorbed the last step.
-    Absorbed,
-    /// No answer has come from the receiving region yet.
-    NoAnswers,
-    /// The receiving region fails more often than usual.
-    Failures,
-    /// The receiving region is slower than usual.
-    Latency,
-    /// The receiving region takes less than the step.
-    NoRoom,
-    /// The wait after a step back has not ended.
-    Waiting,
-}
-
 /// What the receiving region's answers say.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Verdict {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -23,6 +23,8 @@
     rejection::{InvalidReason, Rejection},
     retained::{RETAIN_MIN_MS, RETAIN_MIN_REQUESTS, RETAINED_MAX_BYTES, RETAINED_MAX_REQUESTS},
     snapshot::SnapshotError,
-    status::{Item, List, RejectedBy, ResourceState, ResourceStatus, WaitingEntry, Watched},
+    status::{
+        EntryProgress, Item, List, RejectedBy, ResourceState, ResourceStatus, WaitingEntry, Watched,
+    },
     validate::RESOURCES_MAX_BYTES,
 };
--- a/crates/state/src/status.rs
+++ b/crates/state/src/status.rs
@@ -3,7 +3,7 @@
 use crate::history::Change;
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
-use types::{EntryName, Resource};
+use types::{EntryName, Progress, Resource};
 
 /// How far a resource has come.
 #[derive(
@@ -64,6 +64,20 @@
     /// Entries that can't run it.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rejected: Vec<RejectedBy>,
+    /// How far entries have come with a drain or a shift; for a drain those that still have
+    /// requests in flight.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub progress: Vec<EntryProgress>,
+}
+
+/// How far one entry has come.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct EntryProgress {
+    /// The entry.
+    pub entry: EntryName,
+    /// How far it has come.
+    pub progress: Progress,
 }
 
 /// A resource with its status.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,6 +8,7 @@
 mod lookup;
 mod name;
 mod outcome;
+mod progress;
 mod resource;
 mod time;
 
@@ -21,6 +22,7 @@
         UpstreamName,
     },
     outcome::{Outcome, Refusal},
+    progress::{Progress, ResourceProgress, ShiftReason, ShiftState},
     resource::{
         DrainSpec, DrainTarget, EntrySpec, InvalidKey, Key, Kind, LinkSpec, Priority, RegionSpec,
         Resource, ServiceSpec, ShiftSpec, Spec,
