--- a/crates/lab/src/entries.rs
+++ b/crates/lab/src/entries.rs
@@ -127,7 +127,7 @@
     }
 
     /// Slots of a region that an entry would use.
-    pub fn wanted_slots(&self, entry: usize, region: usize) -> u32 {
+    pub fn wanted_slots(&mut self, entry: usize, region: usize) -> u32 {
         self.routers[entry].wanted_slots(&self.regions[region])
     }
 
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -45,6 +45,15 @@
 | --- | --- | --- | --- | --- | --- | --- | --- |
 ";
 
+const SCENARIOS_HEAD: &str = "\
+p99 / limit and refused % at 80%, rate % at 120%; each for adaptive, power of two and, where it
+differs from one, the all-knowing chooser. Under lying health power of two lets failing upstreams
+answer errors at once, which frees their slots; the tables below count these as failed.
+
+| deployment | scenario | p99 adaptive | p99 power of two | refused adaptive | refused power of two | refused limit | rate adaptive | rate power of two | rate limit |
+| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |
+";
+
 /// One table: every chooser in one scenario at one load.
 #[must_use]
 pub fn table(experiments: &[Experiment], results: &[Results]) -> String {
@@ -180,6 +189,52 @@
     text
 }
 
+/// The same comparisons in every scenario, with no target where slots are lost.
+fn scenarios(experiments: &[Experiment], results: &[Results]) -> String {
+    let find = |deployment, scenario, load, chooser| {
+        let mut all = experiments.iter().zip(results);
+        all.find(|(e, _)| {
+            (e.deployment, e.scenario, e.load_percent, e.chooser)
+                == (deployment, scenario, load, chooser)
+        })
+        .map(|(_, results)| results)
+    };
+    let mut text = format!("\n## Every scenario\n\n{SCENARIOS_HEAD}");
+    for deployment in Deployment::iter() {
+        for scenario in Scenario::iter() {
+            let cell = |load, chooser| find(deployment, scenario, load, chooser);
+            let adaptive = Chooser::Routers(Policy::Adaptive);
+            let power_of_two = Chooser::Routers(Policy::PowerOfTwo);
+            let (Some(at_80), Some(two_80), Some(limit_80)) = (
+                cell(80, adaptive),
+                cell(80, power_of_two),
+                cell(80, Chooser::AllKnowing),
+            ) else {
+                continue;
+            };
+            let rate = |load, chooser| cell(load, chooser).map_or(0.0, |r| r.finished_percent);
+            let refused = |results: &Results| {
+                let outcomes = &results.outcomes;
+                100.0 * outcomes.refused as f64 / outcomes.arrived.max(1) as f64
+            };
+            let limit_us = limit_80.latency.p99_us as f64;
+            let _ = writeln!(
+                text,
+                "| {deployment} | {scenario} | {:.2} | {:.2} | {:.2} | {:.2} | {:.2} | {:.1} | {:.1} | {:.1} |",
+                at_80.latency.p99_us as f64 / limit_us,
+                two_80.latency.p99_us as f64 / limit_us,
+                refused(at_80),
+                refused(two_80),
+                refused(limit_80),
+                rate(120, adaptive),
+                rate(120, power_of_two),
+                rate(120, Chooser::AllKnowing),
+            );
+        }
+    }
+    text
+}
+
 /// Every table, as a page.
 #[must_use]
 pub fn report(seed: u64) -> String {
@@ -199,6 +254,7 @@
     }
     let results = run_all(&experiments);
     page.push_str(&summary(&experiments, &results, seed));
+    page.push_str(&scenarios(&experiments, &results));
     let tables = experiments
         .chunks(choosers.len())
         .zip(results.chunks(choosers.len()));
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -287,7 +287,7 @@
 fn give_shares(world: &mut World, now_us: u64) {
     let entry_regions = world.site.entry_regions;
     for region in 0..world.regions.len() {
-        let Front::Routers(entries) = &world.front else {
+        let Front::Routers(entries) = &mut world.front else {
             return;
         };
         let wanted: Vec<u32> = (0..entry_regions.len())
--- a/crates/route/src/attempt.rs
+++ b/crates/route/src/attempt.rs
@@ -103,7 +103,7 @@
             service.mover.moved();
         }
         upstream.in_flight += 1;
-        region.room.in_flight += 1;
+        region.room.begin();
         if upstream.region != OWN_REGION {
             let bytes = service.answer_bytes;
             region.link.take(now_us, bytes);
--- a/crates/route/src/demand.rs
+++ b/crates/route/src/demand.rs
@@ -12,17 +12,19 @@
 const FLOOR_SLOTS: u32 = 1;
 
 impl Router {
-    /// Slots of the region that this entry would use now: what is in flight there, and what waits
-    /// for a service for which the way there is shorter than the wait, as far as slots are free.
+    /// Slots of the region that this entry would use now: half way from what is in flight there to the most that was since
+    /// the last call, and what waits for a service for which the way there is shorter than the wait, as far as slots are free.
     #[must_use]
-    pub fn wanted_slots(&self, region: &RegionName) -> u32 {
-        let regions = &self.table.regions;
-        let Some(id) = regions.iter().position(|known| known.name == *region) else {
+    pub fn wanted_slots(&mut self, region: &RegionName) -> u32 {
+        let mut regions = self.table.regions.iter();
+        let Some(id) = regions.position(|known| known.name == *region) else {
             return FLOOR_SLOTS;
         };
         let services = self.table.services.iter();
         let waiting: u32 = services.map(|service| self.wanted_by(service, id)).sum();
-        regions[id].room.in_flight + waiting + FLOOR_SLOTS
+        let room = &mut self.table.regions[id].room;
+        let used = (room.take_peak() + room.in_flight).div_ceil(2);
+        used + waiting + FLOOR_SLOTS
     }
 
     fn wanted_by(&self, service: &Service, region: usize) -> u32 {
--- a/crates/route/src/room.rs
+++ b/crates/route/src/room.rs
@@ -18,6 +18,8 @@
     pub(crate) capacity_slots: Option<u32>,
     /// Requests in flight there from this entry.
     pub(crate) in_flight: u32,
+    /// The most in flight at once since the entry last said what it wants.
+    peak: u32,
 }
 
 impl RegionRoom {
@@ -38,6 +40,19 @@
         }
     }
 
+    /// Counts a request that starts there.
+    pub(crate) fn begin(&mut self) {
+        self.in_flight += 1;
+        self.peak = self.peak.max(self.in_flight);
+    }
+
+    /// The most in flight at once since the last call.
+    pub(crate) const fn take_peak(&mut self) -> u32 {
+        let peak = self.peak;
+        self.peak = self.in_flight;
+        peak
+    }
+
     /// Whether one more may start.
     pub(crate) fn has_room(&self, now_us: TimeUs, fallback: Fallback) -> bool {
         self.in_flight < self.allowed_slots(now_us, fallback)
--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -74,6 +74,24 @@
     assert_eq!(refusal(&of(second, &outputs)), Some(Refusal::Deadline));
 }
 
+#[test]
+fn wanted_slots_follow_use_and_what_waits() {
+    let mut bench = Bench::new(config().with_policy(Policy::PowerOfTwo));
+    bench.upstream("near", "browse", "here-a", 5);
+    let here = region("here");
+    let running: Vec<_> = (0..5).map(|_| bench.arrive("browse", true).0).collect();
+    assert_eq!(bench.router.wanted_slots(&here), 5 + 1);
+    bench.arrive("browse", true);
+    assert_eq!(bench.router.wanted_slots(&here), 5 + 1, "no slot is free");
+    bench.share("here", 1, TimeUs(u64::MAX));
+    for request in &running[..4] {
+        bench.finish(*request);
+    }
+    assert_eq!(bench.router.wanted_slots(&here), 3 + 1 + 1, "one waits");
+    assert_eq!(bench.router.wanted_slots(&here), 1 + 1 + 1);
+    assert_eq!(bench.router.wanted_slots(&region("there")), 1);
+}
+
 #[test]
 fn ticks_are_due_only_while_something_waits_or_is_closed() {
     let mut bench = Bench::new(config());
