--- a/crates/route/tests/adaptive.rs
+++ b/crates/route/tests/adaptive.rs
@@ -284,3 +284,45 @@
         Some(Refusal::UpstreamRefused)
     );
 }
+
+#[test]
+fn a_refusal_of_a_borrowed_slot_closes_the_others_beside_it() {
+    let mut bench = Bench::new(config());
+    bench.upstream("a", "browse", "here-a", 3);
+    bench.upstream("b", "browse", "here-a", 3);
+    let (request, _) = bench.arrive("browse", true);
+    assert!(bench.end(request, Ending::Refused).is_empty());
+    bench.now_us = bench.now_us.after_ms(2);
+    let outputs = bench.step(Input::Tick);
+    assert!(matches!(of(request, &outputs), Step::Forwarded(_)));
+}
+
+#[test]
+fn without_a_token_nothing_is_borrowed() {
+    let limits = Limits {
+        retry_percent: 0,
+        ..uncapped()
+    };
+    let mut bench = Bench::new(config().with_limits(limits));
+    for name in ["entry-1", "entry-2"] {
+        bench.declare(name, Spec::Entry(entry_spec("here-a")));
+    }
+    bench.upstream("near", "browse", "here-a", 4);
+    assert_eq!(upstream(&bench, "near").home_slots, 2);
+    warm(&mut bench, "browse", 4, 10);
+    assert_eq!(upstream(&bench, "near").limit_slots, 4);
+    let mut breaks = 0;
+    while breaks != 1 {
+        let (request, _) = bench.arrive("browse", true);
+        breaks = 0;
+        let mut settled = false;
+        while !settled {
+            breaks += 1;
+            let outputs = bench.end(request, Ending::Broken);
+            settled = matches!(of(request, &outputs), Step::Settled(_));
+        }
+    }
+    assert!(matches!(bench.arrive("browse", true).1, Step::Forwarded(_)));
+    assert!(matches!(bench.arrive("browse", true).1, Step::Forwarded(_)));
+    assert_eq!(bench.arrive("browse", true).1, Step::Nothing);
+}
