--- a/crates/link/tests/strangers.rs
+++ b/crates/link/tests/strangers.rs
@@ -6,7 +6,7 @@
     ManualDialer, NEW_KEY, OLD_KEY, any_port, closed, down, identity, listener, up,
 };
 use link::{
-    HANDSHAKES_PER_ADDRESS_MAX, LinkError, dial,
+    HANDSHAKE_TIMEOUT, HANDSHAKES_PER_ADDRESS_MAX, LinkError, SILENCE_TIMEOUT, dial,
     handshake::{self, NONCE_BYTES},
     listen,
 };
@@ -28,8 +28,10 @@
     let (handle, _inbox) = listener(&[OLD_KEY]).await;
     let mut stranger = TcpStream::connect(handle.address()).await.expect("connect");
     let header = 2048_u32.to_be_bytes();
+    let started = time::Instant::now();
     stranger.write_all(&header).await.expect("written");
     closed(&mut stranger).await;
+    assert!(started.elapsed() < HANDSHAKE_TIMEOUT, "not by its size");
 }
 
 #[tokio::test]
@@ -110,8 +112,10 @@
         .expect("fits")
         .to_be_bytes();
     let stream = dialer.frames.get_mut();
+    let started = time::Instant::now();
     stream.write_all(&header).await.expect("written");
     closed(stream).await;
+    assert!(started.elapsed() < SILENCE_TIMEOUT, "not by its size");
     assert_eq!(down(&mut inbox).await, connection);
 }
 
