Remove the plain frame codec, which nothing uses

Links frame their messages by their own codec, with size limits for strangers and codes for peers. The wire crate keeps the size limit and no longer depends on bytes and tokio-util.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,10 +1,10 @@
-//! Messages between the system's own processes and their framing.
+//! Messages between the system's own processes.
 //!
 //! Only this crate knows the encoding; the cores work on their own types.
 
 mod claim_message;
-mod codec;
 mod error;
+mod limits;
 mod raft_message;
 
 /// The messages that `proto/` describes.
@@ -15,7 +15,7 @@
 
 pub use crate::{
     claim_message::{claim_from_wire, claim_to_wire},
-    codec::{FRAME_MAX_BYTES, FrameCodec},
     error::WireError,
+    limits::FRAME_MAX_BYTES,
     raft_message::{raft_from_wire, raft_to_wire},
 };
