--- a/crates/route/src/api.rs
+++ b/crates/route/src/api.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 use types::{
-    Announcement, DomainName, Outcome, Refusal, RegionName, Resource, ServiceName, TimeUs,
-    UpstreamName,
+    Announcement, DomainName, EntryName, Outcome, Refusal, RegionName, Resource, ServiceName,
+    TimeUs, UpstreamName,
 };
 
 /// Names a request within an entry, for as long as the entry runs.
@@ -52,6 +52,33 @@
         /// How.
         ending: Ending,
     },
+    /// The part of a region's capacity that this entry may use until a deadline.
+    Share {
+        /// The region.
+        region: &'a RegionName,
+        /// Requests that this entry may have in flight there.
+        slots: u32,
+        /// From then on nothing may start there.
+        expires_us: TimeUs,
+    },
+    /// The part of a link's rate, one way, that this entry may use until a deadline.
+    LinkShare {
+        /// The region that sends.
+        from: &'a RegionName,
+        /// The region that receives.
+        to: &'a RegionName,
+        /// The rate.
+        kbps: u64,
+        /// From then on nothing may start over it.
+        expires_us: TimeUs,
+    },
+    /// Whether another entry takes requests, as far as is known; declared ones do until told so.
+    EntryActive {
+        /// The entry.
+        name: &'a EntryName,
+        /// Whether it takes requests.
+        active: bool,
+    },
     /// Time has passed.
     Tick,
 }
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -18,8 +18,8 @@
         /// The field.
         field: &'static str,
     },
-    /// A field holds a value outside its set.
-    #[error("a message holds an invalid value in its field {field}")]
+    /// A field breaks its rules.
+    #[error("a message's field {field} is invalid")]
     Invalid {
         /// The field.
         field: &'static str,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,7 +5,9 @@
 mod claim_message;
 mod error;
 mod limits;
+mod member_message;
 mod raft_message;
+mod share_message;
 
 /// The messages that `proto/` describes.
 #[allow(missing_docs, clippy::all)]
@@ -17,5 +19,7 @@
     claim_message::{claim_from_wire, claim_to_wire},
     error::WireError,
     limits::FRAME_MAX_BYTES,
+    member_message::{sync_from_wire, sync_to_wire},
     raft_message::{raft_from_wire, raft_to_wire},
+    share_message::{grant_from_wire, grant_to_wire, want_from_wire, want_to_wire},
 };
