--- a/crates/standin/src/deployment/control.rs
+++ b/crates/standin/src/deployment/control.rs
@@ -1,7 +1,7 @@
 //! What a deployment's control replicas are asked.
 
 use crate::{
-    condition::{Pending, wait_until},
+    condition::{Pending, wait_for_answer, wait_until},
     deployment::{CONTROL_VMS, Deployment, DeploymentError, file_error, write},
     http::Connection,
     process::run_command,
@@ -34,6 +34,16 @@
         Ok(leader)
     }
 
+    /// Waits until the process at an address is ready.
+    ///
+    /// # Errors
+    ///
+    /// [`DeploymentError::NotInTime`] when it isn't within `bound`.
+    pub async fn ready(&self, address: SocketAddr, bound: Duration) -> Result<(), DeploymentError> {
+        wait_for_answer(address, "/ready", bound, |status, _| status.is_success()).await?;
+        Ok(())
+    }
+
     /// Waits until every declared resource is in force, and returns how many there are.
     ///
     /// # Errors
