--- a/crates/daemon/src/entry/start.rs
+++ b/crates/daemon/src/entry/start.rs
@@ -99,7 +99,10 @@
         tokens: own.announce_tokens.clone().into(),
         run: format!("{}-{:x}", settings.node.name, identity.incarnation).into(),
     };
-    let server = serve(own.listen, move |request, _| http.clone().handle(request)).await?;
+    let server = serve(own.listen, move |request, client| {
+        http.clone().handle(request, client.ip())
+    })
+    .await?;
     info!(log, "entry started"; "listen" => %own.listen, "peer_listen" => %own.peer_listen);
     Ok(Entry {
         actor,
@@ -136,6 +139,7 @@
             .map(|replica| replica.name.clone())
             .collect(),
         lookup_lifetime_ms: own.lookup_lifetime_ms,
+        client_blocks: own.client_blocks.clone(),
         incarnation: seed,
     };
     EntryCore::new(config, router, clock.now_us())
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -13,7 +13,8 @@
 use member::{Announced, Event, MemberRow, Members, PeerAnswer};
 use route::{Ending, RequestId, Router, RouterConfig, Settled};
 use serde::Serialize;
-use std::collections::BTreeMap;
+use share::HeldRow;
+use std::{collections::BTreeMap, net::IpAddr};
 use types::{
     Announcement, CONFIG_LEASE_MS, EntryName, LookupAnswer, Outcome, Refusal, ReplicaName,
     Resource, ServiceName, ServiceSpec, TimeUs, UpstreamName, poll_interval_ms,
@@ -75,6 +76,8 @@
     lease_left_ms: u64,
     stopping: bool,
     in_flight: usize,
+    shares: Vec<HeldRow<'a>>,
+    router: route::Snapshot,
     claims: HolderStatus,
     waiting_for_claims: usize,
     upstreams: Vec<MemberRow<'a>>,
@@ -171,13 +174,21 @@
         self.members.answer(now_us, since_version)
     }
 
-    /// Which entries callers should use for a declared service.
+    /// Which entries a client should use for a declared service.
     #[must_use]
-    pub fn lookup(&self, now_us: TimeUs, service: &ServiceName) -> Option<LookupAnswer> {
+    pub fn lookup(
+        &self,
+        now_us: TimeUs,
+        service: &ServiceName,
+        client: IpAddr,
+    ) -> Option<LookupAnswer> {
+        let blocks = self.own.client_blocks.as_ref();
+        let declared = blocks.and_then(|blocks| blocks.region(client));
         let view = LookupView {
             own_name: &self.own.name,
             own_open: !self.is_stopping() && self.lease.is_held(now_us),
-            near: &self.own.region,
+            near: declared.unwrap_or(&self.own.region),
+            client,
             config: &self.config,
             peers: &self.peers,
             lifetime_ms: self.own.lookup_lifetime_ms,
@@ -212,6 +223,8 @@
             lease_left_ms: self.lease.until_us().since_us(now_us) / 1_000,
             stopping: self.is_stopping(),
             in_flight: self.shares.live_requests(),
+            shares: self.shares.rows(now_us),
+            router: self.router.snapshot(now_us),
             claims: self.claims.status(),
             waiting_for_claims: self.claims.waiting(),
             upstreams: self.members.rows(now_us).collect(),
