Compute an entry's wants once a poll

Cause: the router's wanted slots now take the peak since the last call, so that the replicas polled second and third were told of a lower demand.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -263,14 +263,13 @@
         self.next_poll_us = now_us.after_ms(poll_interval_ms(entries));
         let applied_index = self.config.applied_index();
         let progress = self.progress(now_us);
+        let wants = self.shares.wants(now_us, &self.config, &mut self.router);
         for (replica, outstanding) in &mut self.polls {
             let serial = self.next_serial;
             self.next_serial += 1;
             outstanding.ask(serial, now_us);
-            let wants = match self.shares.asks(replica, now_us) {
-                true => self.shares.wants(now_us, &self.config, &self.router),
-                false => Vec::new(),
-            };
+            let asks = self.shares.asks(replica, now_us);
+            let wants = if asks { wants.clone() } else { Vec::new() };
             let layout_epoch = self.claims.layout_epoch();
             outputs.push(Output::Poll {
                 replica: replica.clone(),
--- a/crates/entry/src/shares.rs
+++ b/crates/entry/src/shares.rs
@@ -119,7 +119,7 @@
     }
 
     /// What to ask of every declared region and of every link into this entry's region.
-    pub fn wants(&mut self, now_us: TimeUs, config: &Config, router: &Router) -> Vec<Want> {
+    pub fn wants(&mut self, now_us: TimeUs, config: &Config, router: &mut Router) -> Vec<Want> {
         let elapsed_ms = (now_us.since_us(self.carried_since_us) / 1_000).max(1);
         let mut wants = Vec::new();
         for pool in pools(config, &self.region) {
