Give each daemon of the answers' tests addresses of its own

Cause: answers_on_one_connection_go_to_their_own_callers failed once in a full run, since the test had freed a port of the ephemeral range and another process's connection took it before the daemon listened. Ports now lie below that range, on an address of each test's own.

--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -3,8 +3,9 @@
 use std::{
     fs,
     io::{self, Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, SocketAddr, TcpListener, TcpStream},
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU8, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -35,7 +36,7 @@
     /// Founds, starts and declares, and waits until the entry takes work.
     pub fn start() -> Self {
         let folder = tempfile::tempdir().expect("scratch folder");
-        let ports: Vec<SocketAddr> = (0..4).map(|_| free_address()).collect();
+        let ports = own_addresses();
         fs::create_dir(folder.path().join("data")).expect("data folder");
         fs::write(folder.path().join("key"), "k".repeat(32)).expect("key file");
         let path = folder.path().join("vm.ini");
@@ -228,9 +229,13 @@
         .expect("the answer is written");
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
-    listener.local_addr().expect("an address")
+/// Four addresses of a test's own. Their ports lie below those that outgoing connections take.
+fn own_addresses() -> [SocketAddr; 4] {
+    static STARTED: AtomicU8 = AtomicU8::new(0);
+    let process = 70 + u8::try_from(std::process::id() % 100).unwrap_or(0);
+    let test = STARTED.fetch_add(1, Ordering::Relaxed);
+    let ip = IpAddr::from([127, process, test, 1]);
+    [8_080, 7_080, 8_090, 7_090].map(|port| SocketAddr::new(ip, port))
 }
 
 fn settings(folder: &std::path::Path, ports: &[SocketAddr]) -> String {
