--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -1,11 +1,14 @@
 //! What goes into an entry's core and what comes out of it.
 
 use claim::{ClaimKey, Layout, Message, Peer};
+use locate::ClientBlocks;
 use member::PeerAnswer;
 use route::{Ending, RequestId};
 use share::{Grant, Want};
-use std::net::SocketAddr;
-use types::{DomainName, EntryName, Key, RegionName, ReplicaName, Resource, ServiceName};
+use std::{net::SocketAddr, sync::Arc};
+use types::{
+    DomainName, EntryName, Key, RegionName, ReplicaName, Resource, ResourceProgress, ServiceName,
+};
 
 /// The fixed parameters of an entry.
 #[derive(Clone, Debug)]
@@ -20,6 +23,8 @@
     pub replicas: Vec<ReplicaName>,
     /// How long callers may use a look-up answer.
     pub lookup_lifetime_ms: u64,
+    /// The declared blocks of clients; without them every client is near this entry.
+    pub client_blocks: Option<Arc<ClientBlocks>>,
     /// Differs in each run; greater than that of every earlier run.
     pub incarnation: u64,
 }
@@ -150,6 +155,8 @@
         applied_index: u64,
         /// The epoch of the layout that it has, if any.
         layout_epoch: Option<u64>,
+        /// How far it has come with drains and shifts.
+        progress: Vec<ResourceProgress>,
         /// What it wants of capacities and links.
         wants: Vec<Want>,
     },
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -7,16 +7,18 @@
     lease::Lease,
     lookup::LookupView,
     peers::{Outstanding, Peers},
+    progress::ProgressView,
     shares::Shares,
 };
 use claim::{Ending as ClaimEnding, HolderStatus, Limits, Message, Peer, Timing};
 use member::{Announced, Event, MemberRow, Members, PeerAnswer};
 use route::{Ending, RequestId, Router, RouterConfig, Settled};
 use serde::Serialize;
-use std::collections::BTreeMap;
+use share::HeldRow;
+use std::{collections::BTreeMap, net::IpAddr};
 use types::{
     Announcement, CONFIG_LEASE_MS, EntryName, LookupAnswer, Outcome, Refusal, ReplicaName,
-    Resource, ServiceName, ServiceSpec, TimeUs, UpstreamName, poll_interval_ms,
+    Resource, ResourceProgress, ServiceName, ServiceSpec, TimeUs, UpstreamName, poll_interval_ms,
 };
 
 /// The period of questions to each other entry.
@@ -75,6 +77,8 @@
     lease_left_ms: u64,
     stopping: bool,
     in_flight: usize,
+    shares: Vec<HeldRow<'a>>,
+    router: route::Snapshot,
     claims: HolderStatus,
     waiting_for_claims: usize,
     upstreams: Vec<MemberRow<'a>>,
@@ -171,13 +175,21 @@
         self.members.answer(now_us, since_version)
     }
 
-    /// Which entries callers should use for a declared service.
+    /// Which entries a client should use for a declared service.
     #[must_use]
-    pub fn lookup(&self, now_us: TimeUs, service: &ServiceName) -> Option<LookupAnswer> {
+    pub fn lookup(
+        &self,
+        now_us: TimeUs,
+        service: &ServiceName,
+        client: IpAddr,
+    ) -> Option<LookupAnswer> {
+        let blocks = self.own.client_blocks.as_ref();
+        let declared = blocks.and_then(|blocks| blocks.region(client));
         let view = LookupView {
             own_name: &self.own.name,
             own_open: !self.is_stopping() && self.lease.is_held(now_us),
-            near: &self.own.region,
+            near: declared.unwrap_or(&self.own.region),
+            client,
             config: &self.config,
             peers: &self.peers,
             lifetime_ms: self.own.lookup_lifetime_ms,
@@ -212,6 +224,8 @@
             lease_left_ms: self.lease.until_us().since_us(now_us) / 1_000,
             stopping: self.is_stopping(),
             in_flight: self.shares.live_requests(),
+            shares: self.shares.rows(now_us),
+            router: self.router.snapshot(now_us),
             claims: self.claims.status(),
             waiting_for_claims: self.claims.waiting(),
             upstreams: self.members.rows(now_us).collect(),
@@ -248,26 +262,40 @@
         let entries = self.config.entries().count();
         self.next_poll_us = now_us.after_ms(poll_interval_ms(entries));
         let applied_index = self.config.applied_index();
+        let progress = self.progress(now_us);
+        let wants = self.shares.wants(now_us, &self.config, &mut self.router);
         for (replica, outstanding) in &mut self.polls {
             let serial = self.next_serial;
             self.next_serial += 1;
             outstanding.ask(serial, now_us);
-            let wants = match self.shares.asks(replica, now_us) {
-                true => self.shares.wants(now_us, &self.config, &self.router),
-                false => Vec::new(),
-            };
+            let asks = self.shares.asks(replica, now_us);
+            let wants = if asks { wants.clone() } else { Vec::new() };
             let layout_epoch = self.claims.layout_epoch();
             outputs.push(Output::Poll {
                 replica: replica.clone(),
                 serial,
                 applied_index,
                 layout_epoch,
+                progress: progress.clone(),
                 wants,
             });
         }
         self.shares.measure_anew(now_us);
     }
 
+    fn progress(&self, now_us: TimeUs) -> Vec<ResourceProgress> {
+        let view = ProgressView {
+            own_name: &self.own.name,
+            own_region: &self.own.region,
+            own_domain: &self.own.failure_domain,
+            config: &self.config,
+            members: &self.members,
+            router: &self.router,
+            shares: &self.shares,
+        };
+        view.report(now_us)
+    }
+
     fn sync(&mut self, now_us: TimeUs, outputs: &mut Vec<Output>) {
         self.next_sync_us = now_us.after_ms(SYNC_PERIOD_MS);
         for (name, peer) in self.peers.iter_mut() {
--- a/crates/entry/src/shares.rs
+++ b/crates/entry/src/shares.rs
@@ -2,7 +2,7 @@
 
 use crate::config::Config;
 use route::{RequestId, Router};
-use share::{Grant, Holder, Pool, Want};
+use share::{Grant, HeldRow, Holder, Pool, Want};
 use std::collections::BTreeMap;
 use types::{RegionName, ReplicaName, ServiceName, Spec, TimeUs};
 
@@ -104,6 +104,11 @@
         self.live.remove(&request);
     }
 
+    /// What may be used now, for the process dump.
+    pub fn rows(&self, now_us: TimeUs) -> Vec<HeldRow<'_>> {
+        self.holder.rows(now_us).collect()
+    }
+
     /// Whether wants go to this replica: to the one that grants, or to all while none does.
     pub fn asks(&self, replica: &ReplicaName, now_us: TimeUs) -> bool {
         let granter = self
@@ -114,7 +119,7 @@
     }
 
     /// What to ask of every declared region and of every link into this entry's region.
-    pub fn wants(&mut self, now_us: TimeUs, config: &Config, router: &Router) -> Vec<Want> {
+    pub fn wants(&mut self, now_us: TimeUs, config: &Config, router: &mut Router) -> Vec<Want> {
         let elapsed_ms = (now_us.since_us(self.carried_since_us) / 1_000).max(1);
         let mut wants = Vec::new();
         for pool in pools(config, &self.region) {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,10 +1,10 @@
-//! Messages between the system's own processes and their framing.
+//! Messages between the system's own processes.
 //!
 //! Only this crate knows the encoding; the cores work on their own types.
 
 mod claim_message;
-mod codec;
 mod error;
+mod limits;
 mod member_message;
 mod raft_message;
 mod share_message;
@@ -17,8 +17,8 @@
 
 pub use crate::{
     claim_message::{claim_from_wire, claim_to_wire},
-    codec::{FRAME_MAX_BYTES, FrameCodec},
     error::WireError,
+    limits::FRAME_MAX_BYTES,
     member_message::{sync_from_wire, sync_to_wire},
     raft_message::{raft_from_wire, raft_to_wire},
     share_message::{grant_from_wire, grant_to_wire, want_from_wire, want_to_wire},
