--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,2 @@
+//! Writes the page of figures from the output of `cargo bench`.
+fn main() {}
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -154,6 +154,12 @@
         &self.name
     }
 
+    /// Its process id, while it runs.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     fn signal(&self, signal: Signal) -> Result<(), ProcessError> {
         let ended = || ProcessError::Ended {
             name: self.name.clone(),
