--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod entries;
 pub mod frames;
 pub mod group;
+pub mod page;
 pub mod process;
 pub mod report;
 pub mod shares;
