--- a/crates/bench/src/shares.rs
+++ b/crates/bench/src/shares.rs
@@ -56,7 +56,7 @@
         let (id, holder) = self.holders.get_mut(turn)?;
         let demand = 50 + (self.turn % 7) as u64;
         let want = holder.want(now_us, &self.pool, 20, demand);
-        let grant = self.allocator.ask(now_us, id, &want)?;
+        let grant = self.allocator.ask(now_us, id, true, &want)?;
         holder.apply(now_us, now_us, &grant);
         Some(grant)
     }
--- a/crates/daemon/src/control/start.rs
+++ b/crates/daemon/src/control/start.rs
@@ -41,7 +41,7 @@
 const HEARTBEAT_US: u64 = 150_000;
 
 /// The shortest wait for a leader before an election.
-const ELECTION_US: u64 = 900_000;
+const ELECTION_US: u64 = 600_000;
 
 /// The largest sum of entries in one message between replicas.
 const APPEND_MAX_BYTES: usize = 256 * 1024;
--- a/crates/daemon/src/control/storage.rs
+++ b/crates/daemon/src/control/storage.rs
@@ -39,20 +39,19 @@
     log: Logger,
 ) -> io::Result<()> {
     let write = move || {
-        while let Ok(persist) = receiver.recv() {
+        let mut queued = None;
+        while let Some(mut persist) = queued.take().or_else(|| receiver.recv().ok()) {
+            queued = merge_waiting(&mut persist, &receiver);
             if let Err(error) = store.write(&persist) {
                 crit!(log, "the data folder failed; this replica takes no further part";
                     "error" => %error);
                 let _ = actor.tell(StorageFailed).blocking_send();
                 return;
             }
-            if actor
-                .tell(Persisted {
-                    ticket: persist.ticket,
-                })
-                .blocking_send()
-                .is_err()
-            {
+            let persisted = Persisted {
+                ticket: persist.ticket,
+            };
+            if actor.tell(persisted).blocking_send().is_err() {
                 return;
             }
         }
@@ -63,6 +62,16 @@
         .map(drop)
 }
 
+/// Takes the writes that wait into one sync; returns the first that can't join.
+fn merge_waiting(persist: &mut Persist, receiver: &mpsc::Receiver<Persist>) -> Option<Persist> {
+    while let Ok(next) = receiver.try_recv() {
+        if let Err(next) = persist.merge(next) {
+            return Some(*next);
+        }
+    }
+    None
+}
+
 /// Founds the data folder of a new deployment's replica.
 ///
 /// # Errors
