--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -287,3 +287,20 @@
         200
     );
 }
+
+#[test]
+fn an_oversized_body_is_answered_every_time() {
+    const REQUESTS: usize = 40;
+    let daemon = Daemon::start();
+    let large = "x".repeat(4 * 1024 * 1024);
+    for request in [
+        with_body("PUT", "/v1/upstreams/a", "", &large),
+        with_body("POST", "/s/payout/a", "", &large),
+    ] {
+        for _ in 0..REQUESTS {
+            let answer = exchange(daemon.entry, &request).expect("an answer");
+            let text = String::from_utf8_lossy(&answer);
+            assert_eq!(status(&answer), 413, "{text}");
+        }
+    }
+}
