Tell the outcome of a request that is not taken in

It is did-not-run now, and unknown with a key, since an earlier sending may have run, as for the refusals before a claim.

The new test failed before and passes after.

--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -71,7 +71,11 @@
         let mut parts = path.trim_start_matches('/').splitn(3, '/');
         let route = (parts.next().unwrap_or(""), parts.next().unwrap_or(""));
         let answer = match (route, parts.next()) {
-            (("s", service), rest) => self.forward(service, rest.unwrap_or(""), request).await,
+            (("s", service), rest) => {
+                let keyed = request.headers().contains_key(IDEMPOTENCY_KEY);
+                let forwarded = self.forward(service, rest.unwrap_or(""), request).await;
+                Ok(forwarded.unwrap_or_else(|failure| not_taken_in(&failure, keyed)))
+            }
             (("v1", "lookup"), Some(service)) => self.lookup(service, client, &request).await,
             (("v1", "upstreams"), Some(name)) => self.announce(name, request).await,
             (("metrics", ""), None) => metrics(&self.registry),
@@ -354,6 +358,18 @@
     response
 }
 
+/// A request that failed before it was taken in; an earlier one with its key may have run.
+fn not_taken_in(failure: &ApiError, keyed: bool) -> Response<Body> {
+    let outcome = if keyed {
+        Outcome::Unknown
+    } else {
+        Outcome::DidNotRun
+    };
+    let mut response = error(failure);
+    mark(response.headers_mut(), outcome, 0);
+    response
+}
+
 fn refusal(settled: Settled, attempts: u32) -> Response<Body> {
     let Settled { outcome, refusal } = settled;
     let mut response = error(&ApiError::RequestRefused { outcome, refusal });
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -304,3 +304,25 @@
         }
     }
 }
+
+#[test]
+fn a_request_that_is_not_taken_in_is_told_its_outcome() {
+    let daemon = Daemon::start();
+    let key = "idempotency-key: a\r\n";
+    let cases = [
+        ("/s/No_Name/a", "", 400, "did-not-run"),
+        (
+            "/s/browse/a",
+            "ow-deadline-ms: soon\r\n",
+            400,
+            "did-not-run",
+        ),
+        ("/s/No_Name/a", key, 400, "unknown"),
+    ];
+    for (path, headers, code, outcome) in cases {
+        let request = with_body("POST", path, headers, "");
+        let answer = exchange(daemon.entry, &request).expect("an answer");
+        assert_eq!(status(&answer), code);
+        assert_eq!(header(&answer, "ow-outcome"), outcome, "{path} {headers}");
+    }
+}
