--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -287,3 +287,42 @@
         200
     );
 }
+
+#[test]
+fn an_oversized_body_is_answered_every_time() {
+    const REQUESTS: usize = 40;
+    let daemon = Daemon::start();
+    let large = "x".repeat(4 * 1024 * 1024);
+    for request in [
+        with_body("PUT", "/v1/upstreams/a", "", &large),
+        with_body("POST", "/s/payout/a", "", &large),
+    ] {
+        for _ in 0..REQUESTS {
+            let answer = exchange(daemon.entry, &request).expect("an answer");
+            let text = String::from_utf8_lossy(&answer);
+            assert_eq!(status(&answer), 413, "{text}");
+        }
+    }
+}
+
+#[test]
+fn a_request_that_is_not_taken_in_is_told_its_outcome() {
+    let daemon = Daemon::start();
+    let key = "idempotency-key: a\r\n";
+    let cases = [
+        ("/s/No_Name/a", "", 400, "did-not-run"),
+        (
+            "/s/browse/a",
+            "ow-deadline-ms: soon\r\n",
+            400,
+            "did-not-run",
+        ),
+        ("/s/No_Name/a", key, 400, "unknown"),
+    ];
+    for (path, headers, code, outcome) in cases {
+        let request = with_body("POST", path, headers, "");
+        let answer = exchange(daemon.entry, &request).expect("an answer");
+        assert_eq!(status(&answer), code);
+        assert_eq!(header(&answer, "ow-outcome"), outcome, "{path} {headers}");
+    }
+}
