Cut a frozen entry off from the replicas in the test of stale work

The test passed with an entry whose lease always held: on waking it read the new configuration from its sockets within milliseconds, and its shares had run out as well. It now reaches the replicas through relays that are cut while it wakes, and every request that waited must be refused for the lease. With a lease that always holds it fails (no-upstream in place of configuration-lease).

--- a/crates/standin/src/deployment/network.rs
+++ b/crates/standin/src/deployment/network.rs
@@ -22,6 +22,8 @@
 const CONTROL_PORT: u16 = 8090;
 /// The port of a control replica for the system's own processes.
 const CONTROL_PEER_PORT: u16 = 7090;
+/// The port of a relay before [`CONTROL_PEER_PORT`].
+const CONTROL_PEER_RELAY_PORT: u16 = 7091;
 /// The port that a reservation holds, and the last part of its address.
 const RESERVATION: (u8, u16) = (254, 7000);
 /// The networks that tests choose from.
@@ -78,6 +80,12 @@
         self.address(0, vm, CONTROL_PEER_PORT)
     }
 
+    /// Where a relay before a control replica's address for the system's own processes listens.
+    #[must_use]
+    pub const fn control_peer_relay(self, vm: u8) -> SocketAddr {
+        self.address(0, vm, CONTROL_PEER_RELAY_PORT)
+    }
+
     /// An upstream's address.
     #[must_use]
     pub const fn upstream(self, host: u8) -> SocketAddr {
