Keep the answer to the leader's own command inside; tell empty sets alike

Cause: since the number of holders belongs to a set, the empty set of a fresh state differed from the default one, so that a leader proposed its own layout command at once, and the answer to it reached the shell (two tests of leader_change failed: request was answered twice). The answer to the leader's own command no longer leaves the core, and an empty set is always the default one.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -85,6 +85,7 @@
             Input::Poll { poll, body } => self.answer_poll(poll, &body, outputs),
         }
         self.expire(outputs);
+        outputs.retain(|output| !is_own_answer(output));
     }
 
     /// The log's view of this replica.
@@ -391,3 +392,14 @@
         }
     }
 }
+
+/// Whether this is the answer to a command of the replica itself, which nobody waits for.
+const fn is_own_answer(output: &Output) -> bool {
+    matches!(
+        output,
+        Output::Answer {
+            request: LAYOUT_REQUEST,
+            ..
+        }
+    )
+}
--- a/crates/state/src/layout.rs
+++ b/crates/state/src/layout.rs
@@ -40,6 +40,12 @@
                 failure_domain: spec.failure_domain.clone(),
             })
         });
-        EntrySet::new(places).with_holders(HOLDERS)
+        let set = EntrySet::new(places);
+        let is_empty = set.entries().next().is_none();
+        if is_empty {
+            set
+        } else {
+            set.with_holders(HOLDERS)
+        }
     }
 }
