Let a new leader move among holders what they hold already

Holders that have applied a grant of the new leader ignore earlier ones; what they held when they joined goes round among them.

--- a/crates/share/src/allocator.rs
+++ b/crates/share/src/allocator.rs
@@ -21,6 +21,8 @@
 #[derive(Debug, Default)]
 struct Party {
     asked: u64,
+    /// Whether it has applied a grant of this leader, so that it ignores those of earlier ones.
+    joined: bool,
     near: bool,
     demand: u64,
     held: u64,
@@ -40,7 +42,8 @@
         granted.max(self.held)
     }
 
-    fn hear(&mut self, want: &Want, counted_until_us: TimeUs) {
+    fn hear(&mut self, want: &Want, term: u64, counted_until_us: TimeUs) {
+        self.joined |= want.applied.term == term;
         self.asked = want.asked;
         self.demand = want.demand;
         self.held = want.held;
@@ -73,6 +76,9 @@
     limit: u64,
     /// Whether no earlier leader can have granted anything of it.
     is_new: bool,
+    /// What holders held when they began to follow this leader. No earlier leader's grant can add
+    /// to what they use, so that whatever one of them gives back another may have.
+    inherited: u64,
     parties: BTreeMap<HolderId, Party>,
 }
 
@@ -88,18 +94,21 @@
         self.parties.retain(|_, party| !party.is_gone(now_us));
     }
 
-    /// What `holder` should have, by every party's demand.
-    fn entitlement(&self, holder: &HolderId) -> u64 {
-        let claims: Vec<Claim> = self
-            .parties
-            .values()
-            .map(|party| Claim {
+    /// What `holder` should have of `limit`, by the demand of every holder that shares it.
+    fn entitlement(&self, holder: &HolderId, limit: u64, only_joined: bool) -> u64 {
+        let sharing = || {
+            self.parties
+                .iter()
+                .filter(|(_, party)| party.joined || !only_joined)
+        };
+        let claims: Vec<Claim> = sharing()
+            .map(|(_, party)| Claim {
                 demand: party.demand,
                 near: party.near,
             })
             .collect();
-        let shares = fair_shares(self.limit, &claims);
-        let rank = self.parties.keys().position(|id| id == holder);
+        let shares = fair_shares(limit, &claims);
+        let rank = sharing().position(|(id, _)| id == holder);
         rank.and_then(|rank| shares.get(rank).copied()).unwrap_or(0)
     }
 }
@@ -206,11 +215,16 @@
             return None;
         }
         party.near = near;
-        party.hear(want, counted_until_us);
-        let amount = if inherits {
-            want.held.min(state.limit)
-        } else {
-            state.offer(holder)
+        let had_joined = party.joined;
+        party.hear(want, self.term, counted_until_us);
+        if party.joined && !had_joined {
+            state.inherited += want.held;
+        }
+        let confirms = inherits && !party.joined;
+        let amount = match (inherits, confirms) {
+            (_, true) => want.held.min(state.limit),
+            (true, false) => state.offer_among_joined(holder),
+            (false, false) => state.offer(holder),
         };
         if let Some(party) = state.parties.get_mut(holder) {
             party.grants.push(Counted {
@@ -223,7 +237,7 @@
             pool: want.pool.clone(),
             id,
             amount,
-            confirms: inherits,
+            confirms,
         })
     }
 
@@ -259,13 +273,22 @@
 impl PoolState {
     /// What can be granted to `holder` now: its entitlement, as far as others leave room.
     fn offer(&self, holder: &HolderId) -> u64 {
-        let others: u64 = self
+        let others = self.parties.iter().filter(|(id, _)| *id != holder);
+        let others: u64 = others.map(|(_, party)| party.counted()).sum();
+        let room = self.limit.saturating_sub(others);
+        self.entitlement(holder, self.limit, false).min(room)
+    }
+
+    /// The same while grants of earlier leaders may be in use: only what holders that follow this
+    /// leader hold goes round among them.
+    fn offer_among_joined(&self, holder: &HolderId) -> u64 {
+        let amount = self.inherited.min(self.limit);
+        let others = self
             .parties
             .iter()
-            .filter(|(id, _)| *id != holder)
-            .map(|(_, party)| party.counted())
-            .sum();
-        self.entitlement(holder)
-            .min(self.limit.saturating_sub(others))
+            .filter(|(id, party)| *id != holder && party.joined);
+        let others: u64 = others.map(|(_, party)| party.counted()).sum();
+        self.entitlement(holder, amount, true)
+            .min(amount.saturating_sub(others))
     }
 }
--- a/crates/share/tests/policy.rs
+++ b/crates/share/tests/policy.rs
@@ -85,6 +85,42 @@
     assert!(renew(&mut second, &mut other, 1, later_ms + 250, 40) >= 40);
 }
 
+#[test]
+fn under_a_new_leader_what_known_holders_hold_moves_to_demand() {
+    let mut first = allocator();
+    let (mut idle, mut busy) = (Holder::new(), Holder::new());
+    renew(&mut first, &mut idle, 0, 0, 60);
+    renew(&mut first, &mut busy, 1, 100, 10);
+    let mut second = Allocator::new(2, at_ms(1_000), DEADLINE_MS);
+    second.set_limit(&pool(), LIMIT);
+    let mut used = 0;
+    for round in 0..6 {
+        let now_ms = 1_100 + round * 250;
+        renew(&mut second, &mut idle, 0, now_ms, 5);
+        used = renew(&mut second, &mut busy, 1, now_ms + 50, 60);
+    }
+    assert!(used >= 60, "{used} of 60");
+}
+
+#[test]
+fn a_delayed_question_to_a_new_leader_brings_back_nothing_that_was_given_back() {
+    let mut first = allocator();
+    let (mut giving, mut taking) = (Holder::new(), Holder::new());
+    renew(&mut first, &mut giving, 0, 0, 90);
+    let delayed = giving.want(at_ms(50), &pool(), 0, 90);
+    renew(&mut first, &mut giving, 0, 100, 0);
+    renew(&mut first, &mut giving, 0, 200, 0);
+    let taken = renew(&mut first, &mut taking, 1, 300, 80);
+    let mut second = Allocator::new(2, at_ms(1_000), DEADLINE_MS);
+    second.set_limit(&pool(), LIMIT);
+    let grant = second
+        .ask(at_ms(1_000), &entry(0), true, &delayed)
+        .expect("granted");
+    giving.apply(at_ms(1_000), at_ms(50), &grant);
+    let used = giving.usable(&pool()).0 + taken;
+    assert!(used <= LIMIT, "{used} of {LIMIT}");
+}
+
 #[test]
 fn a_lowered_figure_is_in_force_once_every_holder_asked_again() {
     let mut allocator = allocator();
