Judge an upstream by the others of its region

Cause: after the kills of the demo requests queued at entries that had free slots of their own region. The dumps showed most upstreams of an entry's region ejected as slow (35 ejections at one entry): the declared way (24 ms there and back) was taken off each answer from another region, on loopback more than the whole answer took, so that answers from there counted as 0 us and pulled the service's usual latency below a third of the true one. A declaration that is wrong does the same anywhere.

Ruled out: too small shares (entries held 6 to 13 free slots while requests queued) and the wait for the new leader.

Upstreams are now compared with their own region's latency, and an answer that came sooner than the declared way counts whole. The new test fails without the change (14 ejections).

--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -4,7 +4,7 @@
 use types::TimeUs;
 
 /// Times the service's latency at which an answer counts as no more than that.
-const OUTLIER_FACTOR: u64 = 3;
+pub(crate) const OUTLIER_FACTOR: u64 = 3;
 /// The first status code that counts as a failure of the upstream.
 const FAILURE_STATUS: u16 = 500;
 /// How long a refusal closes a group's borrowed slots at first; doubled by each further one.
@@ -32,7 +32,13 @@
             OWN_REGION => 0,
             region => 2 * self.table.regions[region].delay_us.unwrap_or(0),
         };
-        let latency_us = now_us.since_us(since_us).saturating_sub(way_us);
+        let raw_us = now_us.since_us(since_us);
+        // An answer that came sooner than the declared way takes disproves the declaration.
+        let latency_us = if raw_us > way_us {
+            raw_us - way_us
+        } else {
+            raw_us
+        };
         let elsewhere = Some(upstream.region) != service.home_region();
         let group = &mut service.groups[place.group];
         match ending {
@@ -43,6 +49,7 @@
                 }
                 let bound_us = service_us.map_or(u64::MAX, |us| us * OUTLIER_FACTOR);
                 service.latency_us.add(latency_us.min(bound_us));
+                service.note_region_latency(upstream.region, latency_us);
                 service.mover.answered(elsewhere, Some(latency_us));
                 upstream.evidence.answered(latency_us, upstream.slots);
             }
@@ -97,10 +104,11 @@
     /// Ejects an upstream that stands out, while enough others remain.
     fn judge(&mut self, now_us: TimeUs, id: usize, service_id: usize) {
         let service = &self.table.services[service_id];
-        let evidence = &self.table.upstreams[id].evidence;
+        let upstream = &self.table.upstreams[id];
+        let (evidence, region) = (&upstream.evidence, upstream.region);
         if self.config.policy != Policy::Adaptive
             || evidence.ejected_until_us.is_some()
-            || evidence.verdict(service.latency_us.get()) == Verdict::Good
+            || evidence.verdict(service.region_latency_us(region)) == Verdict::Good
         {
             return;
         }
--- a/crates/route/src/service.rs
+++ b/crates/route/src/service.rs
@@ -2,9 +2,11 @@
 
 use crate::{
     evidence::Average,
+    observe::OUTLIER_FACTOR,
     queue::Queue,
     shift::{Cap, Mover},
 };
+use std::collections::BTreeMap;
 use types::{Priority, ServiceName, TimeUs};
 
 /// Weight of a new observation in a service's averages, as one part of so many.
@@ -58,6 +60,9 @@
     pub(crate) mover: Mover,
     /// Time that an upstream takes, without the way.
     pub(crate) latency_us: Average,
+    /// The same in each region, by the region's index, for what upstreams are compared with: the
+    /// way to another region is only known as far as its declaration is right.
+    region_latency_us: BTreeMap<usize, Average>,
 }
 
 impl Group {
@@ -100,6 +105,7 @@
             in_flight: 0,
             mover: Mover::new(cap),
             latency_us: Average::new(SERVICE_PARTS),
+            region_latency_us: BTreeMap::new(),
         }
     }
 
@@ -118,6 +124,19 @@
         here.any(|group| group.usable > 0)
     }
 
+    /// Counts an answer of an upstream in a region; one that stands out counts as less.
+    pub(crate) fn note_region_latency(&mut self, region: usize, latency_us: u64) {
+        let average = self.region_latency_us.entry(region);
+        let average = average.or_insert_with(|| Average::new(SERVICE_PARTS));
+        let bound_us = average.get().map_or(u64::MAX, |us| us * OUTLIER_FACTOR);
+        average.add(latency_us.min(bound_us));
+    }
+
+    /// The time that an upstream of a region usually takes.
+    pub(crate) fn region_latency_us(&self, region: usize) -> Option<u64> {
+        self.region_latency_us.get(&region).and_then(Average::get)
+    }
+
     /// How long one more request would wait here for a slot, as far as is known.
     pub(crate) fn wait_us(&self) -> Option<u64> {
         let waiting = self.queue.len() as u64 + 1;
--- a/crates/route/tests/shift.rs
+++ b/crates/route/tests/shift.rs
@@ -258,3 +258,40 @@
     let far = forwarded - 1;
     assert!((1..=11).contains(&far), "{far}");
 }
+
+/// The declared way to the other region takes longer than its answers do: what they took says
+/// nothing against the upstreams here.
+#[test]
+fn answers_that_come_sooner_than_the_declared_way_eject_nobody() {
+    let limits = Limits {
+        cap: CAP,
+        ..Limits::default()
+    };
+    let mut bench = Bench::new(config().with_limits(limits));
+    for (near, far) in [("a", "e"), ("b", "f"), ("c", "g"), ("d", "h")] {
+        bench.upstream(near, "browse", "here-a", 99);
+        bench.upstream(far, "browse", "there-a", 99);
+    }
+    let spec = ShiftSpec {
+        service: service("browse"),
+        from: region("here"),
+        to: region("there"),
+        target_percent: 90,
+        cap_percent: 90,
+        interval_ms: 100,
+    };
+    bench.step(route::Input::Declared(&resource("move", Spec::Shift(spec))));
+    let mut far = 0;
+    for _ in 0..4_000 {
+        let (request, step) = bench.arrive("browse", true);
+        let Step::Forwarded(name) = step else {
+            panic!("{step:?}");
+        };
+        far += u32::from(name.as_str() >= "e");
+        bench.now_us = bench.now_us.after_ms(10);
+        bench.finish(request);
+    }
+    assert!(far > 2_000, "{far} went far");
+    let snapshot = bench.router.snapshot(bench.now_us);
+    assert_eq!(snapshot.counters.ejections, 0);
+}
