Count the codes of frames, poll the replicas in turn, split the large files

Cause: the test of an idle second counted 4 bytes a frame and missed the 16 of its authentication code: a replica spent 41,500 B/s of polls and 2,800 B/s of the log at 720 entries, not 25,500, and passed the 28,000 that the test asks.

The poll no longer carries the entry's name and run, which the link proves anyway (83 to 72 bytes a poll with its answer). Entries ask the replicas in turn over the period, so that a majority of the answers is younger than it, and the period at 720 entries grows from 1,440 to 2,160 ms: 24,000 B/s of polls and 2,800 B/s of the log. The lease stays at 3 s. Ruled out: polling a majority only, since each replica must hear each entry to tell how far it is.

--- a/crates/bench/src/frames.rs
+++ b/crates/bench/src/frames.rs
@@ -64,9 +64,7 @@
     let mut holder = Holder::new();
     let wants = pools.map(|pool| want_to_wire(&holder.want(at_ms(0), &pool, 40, 400)));
     frame(Body::Poll(Poll {
-        entry: "entry-720".to_owned(),
         applied_index: SERIAL,
-        incarnation: 1_760_000_000_000_000,
         wants: wants.collect(),
         layout_epoch: Some(SERIAL),
         ..Poll::default()
--- a/crates/control/tests/cost.rs
+++ b/crates/control/tests/cost.rs
@@ -17,8 +17,8 @@
 /// The period of a leader's heartbeats in the daemon.
 const HEARTBEAT_US: u64 = 150_000;
 
-/// What a frame takes besides its message, in bytes.
-const FRAME_HEAD_BYTES: usize = 4;
+/// What a frame takes besides its message, in bytes: its length and its authentication code.
+const FRAME_HEAD_BYTES: usize = 4 + 16;
 
 /// A serial number that a connection reaches after some days.
 const SERIAL: u64 = 200_000;
@@ -33,7 +33,6 @@
 
 fn poll_bytes(applied_index: u64) -> usize {
     frame_bytes(peer::frame::Body::Poll(peer::Poll {
-        entry: format!("entry-{ENTRIES}"),
         applied_index,
         ..peer::Poll::default()
     }))
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -168,7 +168,7 @@
             Some(Body::Raft(message)) => self.receive_raft(peer, message),
             Some(Body::Poll(poll)) => {
                 self.args.metrics.polls.inc();
-                let Ok(body) = convert::poll(&poll) else {
+                let Ok(body) = convert::poll(peer, &poll) else {
                     self.args.metrics.malformed_frames.inc();
                     return;
                 };
--- a/crates/daemon/src/control/convert.rs
+++ b/crates/daemon/src/control/convert.rs
@@ -1,6 +1,7 @@
 //! Conversion between a control replica's core and the wire.
 
 use control::{Poll, PollAnswer, PollRejection};
+use link::Peer;
 use state::Change;
 use thiserror::Error;
 use types::{EntryName, InvalidName};
@@ -20,21 +21,21 @@
     Want(#[from] WireError),
 }
 
-/// An entry's poll.
+/// The poll of the entry that a connection named.
 ///
 /// # Errors
 ///
 /// When a field breaks its rules.
-pub fn poll(poll: &peer::Poll) -> Result<Poll, ConvertError> {
+pub fn poll(from: &Peer, poll: &peer::Poll) -> Result<Poll, ConvertError> {
     let rejected = (poll.rejected_revision > 0).then(|| PollRejection {
         revision: poll.rejected_revision,
         reason: poll.rejected_reason.clone(),
     });
-    let entry = EntryName::new(&poll.entry)?;
+    let entry = EntryName::new(&from.node)?;
     Ok(Poll {
         entry,
         applied_index: poll.applied_index,
-        incarnation: poll.incarnation,
+        incarnation: from.incarnation,
         layout_epoch: poll.layout_epoch,
         progress: poll
             .progress_json
--- a/crates/daemon/src/entry/convert.rs
+++ b/crates/daemon/src/entry/convert.rs
@@ -1,6 +1,5 @@
 //! Conversion between an entry's core and the wire.
 
-use crate::entry::links::Links;
 use entry::{ConfigChange, ReplicaAnswer};
 use share::Want;
 use thiserror::Error;
@@ -29,11 +28,9 @@
 }
 
 /// A poll for changes after `applied_index`.
-pub fn poll(links: &Links, applied_index: u64, layout_epoch: Option<u64>, wants: &[Want]) -> Poll {
+pub fn poll(applied_index: u64, layout_epoch: Option<u64>, wants: &[Want]) -> Poll {
     Poll {
-        entry: links.own_name.to_string(),
         applied_index,
-        incarnation: links.identity.incarnation,
         layout_epoch,
         wants: wants.iter().map(want_to_wire).collect(),
         ..Poll::default()
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -11,10 +11,7 @@
 /// Dialed links; a frame for a link that is down is dropped, since the core asks again.
 #[derive(Debug)]
 pub struct Links {
-    /// This entry's name.
-    pub own_name: EntryName,
-    /// What this entry proves to its peers.
-    pub identity: Identity,
+    identity: Identity,
     inbox: mpsc::Sender<Event>,
     replicas: BTreeMap<ReplicaName, Outbound>,
     peers: BTreeMap<EntryName, (PeerAddress, Outbound)>,
@@ -27,7 +24,6 @@
     ///
     /// When the identity holds no key.
     pub fn new(
-        own_name: EntryName,
         identity: Identity,
         inbox: mpsc::Sender<Event>,
         replicas: &[ReplicaSettings],
@@ -44,7 +40,6 @@
         });
         let replicas = dialed.collect::<Result<_, LinkError>>()?;
         Ok(Self {
-            own_name,
             identity,
             inbox,
             replicas,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod lease;
 mod lookup;
 mod peers;
+mod polls;
 mod progress;
 mod shares;
 
--- a/crates/link/tests/support/mod.rs
+++ b/crates/link/tests/support/mod.rs
@@ -33,7 +33,6 @@
 /// A frame that carries `index`.
 pub fn numbered(index: u64) -> Frame {
     frame(Body::Poll(Poll {
-        entry: String::new(),
         applied_index: index,
         ..Poll::default()
     }))
--- a/crates/types/src/lease.rs
+++ b/crates/types/src/lease.rs
@@ -6,11 +6,12 @@
 /// The shortest period of an entry's polls, in milliseconds.
 const POLL_MIN_MS: u64 = 250;
 
-/// The longest period of an entry's polls, in milliseconds; one may be lost within a lease.
-const POLL_MAX_MS: u64 = 1_450;
+/// The longest period of an entry's polls of one replica, in milliseconds. The replicas are asked
+/// in turn within it, so that the answers of a majority are younger.
+const POLL_MAX_MS: u64 = 2_200;
 
 /// By how much each declared entry lengthens the period, in milliseconds.
-const POLL_STEP_MS: u64 = 2;
+const POLL_STEP_MS: u64 = 3;
 
 /// The period of an entry's polls of each replica, so that all entries together cost a replica
 /// about the same at any size.
