--- a/crates/claim/examples/latency.rs
+++ b/crates/claim/examples/latency.rs
@@ -1,8 +1,8 @@
 //! Measures on virtual time what claims add to a request, and how long a restarted entry recovers.
 
 use claim::{
-    ClaimKey, Claimant, ClaimantInput, ClaimantOutput, Decision, EntrySet, Holder, HolderInput,
-    Layout, Limits, Message, Peer, Place, Receiver, Timing,
+    ClaimKey, Claimant, ClaimantInput, ClaimantOutput, Decision, EntrySet, HOLDERS, Holder,
+    HolderInput, Layout, Limits, Message, Peer, Place, Receiver, Timing,
 };
 use std::{
     cmp::Reverse,
@@ -21,6 +21,7 @@
 /// Which entries hold a key.
 #[derive(Clone, Copy, Debug)]
 enum Placement {
+    FiveInRegions,
     DistinctRegions,
     AnyEntries,
     RegionOfKey,
@@ -64,7 +65,7 @@
     fn layout(self, number: usize) -> Layout {
         let place = |entry: usize| {
             let label = match self {
-                Self::DistinctRegions | Self::RegionOfKey => region(entry),
+                Self::FiveInRegions | Self::DistinctRegions | Self::RegionOfKey => region(entry),
                 Self::AnyEntries => entry,
             };
             Place {
@@ -75,12 +76,17 @@
             }
         };
         let holds = |entry: &usize| match self {
-            Self::DistinctRegions | Self::AnyEntries => true,
+            Self::FiveInRegions | Self::DistinctRegions | Self::AnyEntries => true,
             Self::RegionOfKey => region(*entry) == number % REGIONS,
         };
+        let holders = match self {
+            Self::FiveInRegions => 5,
+            Self::DistinctRegions | Self::AnyEntries | Self::RegionOfKey => HOLDERS,
+        };
+        let set = EntrySet::new((0..ENTRIES).filter(holds).map(place));
         Layout {
             epoch: 1,
-            sets: vec![EntrySet::new((0..ENTRIES).filter(holds).map(place))],
+            sets: vec![set.with_holders(holders)],
         }
     }
 }
@@ -279,6 +285,7 @@
     for region_delay_us in REGION_DELAYS_US {
         for lost in [None, Some(LOST_REGION)] {
             for placement in [
+                Placement::FiveInRegions,
                 Placement::DistinctRegions,
                 Placement::AnyEntries,
                 Placement::RegionOfKey,
--- a/crates/control/src/shares.rs
+++ b/crates/control/src/shares.rs
@@ -153,8 +153,10 @@
             .set_longest_deadline_ms(longest_deadline_ms(state));
         let mut declared = BTreeSet::new();
         for kind in [Kind::Region, Kind::Link] {
+            // What is declared again may still be held under a grant of an earlier leader.
+            let first = !state.may_have_withdrawn(kind);
             for resource in state.resources(Some(kind)) {
-                let is_new = resource.version == 1 && resource.revision > self.began_index;
+                let is_new = first && resource.version == 1 && resource.revision > self.began_index;
                 for (pool, limit) in pools(resource) {
                     match is_new {
                         true => self.allocator.set_first_limit(&pool, limit),
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -8,6 +8,7 @@
 use raft::{
     Entry, HardState, Membership, Message, Persist, RaftConfig, ReplicaId, Restored, Role, Snapshot,
 };
+use share::Want;
 use state::{Command, Declaration, Item, Operation};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use types::{ApiError, Key, ResourceName, Spec, TimeUs};
@@ -286,6 +287,25 @@
         self.poll_with(replica, entry, applied_index, None)
     }
 
+    /// Polls with one want of a region, as the first question of an entry's run.
+    pub fn poll_wanting(&mut self, replica: &ReplicaId, entry: &str, want: Want) -> PollAnswer {
+        self.next_request += 1;
+        let poll = self.next_request;
+        let body = Poll {
+            entry: entry.parse().expect("a valid name"),
+            applied_index: 0,
+            incarnation: 1,
+            layout_epoch: None,
+            progress: Vec::new(),
+            wants: vec![want],
+            rejected: None,
+        };
+        self.step(replica, Input::Poll { poll, body });
+        self.poll_answers
+            .remove(&poll)
+            .expect("polls are answered at once")
+    }
+
     pub fn poll_with(
         &mut self,
         replica: &ReplicaId,
--- a/crates/state/src/history.rs
+++ b/crates/state/src/history.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
-use types::{Key, Resource};
+use types::{Key, Kind, Resource};
 
 /// How many changes of single resources are kept.
 pub const HISTORY_MAX_CHANGES: usize = 4_096;
@@ -64,6 +64,12 @@
         }
     }
 
+    /// Whether a resource of this kind may ever have been withdrawn, as far as is known.
+    pub(crate) fn may_have_withdrawn(&self, kind: Kind) -> bool {
+        let withdrawn = |change: &Change| change.resource.is_none() && change.key.kind == kind;
+        self.horizon > 0 || self.changes.iter().any(withdrawn)
+    }
+
     /// Every change after `revision`, in order; `None` when some are no longer kept.
     pub(crate) fn after(&self, revision: u64) -> Option<impl Iterator<Item = &Change>> {
         if revision < self.horizon {
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -125,6 +125,12 @@
             .map(|(_, resource)| resource)
     }
 
+    /// Whether a resource of this kind may ever have been withdrawn.
+    #[must_use]
+    pub fn may_have_withdrawn(&self, kind: Kind) -> bool {
+        self.history.may_have_withdrawn(kind)
+    }
+
     /// Notes an entry of the log that holds no command.
     pub const fn skip(&mut self, index: u64) {
         self.applied_index = index;
