--- a/crates/daemon/src/control/start.rs
+++ b/crates/daemon/src/control/start.rs
@@ -8,13 +8,11 @@
         metrics::ControlMetrics,
         storage::{self, Storage},
     },
+    feed::{pass_events, tick},
     http::{Server, serve},
 };
 use control::{Control, ControlConfig};
-use kameo::{
-    actor::{ActorRef, Spawn},
-    mailbox,
-};
+use kameo::{actor::Spawn, mailbox};
 use link::{Event, Identity, LinkError, ListenerHandle, Outbound, dial, listen};
 use prometheus_client::registry::Registry;
 use raft::{RaftConfig, ReplicaId};
@@ -28,7 +26,6 @@
 use tokio::{
     sync::{mpsc, watch},
     task::JoinHandle,
-    time::{MissedTickBehavior, interval},
 };
 
 /// The period of the core's ticks.
@@ -120,8 +117,8 @@
         mailbox::unbounded(),
     );
     storage::run(store, queue, actor.clone(), log.clone())?;
-    tokio::spawn(pass_events(events, actor.clone()));
-    let timer = tokio::spawn(tick(actor.clone()));
+    tokio::spawn(pass_events(events, actor.clone(), Linked));
+    let timer = tokio::spawn(tick(actor.clone(), TICK, Tick));
     let tokens = own.operator_tokens.clone().into();
     let http = ControlHttp {
         actor,
@@ -177,22 +174,3 @@
         })
         .collect()
 }
-
-async fn pass_events(mut events: mpsc::Receiver<Event>, actor: ActorRef<ControlActor>) {
-    while let Some(event) = events.recv().await {
-        if actor.tell(Linked(event)).await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn tick(actor: ActorRef<ControlActor>) {
-    let mut ticks = interval(TICK);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        if actor.tell(Tick).await.is_err() {
-            return;
-        }
-    }
-}
--- a/crates/daemon/src/entry/start.rs
+++ b/crates/daemon/src/entry/start.rs
@@ -9,6 +9,7 @@
         metrics::EntryMetrics,
         pool::Pool,
     },
+    feed::{pass_events, tick},
     http::{Server, serve},
 };
 use entry::{EntryConfig, EntryCore};
@@ -16,7 +17,7 @@
     actor::{ActorRef, Spawn},
     mailbox,
 };
-use link::{Event, Identity, ListenerHandle, listen};
+use link::{Identity, ListenerHandle, listen};
 use prometheus_client::registry::Registry;
 use route::{Fallback, Policy, RouterConfig};
 use settings::{EntrySettings, Settings};
@@ -25,7 +26,6 @@
 use tokio::{
     sync::{mpsc, watch},
     task::JoinHandle,
-    time::{MissedTickBehavior, interval},
 };
 use types::EntryName;
 
@@ -88,8 +88,8 @@
         },
         mailbox::unbounded(),
     );
-    tokio::spawn(pass_events(events, actor.clone()));
-    let timer = tokio::spawn(tick(actor.clone()));
+    tokio::spawn(pass_events(events, actor.clone(), Linked));
+    let timer = tokio::spawn(tick(actor.clone(), TICK, Tick));
     let http = EntryHttp {
         actor: actor.clone(),
         pool: Pool::spawn_with_mailbox(Pool::default(), mailbox::unbounded()),
@@ -144,22 +144,3 @@
     };
     EntryCore::new(config, router, clock.now_us())
 }
-
-async fn pass_events(mut events: mpsc::Receiver<Event>, actor: ActorRef<EntryActor>) {
-    while let Some(event) = events.recv().await {
-        if actor.tell(Linked(event)).await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn tick(actor: ActorRef<EntryActor>) {
-    let mut ticks = interval(TICK);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        if actor.tell(Tick).await.is_err() {
-            return;
-        }
-    }
-}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 mod clock;
 mod control;
 mod entry;
+mod feed;
 mod http;
 mod log;
 mod options;
