--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -1,4 +1,5 @@
-//! The encoding of HTTP interfaces, most of it the control replica's, apart from sockets and decisions.
+//! The encoding of HTTP interfaces, most of it the control replica's, apart from sockets and
+//! decisions.
 //!
 //! A server hands [`parse`] the parts of a request and sends what [`encode`] makes of the answer.
 
--- a/crates/lab/src/caps.rs
+++ b/crates/lab/src/caps.rs
@@ -11,7 +11,8 @@
 
 /// Counts arrivals and moves of every entry and service.
 ///
-/// A part that rises by the cap with each interval since the start bounds what may have moved, plus one request that can't be split.
+/// A part that rises by the cap with each interval since the start bounds what may have moved,
+/// plus one request that can't be split.
 #[derive(Debug)]
 pub struct CapCheck {
     cap: Cap,
--- a/crates/route/src/demand.rs
+++ b/crates/route/src/demand.rs
@@ -12,8 +12,9 @@
 const FLOOR_SLOTS: u32 = 1;
 
 impl Router {
-    /// Slots of the region that this entry would use now: half way from what is in flight there to the most that was since
-    /// the last call, and what waits for a service for which the way there is shorter than the wait, as far as slots are free.
+    /// Slots of the region that this entry would use now: half way from what is in flight there to
+    /// the most that was since the last call, and what waits for a service for which the way there
+    /// is shorter than the wait, as far as slots are free.
     #[must_use]
     pub fn wanted_slots(&mut self, region: &RegionName) -> u32 {
         let mut regions = self.table.regions.iter();
