Compare the epoch of the claims' layout before copying the layout

Cause: each poll of an entry copied every declared set of entries only to look at its epoch, at 720 entries some hundred times a second for an answer that nearly never carries it.

--- a/crates/claim/src/set_log.rs
+++ b/crates/claim/src/set_log.rs
@@ -56,6 +56,12 @@
         }
     }
 
+    /// Rises with every change of the layout.
+    #[must_use]
+    pub const fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
     /// What claims count under.
     #[must_use]
     pub fn layout(&self) -> Layout {
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -130,7 +130,7 @@
         self.layout_check_us = self.now_us.after_ms(LAYOUT_CHECK_MS);
         let at_ms = self.clock.at_ms(&self.state, self.now_us);
         if self.state.layout_is_due(at_ms) {
-            let request_id = format!("layout-{}", self.state.layout().epoch);
+            let request_id = format!("layout-{}", self.state.layout_epoch());
             let nothing = Operation::Apply {
                 declarations: Vec::new(),
                 prune: false,
@@ -242,8 +242,7 @@
     }
 
     fn layout_since(&self, known_epoch: Option<u64>) -> Option<Layout> {
-        let layout = self.state.layout();
-        (known_epoch != Some(layout.epoch)).then_some(layout)
+        (known_epoch != Some(self.state.layout_epoch())).then(|| self.state.layout())
     }
 
     /// Hands an event to the log and carries out what comes of it.
--- a/crates/state/src/layout.rs
+++ b/crates/state/src/layout.rs
@@ -8,6 +8,12 @@
 const HOLDERS: usize = 5;
 
 impl State {
+    /// The epoch of [`Self::layout`].
+    #[must_use]
+    pub const fn layout_epoch(&self) -> u64 {
+        self.sets.epoch()
+    }
+
     /// Under which entry sets claims count.
     #[must_use]
     pub fn layout(&self) -> Layout {
