--- a/crates/control/src/answers.rs
+++ b/crates/control/src/answers.rs
@@ -91,6 +91,7 @@
             Accepted::Put(resource) => Answer::Item(Box::new(self.item(&resource))),
             Accepted::Deleted { revision } => Answer::Deleted { revision },
             Accepted::Applied(applied) => Answer::Applied(applied),
+            Accepted::Steered(applied) => Answer::Steered(applied),
         })
     }
 
@@ -103,7 +104,13 @@
                 .map(|resource| Answer::Item(Box::new(self.item(resource))))
                 .ok_or(ApiError::NotFound),
             Request::Preview { operation } => Ok(Answer::Applied(self.state.preview(operation)?)),
+            Request::ReadPlan => Ok(Answer::Plan {
+                document: self.state.steering().document().map(str::to_owned),
+            }),
             Request::Change { .. }
+            | Request::Steer { .. }
+            | Request::Register { .. }
+            | Request::Locate { .. }
             | Request::Watch { .. }
             | Request::Replicas
             | Request::Admit { .. } => Err(ApiError::MethodNotAllowed),
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -1,11 +1,13 @@
 //! What goes into a control replica and what comes out of it.
 
+use crate::gateways::GatewayReport;
 use claim::Layout;
+use plan::{Change, Registration, SteeringChanges};
 use raft::{Membership, Message, Persist, RaftConfig, ReplicaId, Role, Status};
 use serde::{Deserialize, Serialize};
 use share::{Grant, Want};
 use state::{Applied, Changes, CommandError, Item, List, Operation, SnapshotError, Watched};
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 use thiserror::Error;
 use types::{ApiError, EntryName, Key, Kind, ResourceProgress};
 
@@ -20,6 +22,12 @@
     pub snapshot_entries: u64,
     /// A request that is not answered after this time is answered `unavailable`.
     pub request_timeout_us: u64,
+    /// Where replicas are named by their IP addresses: the port at which operators reach each.
+    pub http_port: Option<u16>,
+    /// Whether replicas that nobody declared may join, and silent ones give way.
+    pub learns_members: bool,
+    /// An instance that sends no heartbeat for so long expires.
+    pub instance_silence_us: u64,
 }
 
 /// An operator's request.
@@ -47,6 +55,25 @@
         /// What would change.
         operation: Operation,
     },
+    /// A change of what gateways follow.
+    Steer {
+        /// The change.
+        change: Change,
+    },
+    /// An instance's heartbeat.
+    Register {
+        /// What the instance says of itself.
+        registration: Registration,
+    },
+    /// The document of the plan in force.
+    ReadPlan,
+    /// The gateways that a client should use.
+    Locate {
+        /// The client's region.
+        region: String,
+        /// The client's failure domain.
+        failure_domain: String,
+    },
     /// Changes after a revision.
     Watch {
         /// The revision.
@@ -82,6 +109,15 @@
     Applied(Applied),
     /// Answers [`Request::Watch`].
     Watched(Watched),
+    /// Answers [`Request::Steer`] and [`Request::Register`].
+    Steered(plan::Applied),
+    /// Answers [`Request::ReadPlan`]; none before the first plan.
+    Plan {
+        /// The document as the operator sent it.
+        document: Option<String>,
+    },
+    /// Answers [`Request::Locate`].
+    Gateways(Vec<SocketAddr>),
     /// Answers [`Request::Replicas`] and [`Request::Admit`].
     Replicas(Box<Replicas>),
 }
@@ -157,6 +193,38 @@
     pub grants: Vec<Grant>,
 }
 
+/// A gateway's question for what changed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Follow {
+    /// The gateway.
+    pub gateway: EntryName,
+    /// What it says of itself.
+    pub report: GatewayReport,
+    /// The index up to which it knows the changes.
+    pub revision: u64,
+}
+
+/// The answer to a [`Follow`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct FollowAnswer {
+    /// The index that `changes` lead to.
+    pub revision: u64,
+    /// The log's clock.
+    pub clock_ms: u64,
+    /// Whether the replica heard a leader lately.
+    pub confirmed: bool,
+    /// The names of all replicas.
+    pub members: Vec<String>,
+    /// How many gateways follow this replica.
+    pub gateways: usize,
+    /// How often each replica should be asked.
+    pub interval_ms: u64,
+    /// What changed.
+    pub changes: SteeringChanges,
+}
+
 /// An event for the control replica.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -195,6 +263,18 @@
         /// What is asked.
         body: Poll,
     },
+    /// A gateway asks for changes; answered at once.
+    Follow {
+        /// Names the question in the answer.
+        follow: u64,
+        /// What is asked.
+        body: Follow,
+    },
+    /// Another replica asks to join.
+    Join {
+        /// The replica, as the link authenticated it.
+        from: ReplicaId,
+    },
 }
 
 /// Something for the shell to do, in this order.
@@ -223,6 +303,13 @@
         /// The answer.
         answer: PollAnswer,
     },
+    /// The answer to a gateway.
+    FollowAnswer {
+        /// The question.
+        follow: u64,
+        /// The answer.
+        answer: FollowAnswer,
+    },
     /// The role, term or leader changed.
     Changed(Status),
     /// The state machine can't go on: the log or a snapshot is not readable by this program.
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -4,8 +4,11 @@
     api::{Answer, ControlConfig, ControlError, Input, Output, Poll, PollAnswer, Request},
     clock::LogClock,
     entries::Entries,
+    gateways::Gateways,
+    heartbeats::Heartbeats,
     pending::{Pending, Wait},
     shares::{LEADERSHIP_READ, Shares},
+    steer::Members,
     watches::{Watches, see},
 };
 use claim::Layout;
@@ -14,8 +17,11 @@
 use state::{Command, Operation, State};
 use types::{ApiError, TimeUs};
 
-/// Names the leader's own command that lets replaced entry sets end; no request has it.
-const LAYOUT_REQUEST: u64 = u64::MAX;
+/// Names what the replica asks of its own log; no request has it.
+pub(crate) const OWN_REQUEST: u64 = u64::MAX;
+
+/// A pause between two events as long as this means that the process stood still.
+const FREEZE_MIN_US: u64 = 1_000_000;
 
 /// How often the leader looks for replaced entry sets whose time is over.
 const LAYOUT_CHECK_MS: u64 = 10_000;
@@ -32,9 +38,12 @@
     pub(crate) pending: Pending,
     pub(crate) watches: Watches,
     pub(crate) shares: Shares,
+    pub(crate) gateways: Gateways,
+    pub(crate) heartbeats: Heartbeats,
+    pub(crate) members: Members,
     clock: LogClock,
     pub(crate) snapshot_index: u64,
-    leads: bool,
+    pub(crate) leads: bool,
     broken: bool,
     layout_check_us: TimeUs,
     pub(crate) now_us: TimeUs,
@@ -51,6 +60,9 @@
             pending: Pending::default(),
             watches: Watches::default(),
             shares: Shares::new(config.raft.election_us),
+            gateways: Gateways::default(),
+            heartbeats: Heartbeats::new(config.instance_silence_us, now_us),
+            members: Members::new(now_us),
             clock: LogClock::new(now_us),
             config,
             snapshot_index: 0,
@@ -66,6 +78,9 @@
         if self.broken {
             return;
         }
+        if now_us.since_us(self.now_us) > FREEZE_MIN_US {
+            self.heartbeats.listen_anew(now_us);
+        }
         self.now_us = self.now_us.max(now_us);
         self.entries.advance(self.now_us);
         match input {
@@ -83,6 +98,8 @@
                 self.watches.remove(request);
             }
             Input::Poll { poll, body } => self.answer_poll(poll, &body, outputs),
+            Input::Follow { follow, body } => self.answer_follow(follow, &body, outputs),
+            Input::Join { from } => self.join(from, outputs),
         }
         self.expire(outputs);
         outputs.retain(|output| !is_own_answer(output));
@@ -120,6 +137,7 @@
             self.step_log(raft::Input::Read { request }, outputs);
         }
         self.renew_layout(outputs);
+        self.tend(outputs);
     }
 
     /// As the leader, lets replaced entry sets end whose time is over, also without other changes.
@@ -135,7 +153,7 @@
                 declarations: Vec::new(),
                 prune: false,
             };
-            self.propose(LAYOUT_REQUEST, request_id, nothing, outputs);
+            self.propose(OWN_REQUEST, request_id, nothing, outputs);
         }
     }
 
@@ -146,11 +164,21 @@
                 answer: Ok(self.replicas()),
             }),
             Request::Watch { from, wait_ms } => self.watch(request, from, wait_ms, outputs),
+            Request::Locate {
+                region,
+                failure_domain,
+            } => {
+                let answer = Ok(self.locate(&region, &failure_domain));
+                outputs.push(Output::Answer { request, answer });
+            }
             _ if self.pending.is_full() => outputs.push(Output::Answer {
                 request,
                 answer: Err(ApiError::TooBusy),
             }),
-            Request::List { .. } | Request::Get { .. } | Request::Preview { .. } => {
+            Request::List { .. }
+            | Request::Get { .. }
+            | Request::Preview { .. }
+            | Request::ReadPlan => {
                 self.wait(request, Wait::Confirm { query: body });
                 self.step_log(raft::Input::Read { request }, outputs);
             }
@@ -167,6 +195,8 @@
                 request_id,
                 operation,
             } => self.propose(request, request_id, operation, outputs),
+            Request::Steer { change } => self.steer(request, change, outputs),
+            Request::Register { registration } => self.register(request, registration, outputs),
         }
     }
 
@@ -175,7 +205,7 @@
         self.pending.add(request, deadline_us, wait);
     }
 
-    fn propose(
+    pub(crate) fn propose(
         &mut self,
         request: u64,
         request_id: String,
@@ -246,7 +276,7 @@
     }
 
     /// Hands an event to the log and carries out what comes of it.
-    fn step_log(&mut self, input: raft::Input, outputs: &mut Vec<Output>) {
+    pub(crate) fn step_log(&mut self, input: raft::Input, outputs: &mut Vec<Output>) {
         let mut log_outputs = Vec::new();
         self.raft.step(self.now_us.0, input, &mut log_outputs);
         let revision = self.state.revision();
@@ -303,6 +333,7 @@
                 let leads = status.role == Role::Leader;
                 if leads && !self.leads {
                     self.entries.listen_anew(self.now_us);
+                    self.heartbeats.listen_anew(self.now_us);
                 }
                 self.leads = leads;
                 self.shares.follow(leads, &status, self.now_us);
@@ -311,6 +342,17 @@
         }
     }
 
+    /// The log's clock now.
+    pub(crate) const fn log_clock_ms(&self) -> u64 {
+        self.clock.at_ms(&self.state, self.now_us)
+    }
+
+    fn http_address(&self, name: &str) -> Option<String> {
+        let declared = self.config.http_addresses.get(name).cloned();
+        let port = self.config.http_port;
+        declared.or_else(|| port.map(|port| format!("{name}:{port}")))
+    }
+
     fn take_snapshot(&mut self, outputs: &mut Vec<Output>) {
         let index = self.state.applied_index();
         match self.state.encode() {
@@ -381,10 +423,10 @@
         }
     }
 
-    fn log_error(&self, error: ProposeError) -> ApiError {
+    pub(crate) fn log_error(&self, error: ProposeError) -> ApiError {
         match error {
             ProposeError::NotLeader { leader } => ApiError::NotLeader {
-                leader: leader.and_then(|id| self.config.http_addresses.get(&id.name).cloned()),
+                leader: leader.and_then(|id| self.http_address(&id.name)),
             },
             ProposeError::ChangeUnderWay | ProposeError::Busy => ApiError::TooBusy,
             ProposeError::StorageFailed | ProposeError::LastVoter => ApiError::Unavailable,
@@ -397,7 +439,7 @@
     matches!(
         output,
         Output::Answer {
-            request: LAYOUT_REQUEST,
+            request: OWN_REQUEST,
             ..
         }
     )
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,16 +9,20 @@
 mod core;
 mod dump;
 mod entries;
+mod gateways;
+mod heartbeats;
 mod pending;
 mod shares;
+mod steer;
 mod watches;
 
 pub use crate::{
     api::{
-        Answer, ControlConfig, ControlError, Input, Output, Poll, PollAnswer, PollRejection,
-        Replicas, Request,
+        Answer, ControlConfig, ControlError, Follow, FollowAnswer, Input, Output, Poll, PollAnswer,
+        PollRejection, Replicas, Request,
     },
     core::Control,
     dump::ControlDump,
     entries::{CONFIG_LEASE_MARGIN_MS, EntryDump},
+    gateways::{GatewayReport, follow_interval_ms},
 };
--- /dev/null
+++ b/crates/control/src/steer.rs
@@ -0,0 +1,173 @@
+//! What a control replica does for gateways, instances and replicas that join by themselves.
+
+use crate::{
+    api::{Answer, Follow, FollowAnswer, Output},
+    core::{Control, OWN_REQUEST},
+    gateways::follow_interval_ms,
+};
+use plan::{Change, Registration, Verdict};
+use raft::{ReplicaId, Role};
+use state::Operation;
+use types::{ApiError, TimeUs};
+
+/// A voter that is silent for so long is dropped; it joins again once it is back.
+const SILENT_VOTER_US: u64 = 8_000_000;
+
+/// A voter that is silent for so long gives its place to a replica that joins.
+const SILENT_REPLACED_US: u64 = 2_500_000;
+
+/// For how long a replica counts as newly joined, in milliseconds.
+const NEWCOMER_MS: u64 = 20_000;
+
+/// How often the leader looks for silent voters, in milliseconds.
+const MEMBERS_CHECK_MS: u64 = 500;
+
+/// The fewest voters that dropping a silent one may leave.
+const VOTERS_MIN: usize = 2;
+
+/// When the leader looks at the membership next, and until when a newcomer's place matters.
+#[derive(Debug)]
+pub(crate) struct Members {
+    check_us: TimeUs,
+    newcomer_until_us: TimeUs,
+}
+
+impl Members {
+    pub(crate) const fn new(now_us: TimeUs) -> Self {
+        Self {
+            check_us: now_us,
+            newcomer_until_us: now_us,
+        }
+    }
+}
+
+impl Control {
+    /// Answers a gateway that asks for changes.
+    pub(crate) fn answer_follow(&mut self, follow: u64, body: &Follow, outputs: &mut Vec<Output>) {
+        self.gateways.expire(self.now_us);
+        self.gateways.note(&body.gateway, &body.report, self.now_us);
+        let steering = self.state.steering();
+        let status = self.raft.status();
+        let voters = status.membership.voters.iter();
+        let members = voters.chain(&status.membership.learners);
+        outputs.push(Output::FollowAnswer {
+            follow,
+            answer: FollowAnswer {
+                revision: steering.revision(),
+                clock_ms: self.log_clock_ms(),
+                confirmed: status.leader.is_some(),
+                members: members.map(|id| id.name.clone()).collect(),
+                gateways: self.gateways.len(),
+                interval_ms: follow_interval_ms(self.gateways.len()),
+                changes: steering.changes_since(body.revision),
+            },
+        });
+    }
+
+    /// The gateways for a client.
+    pub(crate) fn locate(&mut self, region: &str, domain: &str) -> Answer {
+        self.gateways.expire(self.now_us);
+        Answer::Gateways(self.gateways.locate(region, domain))
+    }
+
+    /// Takes an instance's heartbeat; it is proposed to the log only when it says something new.
+    pub(crate) fn register(
+        &mut self,
+        request: u64,
+        registration: Registration,
+        outputs: &mut Vec<Output>,
+    ) {
+        if !self.leads {
+            let error = self.not_leader();
+            outputs.push(Output::Answer {
+                request,
+                answer: Err(error),
+            });
+            return;
+        }
+        let is_later = self.heartbeats.note(&registration, self.now_us);
+        let at_ms = self.log_clock_ms();
+        let verdict = self.state.steering().judge(&registration, at_ms);
+        if is_later && verdict == Verdict::Changed {
+            return self.steer(request, Change::Register(registration), outputs);
+        }
+        outputs.push(Output::Answer {
+            request,
+            answer: Ok(Answer::Steered(plan::Applied::Noted)),
+        });
+    }
+
+    /// Proposes a change of what gateways follow.
+    pub(crate) fn steer(&mut self, request: u64, change: Change, outputs: &mut Vec<Output>) {
+        self.propose(request, String::new(), Operation::Steer(change), outputs);
+    }
+
+    /// Lets silent instances expire and silent voters give way.
+    pub(crate) fn tend(&mut self, outputs: &mut Vec<Output>) {
+        if !self.leads {
+            return;
+        }
+        for instance in self.heartbeats.expired(self.state.steering(), self.now_us) {
+            let change = Change::Expire {
+                id: instance.id,
+                born_ms: instance.born_ms,
+            };
+            self.steer(OWN_REQUEST, change, outputs);
+        }
+        if self.config.learns_members && self.members.check_us.reached(self.now_us) {
+            self.members.check_us = self.now_us.after_ms(MEMBERS_CHECK_MS);
+            self.drop_silent_voter(outputs);
+        }
+    }
+
+    /// Admits a replica that asks to join, in the place of a silent voter where there is one.
+    pub(crate) fn join(&mut self, id: ReplicaId, outputs: &mut Vec<Output>) {
+        let status = self.raft.status();
+        let membership = &status.membership;
+        let is_member = membership.voters.contains(&id) || membership.learners.contains(&id);
+        if !self.leads || !self.config.learns_members || is_member {
+            return;
+        }
+        self.members.newcomer_until_us = self.now_us.after_ms(NEWCOMER_MS);
+        let silent = self.raft.silent_voters(SILENT_REPLACED_US);
+        let replaces = silent.into_iter().find(|voter| voter.name != id.name);
+        let admit = raft::Input::Admit {
+            request: OWN_REQUEST,
+            id,
+            replaces,
+        };
+        self.step_log(admit, outputs);
+    }
+
+    fn drop_silent_voter(&mut self, outputs: &mut Vec<Output>) {
+        let has_newcomer = !self.members.newcomer_until_us.reached(self.now_us);
+        let silence_us = match has_newcomer {
+            true => SILENT_REPLACED_US,
+            false => SILENT_VOTER_US,
+        };
+        let voters = self.raft.status().membership.voters.len();
+        let silent = self.raft.silent_voters(silence_us);
+        if voters <= VOTERS_MIN {
+            return;
+        }
+        if let Some(id) = silent.into_iter().next() {
+            let remove = raft::Input::Remove {
+                request: OWN_REQUEST,
+                id,
+            };
+            self.step_log(remove, outputs);
+        }
+    }
+
+    /// Whether this replica should ask to be admitted: it knows no leader.
+    #[must_use]
+    pub fn seeks_group(&self) -> bool {
+        let status = self.raft.status();
+        self.config.learns_members && status.leader.is_none() && status.role != Role::Failed
+    }
+
+    pub(crate) fn not_leader(&self) -> ApiError {
+        let leader = self.raft.status().leader;
+        self.log_error(raft::ProposeError::NotLeader { leader })
+    }
+}
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -140,6 +140,9 @@
                 .collect(),
             snapshot_entries: SNAPSHOT_ENTRIES,
             request_timeout_us: REQUEST_TIMEOUT_US,
+            http_port: None,
+            learns_members: false,
+            instance_silence_us: 10_000_000,
         };
         let control = Control::new(config, restored, TimeUs(self.now_us));
         self.replicas.insert(replica.clone(), control);
--- a/crates/ctl/tests/replica/mod.rs
+++ b/crates/ctl/tests/replica/mod.rs
@@ -124,6 +124,9 @@
         http_addresses: BTreeMap::new(),
         snapshot_entries: 1_000,
         request_timeout_us: 1_000_000,
+        http_port: None,
+        learns_members: false,
+        instance_silence_us: 10_000_000,
     };
     let restored = Restored {
         founders: Some(founders),
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -3,6 +3,7 @@
 use crate::{
     clock::Clock,
     control::{convert, metrics::ControlMetrics, storage::Storage},
+    replicas::ReplicaLinks,
 };
 use control::{Answer, Control, Input, Output, Request};
 use kameo::{
@@ -11,16 +12,19 @@
     error::Infallible,
     message::{Context, Message},
 };
-use link::{Event, Outbound, Peer, Replies};
+use link::{Event, Peer, Replies};
 use raft::{ReplicaId, Status};
-use slog::{Logger, crit, info};
+use slog::{Logger, crit, info, warn};
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeSet, HashMap},
     sync::Arc,
 };
 use tokio::sync::{oneshot, watch};
 use types::{ApiError, TimeUs};
-use wire::peer::{Frame, RaftMessage, frame::Body};
+use wire::peer::{FollowAnswer, Frame, Join, RaftMessage, frame::Body};
+
+/// How often a replica that knows no leader asks to be admitted, in milliseconds.
+const JOIN_MS: u64 = 500;
 
 /// What the actor is made of.
 #[derive(Debug)]
@@ -31,8 +35,10 @@
     pub id: ReplicaId,
     /// The clock.
     pub clock: Clock,
-    /// Dialed links to the other replicas, by name.
-    pub replicas: BTreeMap<String, Outbound>,
+    /// Dialed links to the other replicas.
+    pub replicas: ReplicaLinks,
+    /// The names of the replicas that are dialed in any case.
+    pub known: Vec<String>,
     /// The data folder.
     pub storage: Storage,
     /// The counters.
@@ -50,6 +56,7 @@
     requests: HashMap<u64, oneshot::Sender<Result<Answer, ApiError>>>,
     polls: HashMap<u64, (u64, Replies)>,
     next_request: u64,
+    join_us: TimeUs,
     outputs: Vec<Output>,
 }
 
@@ -58,13 +65,16 @@
     type Error = Infallible;
 
     async fn on_start(args: Self::Args, _: ActorRef<Self>) -> Result<Self, Self::Error> {
-        Ok(Self {
+        let mut actor = Self {
+            join_us: args.clock.now_us(),
             args,
             requests: HashMap::new(),
             polls: HashMap::new(),
             next_request: 1,
             outputs: Vec::new(),
-        })
+        };
+        actor.dial_members();
+        Ok(actor)
     }
 }
 
@@ -123,10 +133,8 @@
     fn carry_out(&mut self, output: Output) {
         match output {
             Output::Send { to, message } => {
-                if let Some(outbound) = self.args.replicas.get(&to.name) {
-                    let body = Some(Body::Raft(wire::raft_to_wire(&to, message)));
-                    let _ = outbound.try_send(Frame { serial: 0, body });
-                }
+                let body = Some(Body::Raft(wire::raft_to_wire(&to, message)));
+                self.args.replicas.send(&to.name, Frame { serial: 0, body });
             }
             Output::Persist(persist) => {
                 self.args.metrics.persists.inc();
@@ -138,7 +146,11 @@
                 }
             }
             Output::PollAnswer { poll, answer } => self.answer_poll(poll, &answer),
-            Output::Changed(status) => self.note_change(&status),
+            Output::FollowAnswer { follow, answer } => self.answer_follow(follow, &answer),
+            Output::Changed(status) => {
+                self.note_change(&status);
+                self.dial_members();
+            }
             Output::Broken(error) => {
                 crit!(self.args.log, "this replica can't go on"; "error" => %error);
                 self.args.broken.send_replace(true);
@@ -156,6 +168,44 @@
         }
     }
 
+    fn answer_follow(&mut self, follow: u64, answer: &control::FollowAnswer) {
+        let Some((serial, replies)) = self.polls.remove(&follow) else {
+            return;
+        };
+        match serde_json::to_vec(answer) {
+            Ok(answer_json) => {
+                let body = Some(Body::FollowAnswer(FollowAnswer { answer_json }));
+                let _ = replies.try_send(Frame { serial, body });
+            }
+            Err(error) => {
+                warn!(self.args.log, "an answer to a gateway can't be encoded"; "error" => %error);
+            }
+        }
+    }
+
+    /// Dials the members of the group and the replicas that are known from the settings.
+    fn dial_members(&mut self) {
+        let membership = self.args.core.status().membership;
+        let members = membership.voters.iter().chain(&membership.learners);
+        let members = members.map(|id| id.name.clone());
+        let names: BTreeSet<String> = members.chain(self.args.known.iter().cloned()).collect();
+        if let Err(error) = self.args.replicas.follow(&names) {
+            warn!(self.args.log, "a replica can't be dialed"; "error" => %error);
+        }
+    }
+
+    /// Asks to be admitted while no leader is known.
+    fn seek_group(&mut self) {
+        let now_us = self.now_us();
+        if !self.args.core.seeks_group() {
+            self.join_us = now_us.after_ms(JOIN_MS);
+        } else if self.join_us.reached(now_us) {
+            self.join_us = now_us.after_ms(JOIN_MS);
+            let body = Some(Body::Join(Join {}));
+            self.args.replicas.send_all(&Frame { serial: 0, body });
+        }
+    }
+
     fn note_change(&self, status: &Status) {
         info!(self.args.log, "replica changed";
             "role" => ?status.role,
@@ -178,6 +228,25 @@
                 self.step(Input::Poll { poll, body });
                 self.polls.remove(&poll);
             }
+            Some(Body::Follow(question)) => {
+                self.args.metrics.polls.inc();
+                let Ok(body) = serde_json::from_slice(&question.question_json) else {
+                    self.args.metrics.malformed_frames.inc();
+                    return;
+                };
+                let follow = self.next_request;
+                self.next_request += 1;
+                self.polls.insert(follow, (frame.serial, replies));
+                self.step(Input::Follow { follow, body });
+                self.polls.remove(&follow);
+            }
+            Some(Body::Join(_)) => {
+                let from = ReplicaId {
+                    name: peer.node.clone(),
+                    incarnation: peer.incarnation,
+                };
+                self.step(Input::Join { from });
+            }
             _ => {
                 self.args.metrics.malformed_frames.inc();
             }
@@ -204,6 +273,7 @@
 
     async fn handle(&mut self, _: Tick, _: &mut Context<Self, Self::Reply>) {
         self.step(Input::Tick);
+        self.seek_group();
         self.args.metrics.note(&self.args.core.status());
     }
 }
--- a/crates/daemon/src/control/http.rs
+++ b/crates/daemon/src/control/http.rs
@@ -60,7 +60,12 @@
         Ok(response(encode(&answer)))
     }
 
-    async fn answer(&self, body: control::Request) -> Result<Answer, ApiError> {
+    /// Asks the core; the question is cancelled when the caller leaves.
+    ///
+    /// # Errors
+    ///
+    /// What the core answers, or that it didn't.
+    pub async fn answer(&self, body: control::Request) -> Result<Answer, ApiError> {
         let (answer, answered) = oneshot::channel();
         let asked = self.actor.ask(Ask { body, answer }).await;
         let request = asked.map_err(|_| ApiError::Unavailable)?;
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod actor;
 mod convert;
+mod front;
 mod http;
 mod metrics;
 mod start;
--- a/crates/daemon/src/control/start.rs
+++ b/crates/daemon/src/control/start.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     clock::Clock,
+    control::front::PlatformFront,
     control::{
         actor::{ControlActor, ControlArgs, Linked, Tick},
         http::ControlHttp,
@@ -9,23 +10,24 @@
         storage::{self, Storage},
     },
     feed::{pass_events, tick},
-    http::{Server, serve},
+    http::{Server, ServerLimits, serve},
+    replicas::{ReplicaLinks, seed_names},
 };
 use control::{Control, ControlConfig};
 use kameo::{actor::Spawn, mailbox};
-use link::{Event, Identity, LinkError, ListenerHandle, Outbound, dial, listen};
+use link::{Identity, ListenerHandle, listen};
 use prometheus_client::registry::Registry;
 use raft::{RaftConfig, ReplicaId};
-use settings::{ControlSettings, Settings};
+use settings::{ControlSettings, Interface, Settings};
 use slog::{Logger, info};
 use std::{
-    collections::BTreeMap,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 use tokio::{
     sync::{mpsc, watch},
     task::JoinHandle,
+    time::timeout,
 };
 
 /// The period of the core's ticks.
@@ -52,10 +54,27 @@
 /// An operator's request that is not answered after this time is answered `unavailable`.
 const REQUEST_TIMEOUT_US: u64 = 5_000_000;
 
+/// A call of an operator or instance that is not answered after this time is answered `unavailable`;
+/// callers ask another replica after a second.
+const CALL_TIMEOUT_US: u64 = 900_000;
+
+/// An instance that sends no heartbeat for so many of its periods expires.
+const SILENT_HEARTBEATS: u64 = 6;
+
+/// An instance expires after this silence where the settings tell no period.
+const INSTANCE_SILENCE_US: u64 = 10_000_000;
+
+/// How long a look-up's answer may be used where the settings don't tell.
+const LOOKUP_LIFETIME_MS: u64 = 2_000;
+
+/// How long a stopping replica waits for its callers' connections.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// A running control replica.
 #[derive(Debug)]
 pub struct ControlReplica {
     server: Server,
+    lookup_server: Option<Server>,
     listener: ListenerHandle,
     timer: JoinHandle<()>,
     broken: watch::Receiver<bool>,
@@ -71,7 +90,11 @@
 
     /// Answers the requests that are under way and stops.
     pub async fn stop(self) {
-        self.server.close().await;
+        let servers = Some(self.server).into_iter().chain(self.lookup_server);
+        for server in servers {
+            // Connections that callers keep open and idle don't hold up the end.
+            let _ = timeout(CLOSE_TIMEOUT, server.close()).await;
+        }
         self.timer.abort();
         self.listener.close().await;
     }
@@ -108,7 +131,8 @@
             core: Control::new(config, opened.restored, clock.now_us()),
             id,
             clock,
-            replicas: dial_replicas(settings, &identity, &inbox)?,
+            replicas: ReplicaLinks::new(settings, identity, inbox),
+            known: known_names(settings),
             storage,
             metrics,
             broken: broken_sender,
@@ -125,11 +149,38 @@
         registry: Arc::new(registry),
         tokens,
     };
-    let server = serve(own.listen, move |request, _| http.clone().handle(request)).await?;
+    let front = PlatformFront {
+        control: http.clone(),
+        own: own.listen,
+        lookup_lifetime_ms: settings
+            .bounds
+            .map_or(LOOKUP_LIFETIME_MS, |it| it.lookup_lifetime_ms / 2),
+        log: log.clone(),
+    };
+    let limits = ServerLimits::new();
+    let lookup_server = match own.lookup_listen {
+        Some(address) => {
+            let front = front.clone();
+            let look_up = move |request, _| front.clone().look_up(request);
+            Some(serve(address, limits.clone(), look_up).await?)
+        }
+        None => None,
+    };
+    let server = match own.interface {
+        Interface::Native => {
+            let handle = move |request, _| http.clone().handle(request);
+            serve(own.listen, limits, handle).await?
+        }
+        Interface::Platform => {
+            let call = move |request, _| front.clone().call(request);
+            serve(own.listen, limits, call).await?
+        }
+    };
     info!(log, "control replica started";
         "listen" => %own.listen, "peer_listen" => %own.peer_listen);
     Ok(ControlReplica {
         server,
+        lookup_server,
         listener,
         timer,
         broken,
@@ -137,6 +188,7 @@
 }
 
 fn config(settings: &Settings, id: &ReplicaId) -> anyhow::Result<ControlConfig> {
+    let own_port = settings.control.as_ref().map(|own| own.listen.port());
     let started = SystemTime::now().duration_since(UNIX_EPOCH)?;
     let http_addresses = settings.replicas.iter();
     let http_addresses =
@@ -152,25 +204,26 @@
         },
         http_addresses: http_addresses.collect(),
         snapshot_entries: SNAPSHOT_ENTRIES,
-        request_timeout_us: REQUEST_TIMEOUT_US,
+        request_timeout_us: match settings.discovery {
+            Some(_) => CALL_TIMEOUT_US,
+            None => REQUEST_TIMEOUT_US,
+        },
+        http_port: settings.discovery.as_ref().and(own_port),
+        learns_members: settings.discovery.is_some(),
+        instance_silence_us: settings.bounds.map_or(INSTANCE_SILENCE_US, |it| {
+            SILENT_HEARTBEATS * it.heartbeat_ms * 1_000
+        }),
     })
 }
 
-fn dial_replicas(
-    settings: &Settings,
-    identity: &Identity,
-    inbox: &mpsc::Sender<Event>,
-) -> Result<BTreeMap<String, Outbound>, LinkError> {
-    let others = settings
-        .replicas
-        .iter()
-        .filter(|r| r.name.as_str() != settings.node.name);
-    others
-        .map(|replica| {
-            let name = replica.name.as_str();
-            let (identity, inbox) = (identity.clone(), inbox.clone());
-            let outbound = dial(replica.peer_address, Some(name), identity, inbox)?;
-            Ok((name.to_owned(), outbound))
-        })
-        .collect()
+/// The replicas to dial in any case: the declared ones, or the seeds.
+fn known_names(settings: &Settings) -> Vec<String> {
+    match &settings.discovery {
+        Some(discovery) => seed_names(discovery),
+        None => settings
+            .replicas
+            .iter()
+            .map(|replica| replica.name.to_string())
+            .collect(),
+    }
 }
--- a/crates/daemon/src/control/storage.rs
+++ b/crates/daemon/src/control/storage.rs
@@ -1,6 +1,9 @@
 //! The thread that owns the data folder.
 
-use crate::control::actor::{ControlActor, Persisted, StorageFailed};
+use crate::{
+    control::actor::{ControlActor, Persisted, StorageFailed},
+    replicas::seed_names,
+};
 use kameo::actor::ActorRef;
 use raft::Persist;
 use settings::Settings;
@@ -106,7 +109,8 @@
     }
 }
 
-/// Opens the data folder.
+/// Opens the data folder; at the first start of a deployment that is found by its seeds, each seed
+/// founds its own first.
 ///
 /// # Errors
 ///
@@ -115,5 +119,15 @@
     settings: &Settings,
     own: &settings::ControlSettings,
 ) -> Result<(Store, store::Opened), StoreError> {
+    if let Some(discovery) = settings.discovery.as_ref().filter(|it| it.founds) {
+        let founders = seed_names(discovery);
+        if founders.contains(&settings.node.name) {
+            match Store::found(&own.data, &settings.node.name, &founders) {
+                // A folder that holds a replica is opened as it is.
+                Ok(()) | Err(StoreError::NotEmpty) => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
     Store::open(&own.data, &settings.node.name)
 }
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock::Clock,
-    entry::pool::{Connection, Pool, Take, connect},
+    http::{Connection, Pool, Put, Take, connect, strip_connection_headers},
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -20,6 +20,9 @@
 /// A connection that takes longer to open counts as an upstream that can't be reached.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// An idle connection to an upstream is used again within this time.
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// The header by which an upstream states that it did not run a request.
 const DID_NOT_RUN: HeaderName = HeaderName::from_static("ow-did-not-run");
 
@@ -29,18 +32,6 @@
 /// The header that names the attempt.
 const REQUEST: HeaderName = HeaderName::from_static("ow-request");
 
-/// Headers that belong to one connection and are not passed on.
-const CONNECTION_HEADERS: [HeaderName; 8] = [
-    header::CONNECTION,
-    header::HOST,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
-
 /// A caller's request, kept so that it can be tried again.
 #[derive(Debug)]
 pub struct Call {
@@ -143,20 +134,6 @@
     Some(request)
 }
 
-/// Removes the headers that belong to one connection, also those that `connection` names.
-pub fn strip_connection_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&CONNECTION_HEADERS) {
-        headers.remove(name);
-    }
-}
-
 fn refuses(response: &Response<Incoming>) -> bool {
     response.status() == StatusCode::SERVICE_UNAVAILABLE
         && response
@@ -175,9 +152,10 @@
 ) {
     if let Ok(Ok(_)) = timeout_at(deadline, response.into_body().collect()).await {
         let _ = pool
-            .tell(crate::entry::pool::Put {
+            .tell(Put {
                 address,
                 connection,
+                expires: Instant::now() + IDLE_TIMEOUT,
             })
             .await;
     }
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -7,13 +7,15 @@
             Admission, Announce, Answering, Arrive, Directive, Dump, Ended, EntryActor, Lookup,
             Ready,
         },
-        forward::{Attempt, Call, Target, attempt, strip_connection_headers},
+        forward::{Attempt, Call, Target, attempt},
         kept::KeptAnswer,
         metrics::EntryMetrics,
-        pool::{Connection, Pool},
         relay::{Relay, RelayedBody, RequestGuard},
     },
-    http::{Body, bearer_token, error, json, metrics, read_body, same_token},
+    http::{
+        Body, Connection, Pool, bearer_token, error, json, metrics, read_body, same_token,
+        strip_connection_headers,
+    },
 };
 use claim::ClaimKey;
 use http_body_util::BodyExt;
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -7,7 +7,6 @@
 mod kept;
 mod links;
 mod metrics;
-mod pool;
 mod relay;
 mod start;
 
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -2,9 +2,10 @@
 
 use crate::entry::{
     actor::{Ended, EntryActor},
+    forward::IDLE_TIMEOUT,
     kept::KeptAnswer,
-    pool::{Connection, Pool, Put},
 };
+use crate::http::{Connection, Pool, Put};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use kameo::actor::ActorRef;
@@ -137,6 +138,7 @@
             let put = Put {
                 address: self.address,
                 connection,
+                expires: Instant::now() + IDLE_TIMEOUT,
             };
             let _ = self.pool.tell(put).try_send();
         }
--- a/crates/daemon/src/entry/start.rs
+++ b/crates/daemon/src/entry/start.rs
@@ -7,10 +7,9 @@
         http::EntryHttp,
         links::Links,
         metrics::EntryMetrics,
-        pool::Pool,
     },
     feed::{pass_events, tick},
-    http::{Server, serve},
+    http::{Pool, Server, ServerLimits, serve},
 };
 use entry::{EntryConfig, EntryCore};
 use kameo::{
@@ -99,7 +98,7 @@
         tokens: own.announce_tokens.clone().into(),
         run: format!("{}-{:x}", settings.node.name, identity.incarnation).into(),
     };
-    let server = serve(own.listen, move |request, client| {
+    let server = serve(own.listen, ServerLimits::new(), move |request, client| {
         http.clone().handle(request, client.ip())
     })
     .await?;
--- /dev/null
+++ b/crates/daemon/src/gateway/http.rs
@@ -0,0 +1,258 @@
+//! The HTTP interface of a gateway towards clients.
+
+use crate::{
+    clock::Clock,
+    gateway::{
+        actor::{Arrive, Decided, Ended, Follows, GatewayActor, Look},
+        attempt::{Attempts, Call},
+        metrics::GatewayMetrics,
+    },
+    http::{Body, json, metrics, read_body, strip_connection_headers, with_body},
+};
+use gate::{Decision, Ending, Failure, Load, Next, Refusal, Target};
+use hyper::{
+    Request, Response, StatusCode, Uri,
+    body::Incoming,
+    header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER},
+};
+use kameo::actor::ActorRef;
+use platform::request_terms;
+use prometheus_client::registry::Registry;
+use serde_json::json;
+use slog::{Logger, info};
+use std::sync::Arc;
+use tokio::sync::watch;
+use types::{ApiError, TimeUs};
+
+/// The largest body of a client's request.
+const REQUEST_MAX_BYTES: usize = 64 * 1024 * 1024;
+
+/// What the handlers of clients' requests need.
+#[derive(Clone, Debug)]
+pub struct GatewayHttp {
+    /// The task that owns the core.
+    pub actor: ActorRef<GatewayActor>,
+    /// Makes attempts.
+    pub attempts: Attempts,
+    /// The clock.
+    pub clock: Clock,
+    /// The counters.
+    pub metrics: Arc<GatewayMetrics>,
+    /// Whether the gateway stops, so that connections are not kept.
+    pub stopping: watch::Receiver<bool>,
+    /// The log.
+    pub log: Logger,
+}
+
+/// A client's request that the core has taken; ends it when the client leaves.
+struct InFlight {
+    actor: ActorRef<GatewayActor>,
+    request: Option<u64>,
+}
+
+impl InFlight {
+    /// Ends the attempt; what follows.
+    async fn end(&mut self, ending: Ending, load: Option<Load>) -> Next {
+        let Some(request) = self.request.take() else {
+            return Next::GiveUp(Failure::Unknown);
+        };
+        let ended = Ended {
+            request,
+            ending,
+            load,
+        };
+        match self.actor.ask(ended).await {
+            Ok(Follows(next)) => next,
+            Err(_) => Next::GiveUp(Failure::Unknown),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if let Some(request) = self.request {
+            let ended = Ended {
+                request,
+                ending: Ending::Left,
+                load: None,
+            };
+            // An actor that has ended has no state left to correct.
+            let _ = self.actor.tell(ended).try_send();
+        }
+    }
+}
+
+impl GatewayHttp {
+    /// Answers a client's request.
+    pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+        self.metrics.requests.inc();
+        let came_us = self.clock.now_us();
+        let mut response = self.serve(request, came_us).await;
+        if *self.stopping.borrow() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+
+    async fn serve(&self, request: Request<Incoming>, came_us: TimeUs) -> Response<Body> {
+        let (mut head, body) = request.into_parts();
+        let body = match read_body(body, REQUEST_MAX_BYTES).await {
+            Ok(body) => body,
+            Err(ApiError::BodyTooLarge { .. }) => return status(StatusCode::PAYLOAD_TOO_LARGE),
+            Err(_) => return status(StatusCode::BAD_REQUEST),
+        };
+        let arrive = arrive(&head.headers, &head.uri);
+        let decision = match self.actor.ask(arrive).await {
+            Ok(Decided(decision)) => decision,
+            Err(_) => return refused(100),
+        };
+        let target = match decision {
+            Decision::NoRoute => return status(StatusCode::NOT_FOUND),
+            Decision::Refuse {
+                refusal,
+                retry_after_ms,
+            } => return self.refuse(&head.headers, refusal, retry_after_ms),
+            Decision::Forward(target) => target,
+        };
+        strip_connection_headers(&mut head.headers);
+        let call = Call {
+            method: head.method,
+            uri: origin_form(&head.uri),
+            headers: head.headers,
+            body,
+        };
+        self.run(&call, target, came_us).await
+    }
+
+    /// Makes attempts until one is delivered or none is left.
+    async fn run(&self, call: &Call, mut target: Target, came_us: TimeUs) -> Response<Body> {
+        let mut in_flight = InFlight {
+            actor: self.actor.clone(),
+            request: Some(target.request),
+        };
+        loop {
+            let outcome = self.attempts.make(call, &target).await;
+            let next = in_flight.end(outcome.ending, outcome.load).await;
+            if outcome.ending != Ending::Answered {
+                self.log_attempt(call, &target, outcome.ending, came_us);
+            }
+            match (next, outcome.response) {
+                (Next::Deliver, Some(response)) => {
+                    let taken_us = self.clock.now_us().since_us(came_us);
+                    self.metrics.answered_s.observe(taken_us as f64 / 1e6);
+                    return response;
+                }
+                (Next::Retry(again), _) => {
+                    self.metrics.repeats.inc();
+                    in_flight.request = Some(again.request);
+                    target = again;
+                }
+                (Next::GiveUp(Failure::NotRun { retry_after_ms }), _) => {
+                    return refused(retry_after_ms);
+                }
+                (Next::GiveUp(Failure::TimedOut), _) => return status(StatusCode::GATEWAY_TIMEOUT),
+                (Next::GiveUp(Failure::Unknown) | Next::Deliver, _) => {
+                    return status(StatusCode::BAD_GATEWAY);
+                }
+            }
+        }
+    }
+
+    fn refuse(
+        &self,
+        headers: &hyper::HeaderMap,
+        refusal: Refusal,
+        retry_after_ms: u64,
+    ) -> Response<Body> {
+        self.metrics.count_refused(refusal);
+        info!(self.log, "request refused";
+            "request" => request_name(headers),
+            "cause" => refusal.as_str(),
+            "retry_after_ms" => retry_after_ms);
+        refused(retry_after_ms)
+    }
+
+    fn log_attempt(&self, call: &Call, target: &Target, ending: Ending, came_us: TimeUs) {
+        info!(self.log, "attempt failed";
+            "request" => request_name(&call.headers),
+            "ending" => ending.as_str(),
+            "upstream" => target.upstream.as_str(),
+            "address" => %target.address,
+            "attempt" => target.attempt,
+            "idempotent" => target.idempotent,
+            "elapsed_ms" => self.clock.now_us().since_us(came_us) / 1_000);
+    }
+}
+
+/// The interface for readiness and counters.
+#[derive(Clone, Debug)]
+pub struct StatusHttp {
+    /// The task that owns the core.
+    pub actor: ActorRef<GatewayActor>,
+    /// Every counter of the process.
+    pub registry: Arc<Registry>,
+}
+
+impl StatusHttp {
+    /// Answers a question.
+    pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+        let answer = match request.uri().path() {
+            "/metrics" => metrics(&self.registry),
+            "/ready" => self.ready().await,
+            _ => Err(ApiError::NotFound),
+        };
+        answer.unwrap_or_else(|failure| crate::http::error(&failure))
+    }
+
+    async fn ready(&self) -> Result<Response<Body>, ApiError> {
+        let seen = self.actor.ask(Look).await.map_err(|_| ApiError::TooBusy)?;
+        let status = match seen.is_ready {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let body = json!({
+            "ready": seen.is_ready,
+            "plan_version": seen.plan_version,
+            "revision": seen.revision,
+            "in_flight": seen.in_flight,
+        });
+        Ok(json(status, &body))
+    }
+}
+
+fn arrive(headers: &hyper::HeaderMap, uri: &Uri) -> Arrive {
+    let terms = request_terms(headers);
+    let host = headers.get(HOST).and_then(|host| host.to_str().ok());
+    Arrive {
+        host: host.or(uri.host()).unwrap_or_default().to_owned(),
+        path: uri.path().to_owned(),
+        wait_ms: terms.wait_ms,
+        object: terms.object,
+    }
+}
+
+fn request_name(headers: &hyper::HeaderMap) -> String {
+    let attempt = request_terms(headers).attempt;
+    let name = attempt.and_then(|name| name.to_str().ok());
+    name.unwrap_or_default().to_owned()
+}
+
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(Uri::default, Uri::from)
+}
+
+fn status(status: StatusCode) -> Response<Body> {
+    with_body(status, "text/plain", Vec::new())
+}
+
+/// The answer to a request that did not run and will not.
+fn refused(retry_after_ms: u64) -> Response<Body> {
+    let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
+    let seconds = format!("{:.3}", retry_after_ms as f64 / 1e3);
+    if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/start.rs
@@ -0,0 +1,175 @@
+//! Starts the tasks of a gateway and stops them in order.
+
+use crate::{
+    clock::Clock,
+    feed::{pass_events, tick},
+    gateway::{
+        actor::{GatewayActor, GatewayArgs, Linked, Reseed, Stop, Tick},
+        attempt::Attempts,
+        http::{GatewayHttp, StatusHttp},
+        metrics::GatewayMetrics,
+    },
+    http::{HEAD_TIMEOUT, Pool, Server, ServerLimits, serve},
+    replicas::{ReplicaLinks, seed_names},
+};
+use gate::{Gate, GateBounds, GateConfig};
+use kameo::{
+    actor::{ActorRef, Spawn},
+    mailbox,
+};
+use link::Identity;
+use prometheus_client::registry::Registry;
+use settings::{BoundSettings, GatewaySettings, Settings};
+use slog::{Logger, info};
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinHandle,
+    time::{Instant, sleep, timeout_at},
+};
+use types::EntryName;
+
+/// The period of the core's ticks.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Events of links that wait for the actor.
+const LINK_EVENTS: usize = 1_024;
+
+/// The part of the file descriptors that clients' connections may take.
+const CLIENTS_PART: f64 = 0.5;
+
+/// The part of the grace period after which a stopping gateway closes idle connections.
+const CLOSE_PART: f64 = 0.5;
+
+/// The part of the grace period after which a stopping gateway ends, whatever is in flight.
+const END_PART: f64 = 0.97;
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    actor: ActorRef<GatewayActor>,
+    server: Server,
+    status_server: Server,
+    timer: JoinHandle<()>,
+    stopping: watch::Sender<bool>,
+    grace_ms: u64,
+}
+
+impl Gateway {
+    /// Sends clients away, finishes what is in flight, and ends within the grace period.
+    pub async fn stop(self) {
+        let grace = Duration::from_millis(self.grace_ms);
+        let started = Instant::now();
+        self.stopping.send_replace(true);
+        let _ = self.actor.tell(Stop).await;
+        sleep(grace.mul_f64(CLOSE_PART)).await;
+        let end = started + grace.mul_f64(END_PART);
+        let _ = timeout_at(end, self.server.close()).await;
+        let _ = timeout_at(end, self.status_server.close()).await;
+        self.timer.abort();
+    }
+
+    /// Takes over other seeds.
+    pub async fn reseed(&self, seeds: Vec<String>) {
+        let _ = self.actor.tell(Reseed(seeds)).await;
+    }
+}
+
+/// Starts a gateway.
+///
+/// # Errors
+///
+/// When an address can't be listened on or the node's name is no gateway's name.
+pub async fn start(
+    settings: &Settings,
+    own: &GatewaySettings,
+    identity: Identity,
+    log: &Logger,
+) -> anyhow::Result<Gateway> {
+    let clock = Clock::new();
+    let bounds = settings.bounds.ok_or(NoBounds)?;
+    let (inbox, events) = mpsc::channel(LINK_EVENTS);
+    let mut registry = Registry::with_prefix("oleanderwell_gateway");
+    let metrics = Arc::new(GatewayMetrics::new(&mut registry));
+    let (idle_timeout, head_timeout) = watch::channel(HEAD_TIMEOUT);
+    let actor = GatewayActor::spawn_with_mailbox(
+        GatewayArgs {
+            core: Gate::new(config(settings, own, &bounds)?, clock.now_us()),
+            clock,
+            links: ReplicaLinks::new(settings, identity, inbox),
+            metrics: Arc::clone(&metrics),
+            idle_timeout,
+            log: log.clone(),
+        },
+        mailbox::unbounded(),
+    );
+    tokio::spawn(pass_events(events, actor.clone(), Linked));
+    let timer = tokio::spawn(tick(actor.clone(), TICK, Tick));
+    let (stopping, is_stopping) = watch::channel(false);
+    let http = GatewayHttp {
+        actor: actor.clone(),
+        attempts: Attempts {
+            pool: Pool::spawn_with_mailbox(Pool::default(), mailbox::unbounded()),
+            clock,
+            metrics: Arc::clone(&metrics),
+        },
+        clock,
+        metrics,
+        stopping: is_stopping,
+        log: log.clone(),
+    };
+    let limits = ServerLimits {
+        connections_max: (own.descriptors_max as f64 * CLIENTS_PART) as u32,
+        head_timeout,
+    };
+    let server = serve(own.listen, limits, move |request, _| {
+        http.clone().handle(request)
+    })
+    .await?;
+    let status = StatusHttp {
+        actor: actor.clone(),
+        registry: Arc::new(registry),
+    };
+    let status_server = serve(own.status_listen, ServerLimits::new(), move |request, _| {
+        status.clone().handle(request)
+    })
+    .await?;
+    info!(log, "gateway started"; "listen" => %own.listen);
+    Ok(Gateway {
+        actor,
+        server,
+        status_server,
+        timer,
+        stopping,
+        grace_ms: bounds.grace_ms,
+    })
+}
+
+fn config(
+    settings: &Settings,
+    own: &GatewaySettings,
+    bounds: &BoundSettings,
+) -> anyhow::Result<GateConfig> {
+    const MILLI: f64 = 1_000.0;
+    let seeds = settings.discovery.as_ref().map(seed_names);
+    Ok(GateConfig {
+        name: EntryName::new(&settings.node.name)?,
+        address: own.listen,
+        region: settings.node.region.clone(),
+        failure_domain: settings.node.failure_domain.clone(),
+        regions: settings.regions.clone(),
+        seeds: seeds.unwrap_or_default(),
+        bounds: GateBounds {
+            retry_ratio: bounds.retry_ratio_milli as f64 / MILLI,
+            retry_slack: bounds.retry_slack_milli as f64 / MILLI,
+            retry_window_ms: bounds.retry_window_ms,
+            region_shift_max: bounds.region_shift_max_milli as f64 / MILLI,
+            grace_ms: bounds.grace_ms,
+        },
+    })
+}
+
+/// The settings of a gateway lack their bounds.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("a gateway needs [bounds]")]
+pub struct NoBounds;
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -1,13 +1,17 @@
-//! The parts of HTTP that entries and control replicas share.
+//! The parts of HTTP that entries, gateways and control replicas share.
 
 mod body;
+mod headers;
+mod pool;
 mod reply;
 mod server;
 mod token;
 
 pub use self::{
     body::read_body,
-    reply::{Body, error, json, metrics},
-    server::{Server, serve},
+    headers::strip_connection_headers,
+    pool::{Connection, Pool, Put, Take, connect},
+    reply::{Body, error, json, metrics, with_body},
+    server::{HEAD_TIMEOUT, Server, ServerLimits, serve},
     token::{bearer_token, same_token},
 };
--- a/crates/daemon/src/http/pool.rs
+++ b/crates/daemon/src/http/pool.rs
@@ -38,10 +38,17 @@
     Http(#[from] hyper::Error),
 }
 
+/// A connection and until when it may be used again.
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    expires: Instant,
+}
+
 /// Owns idle connections.
 #[derive(Actor, Debug, Default)]
 pub struct Pool {
-    idle: HashMap<SocketAddr, VecDeque<Connection>>,
+    idle: HashMap<SocketAddr, VecDeque<Idle>>,
 }
 
 /// Takes an idle connection.
@@ -58,6 +65,8 @@
     pub address: SocketAddr,
     /// The connection.
     pub connection: Connection,
+    /// When it must not be used any more; the upstream may close it from then on.
+    pub expires: Instant,
 }
 
 impl Message<Take> for Pool {
@@ -69,9 +78,10 @@
         _: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
         let idle = self.idle.get_mut(&address)?;
-        while let Some(connection) = idle.pop_back() {
-            if connection.is_ready() {
-                return Some(connection);
+        let now = Instant::now();
+        while let Some(kept) = idle.pop_back() {
+            if kept.connection.is_ready() && kept.expires > now {
+                return Some(kept.connection);
             }
         }
         self.idle.remove(&address);
@@ -87,15 +97,20 @@
         Put {
             address,
             connection,
+            expires,
         }: Put,
         _: &mut Context<Self, Self::Reply>,
     ) {
         let idle = self.idle.entry(address).or_default();
-        idle.retain(|kept| !kept.is_closed());
+        let now = Instant::now();
+        idle.retain(|kept| !kept.connection.is_closed() && kept.expires > now);
         if idle.len() == IDLE_MAX {
             idle.pop_front();
         }
-        idle.push_back(connection);
+        idle.push_back(Idle {
+            connection,
+            expires,
+        });
     }
 }
 
--- a/crates/daemon/src/http/reply.rs
+++ b/crates/daemon/src/http/reply.rs
@@ -40,7 +40,8 @@
     )
 }
 
-fn with_body(status: StatusCode, content_type: &'static str, body: Vec<u8>) -> Response<Body> {
+/// An answer with a body in memory.
+pub fn with_body(status: StatusCode, content_type: &'static str, body: Vec<u8>) -> Response<Body> {
     let body = Full::new(Bytes::from(body))
         .map_err(|never| match never {})
         .boxed();
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -10,11 +10,31 @@
     task::JoinHandle,
 };
 
+/// A request head that takes longer to come ends the connection.
+pub const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Connections that one listener serves at once; further ones wait to be accepted.
-const CONNECTIONS_MAX: usize = 8_192;
+const CONNECTIONS_MAX: u32 = 8_192;
 
-/// A request head that takes longer to come ends the connection.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// What bounds a listener's connections.
+#[derive(Clone, Debug)]
+pub struct ServerLimits {
+    /// Connections served at once; further ones wait to be accepted.
+    pub connections_max: u32,
+    /// How long a connection may stay without a whole request head.
+    pub head_timeout: watch::Receiver<Duration>,
+}
+
+impl ServerLimits {
+    /// Limits that don't change.
+    pub fn new() -> Self {
+        let (_, head_timeout) = watch::channel(HEAD_TIMEOUT);
+        Self {
+            connections_max: CONNECTIONS_MAX,
+            head_timeout,
+        }
+    }
+}
 
 /// The wait after a failed accept, so that a lack of file descriptors does not spin.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
@@ -25,6 +45,7 @@
     closing: watch::Sender<bool>,
     accepting: JoinHandle<()>,
     connections: Arc<Semaphore>,
+    connections_max: u32,
 }
 
 impl Server {
@@ -33,8 +54,7 @@
     pub async fn close(self) {
         self.closing.send_replace(true);
         let _ = self.accepting.await;
-        let all = u32::try_from(CONNECTIONS_MAX).unwrap_or(u32::MAX);
-        let _ = self.connections.acquire_many(all).await;
+        let _ = self.connections.acquire_many(self.connections_max).await;
     }
 }
 
@@ -43,42 +63,64 @@
 /// # Errors
 ///
 /// When the address can't be listened on.
-pub async fn serve<H, F>(address: SocketAddr, handler: H) -> io::Result<Server>
+pub async fn serve<H, F>(
+    address: SocketAddr,
+    limits: ServerLimits,
+    handler: H,
+) -> io::Result<Server>
 where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
     let (closing, closed) = watch::channel(false);
-    let connections = Arc::new(Semaphore::new(CONNECTIONS_MAX));
-    let accepting = tokio::spawn(accept(listener, Arc::clone(&connections), closed, handler));
+    let connections_max = limits.connections_max;
+    let connections = Arc::new(Semaphore::new(connections_max as usize));
+    let acceptor = Acceptor {
+        listener,
+        connections: Arc::clone(&connections),
+        closed,
+        head_timeout: limits.head_timeout,
+    };
+    let accepting = tokio::spawn(acceptor.run(handler));
     Ok(Server {
         closing,
         accepting,
         connections,
+        connections_max,
     })
 }
 
-async fn accept<H, F>(
+struct Acceptor {
     listener: TcpListener,
     connections: Arc<Semaphore>,
-    mut closed: watch::Receiver<bool>,
-    handler: H,
-) where
-    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
-{
-    while let Ok(permit) = Arc::clone(&connections).acquire_owned().await {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = closed.wait_for(|closed| *closed) => return,
-        };
-        match accepted {
-            Ok((stream, client)) => {
-                let connection = connection(stream, client, closed.clone(), handler.clone());
-                tokio::spawn(hold(permit, connection));
+    closed: watch::Receiver<bool>,
+    head_timeout: watch::Receiver<Duration>,
+}
+
+impl Acceptor {
+    async fn run<H, F>(mut self, handler: H)
+    where
+        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        while let Ok(permit) = Arc::clone(&self.connections).acquire_owned().await {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                _ = self.closed.wait_for(|closed| *closed) => return,
+            };
+            match accepted {
+                Ok((stream, client)) => {
+                    let mut builder = http1::Builder::new();
+                    builder
+                        .timer(TokioTimer::new())
+                        .header_read_timeout(*self.head_timeout.borrow());
+                    let closed = self.closed.clone();
+                    let connection = connection(builder, stream, client, closed, handler.clone());
+                    tokio::spawn(hold(permit, connection));
+                }
+                Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
             }
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
         }
     }
 }
@@ -89,6 +131,7 @@
 }
 
 async fn connection<H, F>(
+    builder: http1::Builder,
     stream: TcpStream,
     client: SocketAddr,
     mut closed: watch::Receiver<bool>,
@@ -102,10 +145,6 @@
         let answer = handler(request, client);
         async move { Ok::<_, Infallible>(answer.await) }
     });
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT);
     let served = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
     tokio::select! {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,12 +1,15 @@
-//! The daemon: sockets, files and timers round the cores of an entry and a control replica.
+//! The daemon: sockets, files and timers round the cores of an entry, a gateway and a control
+//! replica.
 
 mod clock;
 mod control;
 mod entry;
 mod feed;
+mod gateway;
 mod http;
 mod log;
 mod options;
+mod replicas;
 mod run;
 
 pub use crate::run::main;
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -15,7 +15,7 @@
 }
 
 fn text(level: Level) -> Fuse<slog_async::Async> {
-    let decorator = slog_term::PlainDecorator::new(io::stderr());
+    let decorator = slog_term::PlainDecorator::new(io::stdout());
     let drain = slog_term::FullFormat::new(decorator)
         .use_utc_timestamp()
         .build();
@@ -23,7 +23,7 @@
 }
 
 fn json(level: Level) -> Fuse<slog_async::Async> {
-    let drain = slog_json::Json::default(io::stderr());
+    let drain = slog_json::Json::default(io::stdout());
     background(std::sync::Mutex::new(drain).filter_level(level).fuse())
 }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,20 +1,28 @@
 //! From the command line to a running process.
 
-use crate::{control, entry, log, options};
+use crate::{control, entry, gateway, log, options, replicas::seed_names};
 use lexopt::Parser;
 use link::Identity;
 use options::Action;
 use settings::Settings;
+use slog::{Logger, info, warn};
 use std::{
     path::Path,
     process::ExitCode,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+use tokio::{
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+    time::{MissedTickBehavior, interval},
 };
-use tokio::signal::unix::{SignalKind, signal};
 
 /// The exit code for a wrong command line or wrong settings.
 const EXIT_USAGE: u8 = 2;
 
+/// How often the settings file is looked at without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(3);
+
 /// The daemon's `main`.
 #[must_use]
 pub fn main() -> ExitCode {
@@ -30,7 +38,9 @@
         Action::Version => println!("oleanderwelld {}", env!("CARGO_PKG_VERSION")),
         Action::Check { settings } => return with_settings(&settings, |_| Ok(())),
         Action::Found { settings } => return with_settings(&settings, found),
-        Action::Run { settings } => return with_settings(&settings, run),
+        Action::Run { settings: path } => {
+            return with_settings(&path, |settings| run(settings, &path));
+        }
     }
     ExitCode::SUCCESS
 }
@@ -56,14 +66,16 @@
     control::found(settings, &log::logger(&settings.log, &settings.node.name))
 }
 
-fn run(settings: &Settings) -> anyhow::Result<()> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()?;
-    runtime.block_on(serve(settings))
+fn run(settings: &Settings, path: &Path) -> anyhow::Result<()> {
+    let mut builder = match settings.node.single_threaded {
+        true => Builder::new_current_thread(),
+        false => Builder::new_multi_thread(),
+    };
+    let runtime = builder.enable_all().build()?;
+    runtime.block_on(serve(settings, path))
 }
 
-async fn serve(settings: &Settings) -> anyhow::Result<()> {
+async fn serve(settings: &Settings, path: &Path) -> anyhow::Result<()> {
     let log = log::logger(&settings.log, &settings.node.name);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -75,6 +87,10 @@
         Some(own) => Some(control::start(settings, own, identity(settings)?, &log).await?),
         None => None,
     };
+    let gateway = match &settings.gateway {
+        Some(own) => Some(gateway::start(settings, own, identity(settings)?, &log).await?),
+        None => None,
+    };
     let broken = async {
         match &mut replica {
             Some(replica) => replica.broken().await,
@@ -84,11 +100,16 @@
     let stopped_as_asked = tokio::select! {
         _ = terminate.recv() => true,
         _ = interrupt.recv() => true,
+        () = follow_settings(path, settings, gateway.as_ref(), &log) => true,
         () = broken => false,
     };
+    info!(log, "stopping");
     if let Some(entry) = entry {
         entry.stop().await;
     }
+    if let Some(gateway) = gateway {
+        gateway.stop().await;
+    }
     if let Some(replica) = replica {
         replica.stop().await;
     }
@@ -96,6 +117,44 @@
     Ok(())
 }
 
+/// Reads the settings again when the process is told to, and now and then, since they may change
+/// without a signal. What can be taken over without a restart is; never returns.
+async fn follow_settings(
+    path: &Path,
+    started_with: &Settings,
+    gateway: Option<&gateway::Gateway>,
+    log: &Logger,
+) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        warn!(
+            log,
+            "the signal to read the settings again can't be received"
+        );
+        return std::future::pending().await;
+    };
+    let mut looks = interval(SETTINGS_LOOK);
+    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut discovery = started_with.discovery.clone();
+    loop {
+        let told = tokio::select! {
+            _ = hangup.recv() => true,
+            _ = looks.tick() => false,
+        };
+        match Settings::read(path) {
+            Ok(settings) if settings.discovery != discovery => {
+                info!(log, "settings read again"; "told" => told);
+                discovery = settings.discovery;
+                if let (Some(gateway), Some(discovery)) = (gateway, &discovery) {
+                    gateway.reseed(seed_names(discovery)).await;
+                }
+            }
+            Ok(_) if told => info!(log, "settings read again, unchanged"),
+            Ok(_) => {}
+            Err(error) => warn!(log, "the settings can't be read again"; "error" => %error),
+        }
+    }
+}
+
 /// The identity of this run; the incarnation differs in each.
 fn identity(settings: &Settings) -> anyhow::Result<Identity> {
     let started = SystemTime::now().duration_since(UNIX_EPOCH)?;
--- a/crates/raft/src/progress.rs
+++ b/crates/raft/src/progress.rs
@@ -101,6 +101,11 @@
         now_us <= self.alive_until_us
     }
 
+    /// When the peer was last heard, which counts as alive for one election timeout.
+    pub(crate) const fn silent_since_us(&self, election_us: u64) -> u64 {
+        self.alive_until_us.saturating_sub(election_us)
+    }
+
     /// Whether another message with entries may be sent.
     pub(crate) fn has_room(&self, max_bytes: usize) -> bool {
         self.in_flight_bytes < max_bytes && self.in_flight.len() < IN_FLIGHT_MAX_MESSAGES
--- a/crates/raft/src/replica.rs
+++ b/crates/raft/src/replica.rs
@@ -145,6 +145,21 @@
         self.commit_index
     }
 
+    /// As the leader, the voters that were not heard for so long; none elsewhere.
+    #[must_use]
+    pub fn silent_voters(&self, silence_us: u64) -> Vec<ReplicaId> {
+        let State::Leader(leader) = &self.state else {
+            return Vec::new();
+        };
+        let voters = self.log.membership().voters.iter();
+        let silent = voters.filter(|id| {
+            leader.peers.get(*id).is_some_and(|progress| {
+                progress.silent_since_us(self.config.election_us) + silence_us <= self.now_us
+            })
+        });
+        silent.cloned().collect()
+    }
+
     /// When the replica next has something to do without another input.
     #[must_use]
     pub fn next_deadline_us(&self) -> Option<u64> {
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -168,7 +168,7 @@
     #[strum(to_string = "a name (1 to 63 of a-z, 0-9, '-' and '.')")]
     Name,
     /// A role.
-    #[strum(to_string = "a role (entry, control or both)")]
+    #[strum(to_string = "a role (entry, control, both or gateway)")]
     Role,
     /// A socket address.
     #[strum(to_string = "an address IP:PORT")]
@@ -182,6 +182,21 @@
     /// A list of names.
     #[strum(to_string = "a list of different names separated by commas")]
     NameList,
+    /// A list of socket addresses.
+    #[strum(to_string = "a list of addresses IP:PORT separated by commas")]
+    AddressList,
+    /// A whole number.
+    #[strum(to_string = "a whole number")]
+    Count,
+    /// A decimal number.
+    #[strum(to_string = "a decimal number from 0 to 3600000")]
+    Decimal,
+    /// A yes or no.
+    #[strum(to_string = "true or false")]
+    Flag,
+    /// An interface.
+    #[strum(to_string = "an interface (native or platform)")]
+    Interface,
     /// A path.
     #[strum(to_string = "a path")]
     Path,
--- /dev/null
+++ b/crates/settings/src/gateway.rs
@@ -0,0 +1,111 @@
+//! The sections of gateways and of deployments that find their replicas by seeds.
+
+use crate::{
+    error::{Expected, Problem, SettingsError},
+    model::{BoundSettings, DiscoverySettings, GatewaySettings},
+    section::Section,
+};
+use std::{collections::BTreeMap, net::SocketAddr};
+use types::{DomainName, RegionName};
+
+/// The keys of `[gateway]`.
+pub(crate) const GATEWAY_KEYS: [&str; 3] = ["listen", "status_listen", "descriptors_max"];
+
+/// The keys of `[discovery]`.
+pub(crate) const DISCOVERY_KEYS: [&str; 3] = ["seeds", "peer_port", "founds"];
+
+/// The keys of `[bounds]`.
+pub(crate) const BOUND_KEYS: [&str; 12] = [
+    "heartbeat_s",
+    "drain_s",
+    "grace_s",
+    "apply_s",
+    "lookup_lifetime_s",
+    "retry_ratio",
+    "retry_window_s",
+    "retry_slack",
+    "cold_burst_factor",
+    "cold_slack",
+    "region_shift_max",
+    "address_reuse_s",
+];
+
+/// Thousandths in one.
+const MILLI: f64 = 1_000.0;
+
+/// The largest value of a bound, in thousandths.
+const MILLI_MAX: f64 = 3_600_000_000.0;
+
+pub(crate) fn gateway(section: &Section<'_>) -> Result<GatewaySettings, SettingsError> {
+    Ok(GatewaySettings {
+        listen: section.required("listen", Expected::Address)?,
+        status_listen: section.required("status_listen", Expected::Address)?,
+        descriptors_max: section.required("descriptors_max", Expected::Count)?,
+    })
+}
+
+pub(crate) fn discovery(section: &Section<'_>) -> Result<DiscoverySettings, SettingsError> {
+    let list: String = section.required("seeds", Expected::AddressList)?;
+    let invalid = || section.invalid("seeds", &list, Expected::AddressList);
+    let seeds = list
+        .split(',')
+        .map(str::trim)
+        .filter(|seed| !seed.is_empty())
+        .map(|seed| seed.parse().map_err(|_| invalid()))
+        .collect::<Result<Vec<SocketAddr>, _>>()?;
+    Ok(DiscoverySettings {
+        seeds,
+        peer_port: section.required("peer_port", Expected::Count)?,
+        founds: section
+            .optional("founds", Expected::Flag)?
+            .unwrap_or_default(),
+    })
+}
+
+pub(crate) fn bounds(section: &Section<'_>) -> Result<BoundSettings, SettingsError> {
+    Ok(BoundSettings {
+        heartbeat_ms: milli(section, "heartbeat_s")?,
+        drain_ms: milli(section, "drain_s")?,
+        grace_ms: milli(section, "grace_s")?,
+        apply_ms: milli(section, "apply_s")?,
+        lookup_lifetime_ms: milli(section, "lookup_lifetime_s")?,
+        retry_ratio_milli: milli(section, "retry_ratio")?,
+        retry_window_ms: milli(section, "retry_window_s")?,
+        retry_slack_milli: milli(section, "retry_slack")?,
+        cold_burst_factor_milli: milli(section, "cold_burst_factor")?,
+        cold_slack_milli: milli(section, "cold_slack")?,
+        region_shift_max_milli: milli(section, "region_shift_max")?,
+        address_reuse_ms: milli(section, "address_reuse_s")?,
+    })
+}
+
+pub(crate) fn regions(
+    section: &Section<'_>,
+    declared: &[DomainName],
+) -> Result<BTreeMap<DomainName, RegionName>, SettingsError> {
+    let mut regions = BTreeMap::new();
+    for (key, value) in section.iter() {
+        let domain: DomainName = key
+            .parse()
+            .map_err(|_| section.invalid(key, key, Expected::Name))?;
+        if !declared.contains(&domain) {
+            let domain = domain.into();
+            return Err(section.error(key, Problem::UndeclaredDomain { domain }));
+        }
+        let region = value
+            .parse()
+            .map_err(|_| section.invalid(key, value, Expected::Name))?;
+        regions.insert(domain, region);
+    }
+    Ok(regions)
+}
+
+/// A decimal number in thousandths; so seconds become milliseconds.
+fn milli(section: &Section<'_>, key: &str) -> Result<u64, SettingsError> {
+    let value: f64 = section.required(key, Expected::Decimal)?;
+    let milli = (value * MILLI).round();
+    if !(0.0..=MILLI_MAX).contains(&milli) {
+        return Err(section.invalid(key, &value.to_string(), Expected::Decimal));
+    }
+    Ok(milli as u64)
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,7 @@
 //! The settings of a daemon, read from INI and checked.
 
 mod error;
+mod gateway;
 mod model;
 mod parse;
 mod read;
@@ -9,8 +10,9 @@
 pub use crate::{
     error::{Expected, Problem, SettingsError},
     model::{
-        AnnounceToken, ControlSettings, DeploymentSettings, EntrySettings, LogFormat, LogLevel,
-        LogSettings, NodeSettings, ReplicaSettings, Role, Settings,
+        AnnounceToken, BoundSettings, ControlSettings, DeploymentSettings, DiscoverySettings,
+        EntrySettings, GatewaySettings, Interface, LogFormat, LogLevel, LogSettings, NodeSettings,
+        ReplicaSettings, Role, Settings,
     },
     read::KEY_MIN_BYTES,
 };
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -1,7 +1,7 @@
 //! The settings as the daemon uses them.
 
 use locate::ClientBlocks;
-use std::{net::SocketAddr, path::PathBuf, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, sync::Arc};
 use strum::{Display, EnumString};
 use types::{DomainName, RegionName, ReplicaName, ServiceName};
 
@@ -16,8 +16,16 @@
     pub entry: Option<EntrySettings>,
     /// The control replica, when the role has one.
     pub control: Option<ControlSettings>,
-    /// Every control replica, in the order of the file.
+    /// The gateway, when the role has one.
+    pub gateway: Option<GatewaySettings>,
+    /// Every control replica, in the order of the file; empty where seeds find them.
     pub replicas: Vec<ReplicaSettings>,
+    /// How replicas are found, where they are not declared.
+    pub discovery: Option<DiscoverySettings>,
+    /// The bounds that gateways and their control replicas keep.
+    pub bounds: Option<BoundSettings>,
+    /// The region of each failure domain, where gateways need it.
+    pub regions: BTreeMap<DomainName, RegionName>,
     /// Logging.
     pub log: LogSettings,
 }
@@ -32,6 +40,8 @@
     Control,
     /// Both in one process.
     Both,
+    /// A gateway.
+    Gateway,
 }
 
 impl Role {
@@ -59,6 +69,8 @@
     pub region: RegionName,
     /// The failure domain that its VM stands in.
     pub failure_domain: DomainName,
+    /// Whether one thread runs everything but the disk's writes.
+    pub single_threaded: bool,
 }
 
 /// `[deployment]`: what all processes share.
@@ -109,6 +121,10 @@
     pub listen: SocketAddr,
     /// Address for the system's own processes.
     pub peer_listen: SocketAddr,
+    /// Whose way of speaking `listen` follows.
+    pub interface: Interface,
+    /// Address for clients that look up gateways, where they have one of their own.
+    pub lookup_listen: Option<SocketAddr>,
     /// The data folder.
     pub data: PathBuf,
     /// Where the operators' tokens stand, when changes need one.
@@ -117,6 +133,71 @@
     pub operator_tokens: Vec<String>,
 }
 
+/// Whose way of speaking a process follows towards callers, upstreams and operators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Interface {
+    /// The product's own (docs/API.md).
+    #[default]
+    Native,
+    /// The platform's (docs/PLATFORM.md).
+    Platform,
+}
+
+/// `[gateway]`: the gateway.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GatewaySettings {
+    /// Address for clients.
+    pub listen: SocketAddr,
+    /// Address for readiness, metrics and the dump.
+    pub status_listen: SocketAddr,
+    /// File descriptors that the process may use.
+    pub descriptors_max: u64,
+}
+
+/// `[discovery]`: how replicas are found that no settings name.
+///
+/// A replica is named by its IP address; all use the same ports.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DiscoverySettings {
+    /// Where operators reach some of the replicas.
+    pub seeds: Vec<SocketAddr>,
+    /// The port at which replicas take links.
+    pub peer_port: u16,
+    /// Whether the deployment starts for the first time, so that the seeds found the group.
+    pub founds: bool,
+}
+
+/// `[bounds]`: what gateways and their control replicas keep to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BoundSettings {
+    /// The period of instances' heartbeats.
+    pub heartbeat_ms: u64,
+    /// How long an instance that drains may still get new work.
+    pub drain_ms: u64,
+    /// How long a process may take to stop.
+    pub grace_ms: u64,
+    /// How long an accepted plan may take to be in force.
+    pub apply_ms: u64,
+    /// The longest lifetime of a look-up answer.
+    pub lookup_lifetime_ms: u64,
+    /// Repeats for each request, in thousandths, over all gateways.
+    pub retry_ratio_milli: u64,
+    /// The span over which repeats are counted.
+    pub retry_window_ms: u64,
+    /// Repeats that a span allows besides the ratio, in thousandths, over all gateways.
+    pub retry_slack_milli: u64,
+    /// By how much a cold upstream's rate may be passed within a second, in thousandths.
+    pub cold_burst_factor_milli: u64,
+    /// Requests that a cold upstream may get besides, in thousandths.
+    pub cold_slack_milli: u64,
+    /// The largest share of a region's requests that may change region within two seconds, in
+    /// thousandths.
+    pub region_shift_max_milli: u64,
+    /// How soon the address of an upstream that ended may belong to another one.
+    pub address_reuse_ms: u64,
+}
+
 /// A line of `[replicas]`: one control replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReplicaSettings {
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -2,14 +2,18 @@
 
 use crate::{
     error::{Expected, Problem, SettingsError},
+    gateway::{self, BOUND_KEYS, DISCOVERY_KEYS, GATEWAY_KEYS},
     model::{
-        ControlSettings, DeploymentSettings, EntrySettings, LogFormat, LogLevel, LogSettings,
-        NodeSettings, ReplicaSettings, Role, Settings,
+        ControlSettings, DeploymentSettings, EntrySettings, GatewaySettings, LogFormat, LogLevel,
+        LogSettings, NodeSettings, ReplicaSettings, Role, Settings,
     },
     section::Section,
 };
 use ini::{Ini, ParseOption};
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 use types::{DomainName, ReplicaName};
 
 const NODE: &str = "node";
@@ -17,8 +21,14 @@
 const ENTRY: &str = "entry";
 const CONTROL: &str = "control";
 const REPLICAS: &str = "replicas";
+const GATEWAY: &str = "gateway";
+const DISCOVERY: &str = "discovery";
+const BOUNDS: &str = "bounds";
+const REGIONS: &str = "regions";
 const LOG: &str = "log";
-const SECTIONS: [&str; 6] = [NODE, DEPLOYMENT, ENTRY, CONTROL, REPLICAS, LOG];
+const SECTIONS: [&str; 10] = [
+    NODE, DEPLOYMENT, ENTRY, CONTROL, REPLICAS, GATEWAY, DISCOVERY, BOUNDS, REGIONS, LOG,
+];
 
 const LOOKUP_LIFETIME_MS: u64 = 5_000;
 const LOOKUP_LIFETIME_MAX_MS: u64 = 3_600_000;
@@ -80,9 +90,31 @@
     fn settings(&self) -> Result<Settings, SettingsError> {
         let deployment = self.deployment()?;
         let node = self.node(&deployment.failure_domains)?;
-        let replicas = self.replicas()?;
+        let discovery = self
+            .section(DISCOVERY, &DISCOVERY_KEYS)?
+            .map(|section| gateway::discovery(&section))
+            .transpose()?;
+        let replicas = match (&discovery, node.role) {
+            (Some(_), Role::Gateway | Role::Control) => Vec::new(),
+            _ => self.replicas()?,
+        };
         let entry = self.entry(node.role)?;
-        let control = self.control(&node, &replicas)?;
+        let control = self.control(&node, &replicas, discovery.is_some())?;
+        let gateway = self.gateway(node.role, discovery.is_some())?;
+        let bounds = self
+            .section(BOUNDS, &BOUND_KEYS)?
+            .map(|section| gateway::bounds(&section))
+            .transpose()?;
+        if (discovery.is_some() || gateway.is_some()) && bounds.is_none() {
+            return Err(self.missing_section(BOUNDS));
+        }
+        let regions = match self.ini.section(Some(REGIONS)) {
+            Some(properties) => {
+                let section = Section::with_any_keys(self.file, REGIONS, properties)?;
+                gateway::regions(&section, &deployment.failure_domains)?
+            }
+            None => BTreeMap::new(),
+        };
         let log = self.log()?;
         self.check_listeners(entry.as_ref(), control.as_ref())?;
         Ok(Settings {
@@ -90,7 +122,11 @@
             deployment,
             entry,
             control,
+            gateway,
             replicas,
+            discovery,
+            bounds,
+            regions,
             log,
         })
     }
@@ -144,7 +180,14 @@
     }
 
     fn node(&self, declared: &[DomainName]) -> Result<NodeSettings, SettingsError> {
-        let section = self.required_section(NODE, &["name", "role", "region", "failure_domain"])?;
+        let known = [
+            "name",
+            "role",
+            "region",
+            "failure_domain",
+            "single_threaded",
+        ];
+        let section = self.required_section(NODE, &known)?;
         let name: ReplicaName = section.required("name", Expected::Name)?;
         let failure_domain: DomainName = section.required("failure_domain", Expected::Name)?;
         if !declared.contains(&failure_domain) {
@@ -156,9 +199,26 @@
             role: section.required("role", Expected::Role)?,
             region: section.required("region", Expected::Name)?,
             failure_domain,
+            single_threaded: section
+                .optional("single_threaded", Expected::Flag)?
+                .unwrap_or_default(),
         })
     }
 
+    fn gateway(
+        &self,
+        role: Role,
+        is_discovered: bool,
+    ) -> Result<Option<GatewaySettings>, SettingsError> {
+        let section = self.section(GATEWAY, &GATEWAY_KEYS)?;
+        match (role, section) {
+            (Role::Gateway, None) => Err(self.missing_section(GATEWAY)),
+            (Role::Gateway, Some(_)) if !is_discovered => Err(self.missing_section(DISCOVERY)),
+            (Role::Gateway, Some(section)) => gateway::gateway(&section).map(Some),
+            (Role::Entry | Role::Control | Role::Both, _) => Ok(None),
+        }
+    }
+
     fn entry(&self, role: Role) -> Result<Option<EntrySettings>, SettingsError> {
         let known = [
             "listen",
@@ -197,8 +257,16 @@
         &self,
         node: &NodeSettings,
         replicas: &[ReplicaSettings],
+        is_discovered: bool,
     ) -> Result<Option<ControlSettings>, SettingsError> {
-        let known = ["listen", "peer_listen", "data", "operator_tokens_file"];
+        let known = [
+            "listen",
+            "peer_listen",
+            "lookup_listen",
+            "interface",
+            "data",
+            "operator_tokens_file",
+        ];
         let Some(section) = self.section(CONTROL, &known)? else {
             return match node.role.has_control() {
                 true => Err(self.missing_section(CONTROL)),
@@ -208,6 +276,10 @@
         let control = ControlSettings {
             listen: section.required("listen", Expected::Address)?,
             peer_listen: section.required("peer_listen", Expected::Address)?,
+            interface: section
+                .optional("interface", Expected::Interface)?
+                .unwrap_or_default(),
+            lookup_listen: section.optional("lookup_listen", Expected::Address)?,
             data: section.required_path("data")?,
             operator_tokens_file: section.optional_path("operator_tokens_file")?,
             operator_tokens: Vec::new(),
@@ -215,7 +287,9 @@
         if !node.role.has_control() {
             return Ok(None);
         }
-        self.check_replica(node, replicas)?;
+        if !is_discovered {
+            self.check_replica(node, replicas)?;
+        }
         Ok(Some(control))
     }
 
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -63,7 +63,7 @@
         let Some(control) = &mut self.control else {
             return Ok(());
         };
-        if !control.data.is_dir() {
+        if self.discovery.is_none() && !control.data.is_dir() {
             let path = control.data.clone();
             let problem = Problem::MissingFolder { path };
             return Err(key_error(file, "control", "data", problem));
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -39,6 +39,8 @@
         /// Whether every resource that `declarations` doesn't name is withdrawn.
         prune: bool,
     },
+    /// Changes what gateways follow; its own versions make a resend harmless.
+    Steer(plan::Change),
 }
 
 /// A resource as an operator declares it.
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -10,6 +10,7 @@
     retained::RetainedAnswers,
 };
 use claim::SetLog;
+use plan::Steering;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use types::{Key, Kind, Resource};
@@ -26,6 +27,8 @@
     },
     /// What became of several resources.
     Applied(Applied),
+    /// What became of a change that gateways follow.
+    Steered(plan::Applied),
 }
 
 /// What became of the resources of an [`Operation::Apply`].
@@ -78,6 +81,7 @@
     pub(crate) history: History,
     pub(crate) answers: RetainedAnswers,
     pub(crate) sets: SetLog,
+    pub(crate) steering: Steering,
 }
 
 impl State {
@@ -125,6 +129,12 @@
             .map(|(_, resource)| resource)
     }
 
+    /// What gateways follow.
+    #[must_use]
+    pub const fn steering(&self) -> &Steering {
+        &self.steering
+    }
+
     /// Whether a resource of this kind may ever have been withdrawn.
     #[must_use]
     pub fn may_have_withdrawn(&self, kind: Kind) -> bool {
@@ -144,6 +154,10 @@
     pub fn apply(&mut self, index: u64, command: &Command) -> Result<Accepted, Rejection> {
         self.applied_index = index;
         self.clock_ms = self.clock_ms.max(command.at_ms);
+        if let Operation::Steer(change) = &command.operation {
+            let applied = self.steering.apply(index, self.clock_ms, change);
+            return Ok(Accepted::Steered(applied?));
+        }
         let Ok(digest) = operation_digest(&command.operation) else {
             return Err(Rejection::AnswersFull);
         };
@@ -282,7 +296,7 @@
                 },
                 |resource| Accepted::Put(resource.clone()),
             ),
-            Operation::Delete { .. } => Accepted::Deleted {
+            Operation::Delete { .. } | Operation::Steer(_) => Accepted::Deleted {
                 revision: self.revision,
             },
             Operation::Apply { declarations, .. } => {
--- a/crates/state/src/plan.rs
+++ b/crates/state/src/plan.rs
@@ -36,7 +36,7 @@
 pub(crate) fn declarations(operation: &Operation) -> &[Declaration] {
     match operation {
         Operation::Put(declaration) => std::slice::from_ref(declaration),
-        Operation::Delete { .. } => &[],
+        Operation::Delete { .. } | Operation::Steer(_) => &[],
         Operation::Apply { declarations, .. } => declarations,
     }
 }
@@ -108,7 +108,9 @@
     named: &BTreeSet<&Key>,
 ) -> Result<Vec<Key>, Rejection> {
     match operation {
-        Operation::Put(_) | Operation::Apply { prune: false, .. } => Ok(Vec::new()),
+        Operation::Put(_) | Operation::Apply { prune: false, .. } | Operation::Steer(_) => {
+            Ok(Vec::new())
+        }
         Operation::Delete { key, based_on } => {
             let current = resources.get(key).ok_or(Rejection::NotFound)?;
             check_version(key, *based_on, current.version)?;
--- a/crates/state/src/rejection.rs
+++ b/crates/state/src/rejection.rs
@@ -40,6 +40,9 @@
         /// The request id.
         request_id: String,
     },
+    /// A plan was not accepted.
+    #[error(transparent)]
+    Plan(#[from] plan::Refused),
     /// No room is left for the answer, which has to be kept for resends.
     #[error("too many answers are retained")]
     AnswersFull,
@@ -120,6 +123,12 @@
                 limit_bytes: RESOURCES_MAX_BYTES as u64,
             },
             Rejection::RequestIdReused { request_id } => Self::RequestIdReused { request_id },
+            Rejection::Plan(plan::Refused::Conflict { current }) => Self::PlanConflict {
+                current_version: current,
+            },
+            Rejection::Plan(plan::Refused::Invalid(reason)) => Self::InvalidPlan {
+                reason: reason.to_string(),
+            },
             Rejection::AnswersFull => Self::TooBusy,
         }
     }
--- a/crates/state/src/retained.rs
+++ b/crates/state/src/retained.rs
@@ -185,6 +185,7 @@
                 fates: plan.map(|plan| fate_runs(&plan.fates)).unwrap_or_default(),
                 withdrawn: applied.withdrawn.clone(),
             },
+            Ok(Accepted::Steered(_)) => Self::Deleted { revision: 0 },
             Err(rejection) => Self::Rejected(rejection.clone()),
         }
     }
--- a/crates/state/src/snapshot.rs
+++ b/crates/state/src/snapshot.rs
@@ -2,6 +2,7 @@
 
 use crate::{history::History, machine::State, retained::RetainedAnswers};
 use claim::SetLog;
+use plan::Steering;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use types::Resource;
@@ -37,6 +38,7 @@
     history: &'a History,
     answers: &'a RetainedAnswers,
     sets: &'a SetLog,
+    steering: &'a Steering,
 }
 
 #[derive(Deserialize)]
@@ -50,6 +52,8 @@
     history: History,
     answers: RetainedAnswers,
     sets: SetLog,
+    #[serde(default)]
+    steering: Steering,
 }
 
 impl State {
@@ -68,6 +72,7 @@
             history: &self.history,
             answers: &self.answers,
             sets: &self.sets,
+            steering: &self.steering,
         })
         .map_err(SnapshotError::Encode)
     }
@@ -96,6 +101,7 @@
             history: decoded.history,
             answers: decoded.answers,
             sets: decoded.sets,
+            steering: decoded.steering,
         })
     }
 }
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -100,6 +100,18 @@
         /// The request id.
         request_id: String,
     },
+    /// The plan is based on another version than the one in force.
+    #[error("the plan in force has version {current_version}")]
+    PlanConflict {
+        /// The version in force; 0 before the first.
+        current_version: u64,
+    },
+    /// A plan contradicts itself.
+    #[error("the plan is invalid: {reason}")]
+    InvalidPlan {
+        /// What is wrong.
+        reason: String,
+    },
     /// This replica does not lead.
     #[error("this replica does not lead")]
     NotLeader {
@@ -145,8 +157,10 @@
             Self::BodyTimeout => 408,
             Self::Conflict { .. } => 409,
             Self::Compacted { .. } => 410,
+            Self::PlanConflict { .. } => 412,
             Self::BodyTooLarge { .. } => 413,
             Self::InvalidResource { .. }
+            | Self::InvalidPlan { .. }
             | Self::ResourcesTooLarge { .. }
             | Self::RequestIdReused { .. } => 422,
             Self::NotLeader { .. } | Self::Unavailable | Self::TooBusy => 503,
