Keep the votes of silent replicas whose number is odd

A replica whose disk was full said nothing for 8 s and was dropped, so that the loss of two other disks left 2 of 4 voters. A silent voter may come back with its disk; dropping it from an odd number lessens the losses that the group bears.

Now a silent voter gives way only to a replica that joins, or from an even number of voters. Test: a_silent_voter_of_an_odd_number_keeps_its_vote.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -8,7 +8,6 @@
     heartbeats::Heartbeats,
     pending::{Pending, Wait},
     shares::{LEADERSHIP_READ, Shares},
-    steer::Members,
     watches::{Watches, see},
 };
 use claim::Layout;
@@ -40,7 +39,7 @@
     pub(crate) shares: Shares,
     pub(crate) gateways: Gateways,
     pub(crate) heartbeats: Heartbeats,
-    pub(crate) members: Members,
+    pub(crate) members_check_us: TimeUs,
     clock: LogClock,
     pub(crate) snapshot_index: u64,
     pub(crate) leads: bool,
@@ -62,7 +61,7 @@
             shares: Shares::new(config.raft.election_us),
             gateways: Gateways::default(),
             heartbeats: Heartbeats::new(config.instance_silence_us, now_us),
-            members: Members::new(now_us),
+            members_check_us: now_us,
             clock: LogClock::new(now_us),
             config,
             snapshot_index: 0,
--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -8,39 +8,15 @@
 use plan::{Change, Registration, Verdict};
 use raft::{ReplicaId, Role};
 use state::Operation;
-use types::{ApiError, TimeUs};
+use types::ApiError;
 
-/// A voter that is silent for so long is dropped; it joins again once it is back.
-const SILENT_VOTER_US: u64 = 8_000_000;
-
-/// A voter that is silent for so long gives its place to a replica that joins.
-const SILENT_REPLACED_US: u64 = 2_500_000;
-
-/// For how long a replica counts as newly joined, in milliseconds.
-const NEWCOMER_MS: u64 = 20_000;
+/// A voter that is silent for so long gives way: to a replica that joins, or where it makes the
+/// number of voters even.
+const SILENT_VOTER_US: u64 = 2_500_000;
 
 /// How often the leader looks for silent voters, in milliseconds.
 const MEMBERS_CHECK_MS: u64 = 500;
 
-/// The fewest voters that dropping a silent one may leave.
-const VOTERS_MIN: usize = 2;
-
-/// When the leader looks at the membership next, and until when a newcomer's place matters.
-#[derive(Debug)]
-pub(crate) struct Members {
-    check_us: TimeUs,
-    newcomer_until_us: TimeUs,
-}
-
-impl Members {
-    pub(crate) const fn new(now_us: TimeUs) -> Self {
-        Self {
-            check_us: now_us,
-            newcomer_until_us: now_us,
-        }
-    }
-}
-
 impl Control {
     /// Answers a gateway that asks for changes.
     pub(crate) fn answer_follow(&mut self, follow: u64, body: &Follow, outputs: &mut Vec<Output>) {
@@ -114,8 +90,8 @@
             };
             self.steer(OWN_REQUEST, change, outputs);
         }
-        if self.config.learns_members && self.members.check_us.reached(self.now_us) {
-            self.members.check_us = self.now_us.after_ms(MEMBERS_CHECK_MS);
+        if self.config.learns_members && self.members_check_us.reached(self.now_us) {
+            self.members_check_us = self.now_us.after_ms(MEMBERS_CHECK_MS);
             self.drop_silent_voter(outputs);
         }
     }
@@ -128,8 +104,7 @@
         if !self.leads || !self.config.learns_members || is_member {
             return;
         }
-        self.members.newcomer_until_us = self.now_us.after_ms(NEWCOMER_MS);
-        let silent = self.raft.silent_voters(SILENT_REPLACED_US);
+        let silent = self.raft.silent_voters(SILENT_VOTER_US);
         let replaces = silent.into_iter().find(|voter| voter.name != id.name);
         let admit = raft::Input::Admit {
             request: OWN_REQUEST,
@@ -139,17 +114,15 @@
         self.step_log(admit, outputs);
     }
 
+    /// Drops a silent voter from an even number of them. One fewer then bears as many losses, and
+    /// from an odd number one fewer would bear less: the silent one may come back with its disk
+    /// after the disks of others are lost.
     fn drop_silent_voter(&mut self, outputs: &mut Vec<Output>) {
-        let has_newcomer = !self.members.newcomer_until_us.reached(self.now_us);
-        let silence_us = match has_newcomer {
-            true => SILENT_REPLACED_US,
-            false => SILENT_VOTER_US,
-        };
         let voters = self.raft.status().membership.voters.len();
-        let silent = self.raft.silent_voters(silence_us);
-        if voters <= VOTERS_MIN {
+        if !voters.is_multiple_of(2) {
             return;
         }
+        let silent = self.raft.silent_voters(SILENT_VOTER_US);
         if let Some(id) = silent.into_iter().next() {
             let remove = raft::Input::Remove {
                 request: OWN_REQUEST,
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -3,7 +3,8 @@
 #![allow(dead_code)]
 
 use control::{
-    Answer, Control, ControlConfig, Input, Output, Poll, PollAnswer, PollRejection, Request,
+    Answer, Control, ControlConfig, Follow, FollowAnswer, GatewayReport, Input, Output, Poll,
+    PollAnswer, PollRejection, Request,
 };
 use raft::{
     Entry, HardState, Membership, Message, Persist, RaftConfig, ReplicaId, Restored, Role, Snapshot,
@@ -70,7 +71,9 @@
     pub poll_answers: BTreeMap<u64, PollAnswer>,
     pub sent: Vec<(ReplicaId, Message)>,
     pub cut: BTreeSet<ReplicaId>,
+    pub follow_answers: BTreeMap<u64, FollowAnswer>,
     heartbeat_us: u64,
+    learns_members: bool,
     founders: Membership,
     in_flight: VecDeque<InFlight>,
     next_request: u64,
@@ -89,10 +92,21 @@
     }
 
     pub fn with_heartbeat_us(size: u32, heartbeat_us: u64) -> Self {
+        Self::with(size, heartbeat_us, false)
+    }
+
+    /// Replicas that let others join by themselves.
+    pub fn with_learned_members(size: u32) -> Self {
+        Self::with(size, 50_000, true)
+    }
+
+    fn with(size: u32, heartbeat_us: u64, learns_members: bool) -> Self {
         let voters = (1..=size).map(|n| id(&format!("control-{n}"), 1)).collect();
         let mut cluster = Self {
             now_us: 0,
             heartbeat_us,
+            learns_members,
+            follow_answers: BTreeMap::new(),
             replicas: BTreeMap::new(),
             disks: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -141,7 +155,7 @@
             snapshot_entries: SNAPSHOT_ENTRIES,
             request_timeout_us: REQUEST_TIMEOUT_US,
             http_port: None,
-            learns_members: false,
+            learns_members: self.learns_members,
             instance_silence_us: 10_000_000,
         };
         let control = Control::new(config, restored, TimeUs(self.now_us));
@@ -189,6 +203,9 @@
             Output::PollAnswer { poll, answer } => {
                 self.poll_answers.insert(poll, answer);
             }
+            Output::FollowAnswer { follow, answer } => {
+                self.follow_answers.insert(follow, answer);
+            }
             Output::Changed(_) => {}
             Output::Broken(error) => panic!("{replica} broke off: {error}"),
         }
@@ -286,6 +303,25 @@
         panic!("no replica settled {body:?}");
     }
 
+    /// Asks a replica for what changed after a revision, as a gateway.
+    pub fn follow(&mut self, replica: &ReplicaId, gateway: &str, revision: u64) -> FollowAnswer {
+        self.next_request += 1;
+        let follow = self.next_request;
+        let body = Follow {
+            gateway: gateway.parse().expect("a valid name"),
+            report: GatewayReport {
+                address: "10.1.0.15:8080".parse().expect("a valid address"),
+                region: "east".parse().expect("a valid name"),
+                failure_domain: "east-a".parse().expect("a valid name"),
+                takes_clients: true,
+            },
+            revision,
+        };
+        self.step(replica, Input::Follow { follow, body });
+        let answer = self.follow_answers.remove(&follow);
+        answer.expect("questions of gateways are answered at once")
+    }
+
     pub fn poll(&mut self, replica: &ReplicaId, entry: &str, applied_index: u64) -> PollAnswer {
         self.poll_with(replica, entry, applied_index, None)
     }
--- /dev/null
+++ b/crates/control/tests/steering.rs
@@ -0,0 +1,261 @@
+//! Plans, instances and members over real replicas.
+
+mod cluster;
+
+use cluster::{Cluster, id};
+use control::{Answer, Input, Request};
+use plan::{
+    Applied, Change, InstanceState, Limits, Part, Plan, PlanDeclaration, Registration, Repeat,
+    Route, ServiceTerms,
+};
+use types::ApiError;
+
+fn plan(version: u64, service: &str) -> Plan {
+    Plan {
+        version,
+        routes: vec![Route {
+            name: "browse".to_owned(),
+            host: "shop.example".to_owned(),
+            prefix: "/browse/".to_owned(),
+            repeat: Repeat::Idempotent,
+            timeout_ms: 2_000,
+            target_ms: 500,
+            priority: 0,
+            parts: vec![Part {
+                service: service.parse().expect("a valid name"),
+                weight_milli: 1_000,
+            }],
+            attempts_max: 2,
+            sticky: false,
+            home_regions: Vec::new(),
+        }],
+        services: vec![ServiceTerms {
+            name: "catalogue".parse().expect("a valid name"),
+            connections_max: 100,
+            cold_milli_per_s: 2_000,
+        }],
+        limits: Limits {
+            header_max_bytes: 16_384,
+            body_max_bytes: 1 << 20,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+    }
+}
+
+fn declare(version: u64, based_on: u64, document: &str) -> Request {
+    declare_for(version, based_on, document, "catalogue")
+}
+
+fn declare_for(version: u64, based_on: u64, document: &str, service: &str) -> Request {
+    let change = Change::Declare(Box::new(PlanDeclaration {
+        plan: plan(version, service),
+        document: document.to_owned(),
+        based_on,
+    }));
+    Request::Steer { change }
+}
+
+fn heartbeat(id: &str, born_ms: u64, sequence: u64) -> Registration {
+    Registration {
+        id: id.parse().expect("a valid name"),
+        service: "catalogue".parse().expect("a valid name"),
+        address: "10.9.0.1:8080".parse().expect("a valid address"),
+        failure_domain: "east-a".parse().expect("a valid name"),
+        slots: 3,
+        draining: false,
+        cold_ms: 0,
+        born_ms,
+        sequence,
+    }
+}
+
+fn register(registration: Registration) -> Request {
+    Request::Register { registration }
+}
+
+const ACCEPTED: Result<Answer, ApiError> = Ok(Answer::Steered(Applied::Noted));
+
+#[test]
+fn of_two_plans_on_one_version_the_first_wins_and_its_resend_is_accepted() {
+    let mut cluster = Cluster::new(3);
+    let accepted = Ok(Answer::Steered(Applied::Declared { version: 5 }));
+    assert_eq!(cluster.settle(&declare(5, 0, "first")), accepted);
+    let lost = cluster.settle(&declare(5, 0, "second"));
+    assert_eq!(lost, Err(ApiError::PlanConflict { current_version: 5 }));
+    assert_eq!(cluster.settle(&declare(5, 0, "first")), accepted);
+    let later = cluster.settle(&declare(9, 5, "third"));
+    assert_eq!(later, Ok(Answer::Steered(Applied::Declared { version: 9 })));
+    assert_eq!(cluster.settle(&declare(5, 0, "first")), accepted);
+    let document = Some("third".to_owned());
+    assert_eq!(
+        cluster.settle(&Request::ReadPlan),
+        Ok(Answer::Plan { document })
+    );
+}
+
+#[test]
+fn an_invalid_plan_is_refused_and_never_in_force() {
+    let mut cluster = Cluster::new(3);
+    let unknown = cluster.settle(&declare_for(5, 0, "unknown", "payout"));
+    assert!(
+        matches!(unknown, Err(ApiError::InvalidPlan { .. })),
+        "{unknown:?}"
+    );
+    cluster
+        .settle(&declare(5, 0, "first"))
+        .expect("a valid plan");
+    let old = cluster.settle(&declare(5, 5, "same version"));
+    assert!(matches!(old, Err(ApiError::InvalidPlan { .. })), "{old:?}");
+    let document = Some("first".to_owned());
+    assert_eq!(
+        cluster.settle(&Request::ReadPlan),
+        Ok(Answer::Plan { document })
+    );
+}
+
+#[test]
+fn an_acknowledged_plan_survives_the_loss_of_every_process() {
+    let mut cluster = Cluster::new(3);
+    cluster
+        .settle(&declare(5, 0, "first"))
+        .expect("a valid plan");
+    let all: Vec<_> = cluster.replicas.keys().cloned().collect();
+    all.iter().for_each(|replica| cluster.kill(replica));
+    all.iter().for_each(|replica| cluster.start(replica));
+    let document = Some("first".to_owned());
+    assert_eq!(
+        cluster.settle(&Request::ReadPlan),
+        Ok(Answer::Plan { document })
+    );
+}
+
+#[test]
+fn a_gateway_learns_of_a_drain_from_any_replica_once_it_is_acknowledged() {
+    let mut cluster = Cluster::new(3);
+    assert_eq!(cluster.settle(&register(heartbeat("w-1", 10, 1))), ACCEPTED);
+    let drained = Registration {
+        draining: true,
+        ..heartbeat("w-1", 10, 2)
+    };
+    assert_eq!(cluster.settle(&register(drained)), ACCEPTED);
+    cluster.run_ms(200);
+    for replica in cluster.replicas.keys().cloned().collect::<Vec<_>>() {
+        let answer = cluster.follow(&replica, "gateway-1", 0);
+        let states: Vec<_> = answer.changes.instances.iter().map(|it| it.state).collect();
+        assert_eq!(states, [InstanceState::Draining], "at {replica}");
+    }
+}
+
+#[test]
+fn a_late_heartbeat_neither_revives_an_instance_nor_takes_its_address_back() {
+    let mut cluster = Cluster::new(3);
+    cluster
+        .settle(&register(heartbeat("w-1", 10, 1)))
+        .expect("a heartbeat");
+    let leave = Change::Leave {
+        id: "w-1".parse().expect("a valid name"),
+        born_ms: None,
+    };
+    cluster
+        .settle(&Request::Steer { change: leave })
+        .expect("a leave");
+    cluster
+        .settle(&register(heartbeat("w-1", 10, 2)))
+        .expect("a late heartbeat");
+    cluster
+        .settle(&register(heartbeat("w-2", 20, 1)))
+        .expect("a heartbeat");
+    cluster
+        .settle(&register(heartbeat("w-0", 5, 9)))
+        .expect("a late heartbeat");
+    let leader = cluster.wait_for_leader();
+    let steering = cluster.replicas[&leader].state().steering();
+    let here: Vec<_> = steering.instances().filter(|it| it.is_here()).collect();
+    assert_eq!(here.len(), 1);
+    assert_eq!(here[0].id.as_str(), "w-2");
+}
+
+#[test]
+fn an_unchanged_heartbeat_costs_no_entry_of_the_log() {
+    let mut cluster = Cluster::new(3);
+    cluster
+        .settle(&register(heartbeat("w-1", 10, 1)))
+        .expect("a heartbeat");
+    let leader = cluster.wait_for_leader();
+    let before = cluster.replicas[&leader].status().last_index;
+    for sequence in 2..20 {
+        cluster
+            .settle(&register(heartbeat("w-1", 10, sequence)))
+            .expect("a heartbeat");
+    }
+    assert_eq!(cluster.replicas[&leader].status().last_index, before);
+}
+
+#[test]
+fn a_silent_instance_expires_and_its_next_heartbeat_brings_it_back() {
+    let mut cluster = Cluster::new(3);
+    cluster
+        .settle(&register(heartbeat("w-1", 10, 1)))
+        .expect("a heartbeat");
+    cluster.run_ms(11_000);
+    let leader = cluster.wait_for_leader();
+    let state = |cluster: &Cluster| {
+        let steering = cluster.replicas[&leader].state().steering();
+        steering.instance("w-1").map(|it| it.state)
+    };
+    assert_eq!(state(&cluster), Some(InstanceState::Expired));
+    cluster
+        .settle(&register(heartbeat("w-1", 10, 2)))
+        .expect("a heartbeat");
+    assert_eq!(state(&cluster), Some(InstanceState::Ready));
+}
+
+#[test]
+fn a_silent_voter_of_an_odd_number_keeps_its_vote() {
+    let mut cluster = Cluster::with_learned_members(5);
+    let silent = cluster.follower();
+    cluster.cut.insert(silent.clone());
+    cluster.run_ms(15_000);
+    let leader = cluster.wait_for_leader();
+    let voters = cluster.replicas[&leader].status().membership.voters;
+    assert_eq!(voters.len(), 5);
+    assert!(voters.contains(&silent));
+}
+
+#[test]
+fn a_replica_that_joins_takes_the_place_of_a_silent_voter() {
+    let mut cluster = Cluster::with_learned_members(5);
+    let silent = cluster.follower();
+    cluster.cut.insert(silent.clone());
+    cluster.run_ms(3_000);
+    let newcomer = id("control-9", 77);
+    cluster.start(&newcomer);
+    for _ in 0..20 {
+        let leader = cluster.wait_for_leader();
+        let from = newcomer.clone();
+        cluster.step(&leader, Input::Join { from });
+        cluster.run_ms(200);
+    }
+    let leader = cluster.wait_for_leader();
+    let voters = cluster.replicas[&leader].status().membership.voters;
+    assert_eq!(voters.len(), 5);
+    assert!(voters.contains(&newcomer) && !voters.contains(&silent));
+}
+
+#[test]
+fn a_gateway_is_named_to_clients_until_it_falls_silent() {
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.wait_for_leader();
+    cluster.follow(&leader, "gateway-1", 0);
+    let locate = Request::Locate {
+        region: "west".to_owned(),
+        failure_domain: "west-a".to_owned(),
+    };
+    let address = "10.1.0.15:8080".parse().expect("a valid address");
+    let named = cluster.answer_of(&leader, locate.clone());
+    assert_eq!(named, Ok(Answer::Gateways(vec![address])));
+    cluster.run_ms(3_000);
+    let named = cluster.answer_of(&leader, locate);
+    assert_eq!(named, Ok(Answer::Gateways(Vec::new())));
+}
