Let the shares of regions rest while a service is idle, and restart a replica whose disk failed

Cause: before traffic began, no region was pressed, so the shares of an under-provisioned region's gateways moved home at the allowed rate for the whole lead; with the first requests they had to move back. Ruled out: the initial shares themselves. A replica whose disk was full stayed failed until its process ended, also with room on the disk again.

--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -44,7 +44,7 @@
     /// The counters.
     pub metrics: Arc<ControlMetrics>,
     /// Told when the replica can't go on.
-    pub broken: watch::Sender<bool>,
+    pub broken: watch::Sender<Option<Broken>>,
     /// The log.
     pub log: Logger,
 }
@@ -78,6 +78,15 @@
     }
 }
 
+/// Why a replica can't go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// The log or a snapshot is not readable by this program.
+    Unreadable,
+    /// The data folder failed; opened anew, it may serve again.
+    Storage,
+}
+
 /// Time has passed.
 #[derive(Clone, Copy, Debug)]
 pub struct Tick;
@@ -153,7 +162,7 @@
             }
             Output::Broken(error) => {
                 crit!(self.args.log, "this replica can't go on"; "error" => %error);
-                self.args.broken.send_replace(true);
+                self.args.broken.send_replace(Some(Broken::Unreadable));
             }
         }
     }
@@ -295,6 +304,7 @@
 
     async fn handle(&mut self, _: StorageFailed, _: &mut Context<Self, Self::Reply>) {
         self.step(Input::StorageFailed);
+        self.args.broken.send_replace(Some(Broken::Storage));
     }
 }
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -9,4 +9,8 @@
 mod start;
 mod storage;
 
-pub use self::{start::start, storage::found};
+pub use self::{
+    actor::Broken,
+    start::{ControlReplica, start},
+    storage::found,
+};
--- a/crates/daemon/src/control/start.rs
+++ b/crates/daemon/src/control/start.rs
@@ -4,7 +4,7 @@
     clock::Clock,
     control::front::PlatformFront,
     control::{
-        actor::{ControlActor, ControlArgs, Linked, Tick},
+        actor::{Broken, ControlActor, ControlArgs, Linked, Tick},
         http::ControlHttp,
         metrics::ControlMetrics,
         storage::{self, Storage},
@@ -14,7 +14,10 @@
     replicas::{ReplicaLinks, seed_names},
 };
 use control::{Control, ControlConfig};
-use kameo::{actor::Spawn, mailbox};
+use kameo::{
+    actor::{ActorRef, Spawn},
+    mailbox,
+};
 use link::{Identity, ListenerHandle, listen};
 use prometheus_client::registry::Registry;
 use raft::{RaftConfig, ReplicaId};
@@ -77,14 +80,16 @@
     lookup_server: Option<Server>,
     listener: ListenerHandle,
     timer: JoinHandle<()>,
-    broken: watch::Receiver<bool>,
+    actor: ActorRef<ControlActor>,
+    broken: watch::Receiver<Option<Broken>>,
 }
 
 impl ControlReplica {
-    /// Returns once the replica can't go on.
-    pub async fn broken(&mut self) {
-        if self.broken.wait_for(|broken| *broken).await.is_err() {
-            std::future::pending().await
+    /// Returns once the replica can't go on; why.
+    pub async fn broken(&mut self) -> Broken {
+        match self.broken.wait_for(Option::is_some).await {
+            Ok(broken) => broken.unwrap_or(Broken::Unreadable),
+            Err(_) => std::future::pending().await,
         }
     }
 
@@ -97,6 +102,8 @@
         }
         self.timer.abort();
         self.listener.close().await;
+        self.actor.kill();
+        self.actor.wait_for_shutdown().await;
     }
 }
 
@@ -125,7 +132,7 @@
     let metrics = Arc::new(ControlMetrics::new(&mut registry));
     let config = config(settings, &id)?;
     let (storage, queue) = Storage::new();
-    let (broken_sender, broken) = watch::channel(false);
+    let (broken_sender, broken) = watch::channel(None);
     let actor = ControlActor::spawn_with_mailbox(
         ControlArgs {
             core: Control::new(config, opened.restored, clock.now_us()),
@@ -140,6 +147,7 @@
         },
         mailbox::unbounded(),
     );
+    let replica_actor = actor.clone();
     storage::run(store, queue, actor.clone(), log.clone())?;
     tokio::spawn(pass_events(events, actor.clone(), Linked));
     let timer = tokio::spawn(tick(actor.clone(), TICK, Tick));
@@ -183,6 +191,7 @@
         lookup_server,
         listener,
         timer,
+        actor: replica_actor,
         broken,
     })
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,6 +1,10 @@
 //! From the command line to a running process.
 
-use crate::{control, entry, gateway, log, options, replicas::seed_names};
+use crate::{
+    control::{self, Broken, ControlReplica},
+    entry, gateway, log, options,
+    replicas::seed_names,
+};
 use lexopt::Parser;
 use link::Identity;
 use options::Action;
@@ -14,12 +18,15 @@
 use tokio::{
     runtime::Builder,
     signal::unix::{SignalKind, signal},
-    time::{MissedTickBehavior, interval},
+    time::{MissedTickBehavior, interval, sleep},
 };
 
 /// The exit code for a wrong command line or wrong settings.
 const EXIT_USAGE: u8 = 2;
 
+/// A replica whose data folder failed starts anew after this time.
+const REPLICA_RESTART: Duration = Duration::from_secs(1);
+
 /// How often the settings file is looked at without a signal.
 const SETTINGS_LOOK: Duration = Duration::from_secs(3);
 
@@ -91,12 +98,7 @@
         Some(own) => Some(gateway::start(settings, own, identity(settings)?, &log).await?),
         None => None,
     };
-    let broken = async {
-        match &mut replica {
-            Some(replica) => replica.broken().await,
-            None => std::future::pending().await,
-        }
-    };
+    let broken = keep_replica(settings, &mut replica, &log);
     let stopped_as_asked = tokio::select! {
         _ = terminate.recv() => true,
         _ = interrupt.recv() => true,
@@ -117,6 +119,36 @@
     Ok(())
 }
 
+/// Starts the replica anew when its data folder failed, where replicas join by themselves: a full
+/// disk may have room again. Returns once the replica can't go on at all.
+async fn keep_replica(settings: &Settings, replica: &mut Option<ControlReplica>, log: &Logger) {
+    let Some(own) = &settings.control else {
+        return std::future::pending().await;
+    };
+    loop {
+        match replica {
+            Some(running) => match (running.broken().await, &settings.discovery) {
+                (Broken::Unreadable, _) => return,
+                (Broken::Storage, None) => return std::future::pending().await,
+                (Broken::Storage, Some(_)) => {}
+            },
+            None => {}
+        }
+        if let Some(failed) = replica.take() {
+            failed.stop().await;
+        }
+        sleep(REPLICA_RESTART).await;
+        let started = match identity(settings) {
+            Ok(identity) => control::start(settings, own, identity, log).await,
+            Err(error) => Err(error),
+        };
+        match started {
+            Ok(started) => *replica = Some(started),
+            Err(error) => warn!(log, "the control replica can't start yet"; "error" => %error),
+        }
+    }
+}
+
 /// Reads the settings again when the process is told to, and now and then, since they may change
 /// without a signal. What can be taken over without a restart is; never returns.
 async fn follow_settings(
--- a/crates/gate/src/regions.rs
+++ b/crates/gate/src/regions.rs
@@ -27,6 +27,9 @@
 /// For how long shares move fast after upstreams came or went, in milliseconds.
 const FAST_MS: u64 = 3_000;
 
+/// A service without requests for so long is idle, and its shares start anew, in milliseconds.
+const USED_MS: u64 = 3_000;
+
 /// A change of a region's slots by less than this part leaves shares slow.
 const SLOTS_CHANGE: f64 = 0.1;
 
@@ -68,6 +71,10 @@
     shares: BTreeMap<RegionName, Share>,
     moved_us: TimeUs,
     fast_until_us: TimeUs,
+    /// Requests since the shares moved last.
+    requests: u32,
+    /// Until when the service counts as used.
+    used_until_us: TimeUs,
 }
 
 impl RegionShares {
@@ -77,6 +84,8 @@
             shares: BTreeMap::new(),
             moved_us: now_us,
             fast_until_us: now_us,
+            requests: 0,
+            used_until_us: now_us,
         }
     }
 
@@ -90,7 +99,11 @@
     ) {
         let elapsed_s = now_us.since_us(self.moved_us) as f64 / 1e6;
         self.moved_us = now_us;
-        if self.shares.values().all(|share| share.share <= 0.0) {
+        if std::mem::take(&mut self.requests) > 0 {
+            self.used_until_us = now_us.after_ms(USED_MS);
+        }
+        let is_idle = self.used_until_us.reached(now_us);
+        if is_idle || self.shares.values().all(|share| share.share <= 0.0) {
             return self.begin(pressures, regions);
         }
         self.note_slots(pressures, now_us);
@@ -109,6 +122,7 @@
         object: Option<u64>,
         is_allowed: impl Fn(&RegionName) -> bool,
     ) -> Option<RegionName> {
+        self.requests += 1;
         for share in self.shares.values_mut() {
             share.credit = (share.credit + share.share).clamp(-CREDIT_MAX, CREDIT_MAX);
         }
