--- /dev/null
+++ b/crates/gate/tests/requests.rs
@@ -0,0 +1,336 @@
+//! What becomes of requests.
+
+mod support;
+
+use gate::{Decision, Ending, Failure, Load, Next, Refusal};
+use plan::{InstanceState, Repeat};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use support::{
+    DOMAINS, answer, arrival, at_ms, evacuated, forwarded, gate, instance, name, plan, route,
+};
+
+/// A gateway with one upstream of `catalogue` in each failure domain.
+fn serving(repeat: Repeat) -> gate::Gate {
+    let mut gate = gate();
+    let routes = vec![route("browse", "/browse/", repeat, &[("catalogue", 1_000)])];
+    let instances = DOMAINS.iter().zip(10..).map(|((domain, _), revision)| {
+        instance(&format!("w-{domain}"), "catalogue", domain, revision)
+    });
+    gate.followed(
+        answer(20, Some(plan(1, routes)), instances.collect()),
+        at_ms(0),
+    );
+    gate
+}
+
+fn refusal(decision: &Decision) -> Option<Refusal> {
+    match decision {
+        Decision::Refuse { refusal, .. } => Some(*refusal),
+        Decision::NoRoute | Decision::Forward(_) => None,
+    }
+}
+
+#[test]
+fn without_a_plan_every_request_is_refused_as_not_run() {
+    let mut gate = gate();
+    let decision = gate.arrive(&arrival("/browse/1"), at_ms(1));
+    assert_eq!(refusal(&decision), Some(Refusal::NoPlan));
+    assert!(!gate.is_ready());
+}
+
+#[test]
+fn the_longest_prefix_decides() {
+    let mut gate = gate();
+    let routes = vec![
+        route("all", "/", Repeat::Idempotent, &[("orders", 1_000)]),
+        route(
+            "browse",
+            "/browse/",
+            Repeat::Idempotent,
+            &[("catalogue", 1_000)],
+        ),
+    ];
+    let instances = vec![
+        instance("w-1", "catalogue", "east-a", 1),
+        instance("w-22", "orders", "east-a", 2),
+    ];
+    gate.followed(answer(3, Some(plan(1, routes)), instances), at_ms(0));
+    let browse = forwarded(gate.arrive(&arrival("/browse/1"), at_ms(1)));
+    assert_eq!(browse.upstream.as_str(), "w-1");
+    let other = forwarded(gate.arrive(&arrival("/browser"), at_ms(1)));
+    assert_eq!(other.upstream.as_str(), "w-22");
+}
+
+#[test]
+fn an_unknown_host_or_path_has_no_route() {
+    let mut gate = serving(Repeat::Idempotent);
+    let decision = gate.arrive(&arrival("/elsewhere"), at_ms(1));
+    assert_eq!(decision, Decision::NoRoute);
+}
+
+#[test]
+fn weights_are_kept_exactly_over_each_round() {
+    let mut gate = gate();
+    let parts = [("catalogue", 9_000), ("orders", 1_000)];
+    let routes = vec![route("browse", "/browse/", Repeat::Idempotent, &parts)];
+    let instances = vec![
+        instance("w-1", "catalogue", "east-a", 1),
+        instance("w-22", "orders", "east-a", 2),
+    ];
+    gate.followed(answer(3, Some(plan(1, routes)), instances), at_ms(0));
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for n in 0..100 {
+        let target = forwarded(gate.arrive(&arrival("/browse/1"), at_ms(n * 10)));
+        *counts.entry(target.upstream.to_string()).or_default() += 1;
+        gate.ended(target.request, Ending::Answered, None, at_ms(n * 10 + 5));
+    }
+    assert_eq!(
+        counts,
+        BTreeMap::from([("w-1".to_owned(), 90), ("w-22".to_owned(), 10)])
+    );
+}
+
+#[test]
+fn a_draining_evacuated_or_gone_upstream_gets_nothing() {
+    let mut gate = serving(Repeat::Idempotent);
+    let mut draining = instance("w-east-a", "catalogue", "east-a", 21);
+    draining.state = InstanceState::Draining;
+    gate.followed(answer(21, None, vec![draining]), at_ms(10));
+    gate.followed(evacuated(22, &["east-b"]), at_ms(20));
+    let mut gone = instance("w-west-a", "catalogue", "west-a", 23);
+    gone.state = InstanceState::Gone;
+    gate.followed(answer(23, None, vec![gone]), at_ms(30));
+    for n in 0..20 {
+        let target = forwarded(gate.arrive(&arrival("/browse/1"), at_ms(40 + n)));
+        assert_eq!(target.upstream.as_str(), "w-west-b");
+        gate.ended(target.request, Ending::Answered, None, at_ms(40 + n));
+    }
+    gate.followed(evacuated(24, &["east-b", "west-b"]), at_ms(100));
+    let decision = gate.arrive(&arrival("/browse/1"), at_ms(101));
+    assert_eq!(refusal(&decision), Some(Refusal::NoUpstream));
+}
+
+#[test]
+fn an_older_answer_changes_nothing() {
+    let mut gate = serving(Repeat::Idempotent);
+    let routes = vec![route(
+        "other",
+        "/other/",
+        Repeat::Idempotent,
+        &[("orders", 1)],
+    )];
+    assert!(!gate.followed(answer(19, Some(plan(9, routes)), Vec::new()), at_ms(5)));
+    assert_eq!((gate.plan_version(), gate.revision()), (1, 20));
+}
+
+#[test]
+fn a_request_that_runs_at_most_once_is_sent_again_only_where_nothing_ran() {
+    for (ending, again) in [
+        (Ending::Full, true),
+        (Ending::Misdirected, true),
+        (Ending::NotSent, true),
+        (Ending::Broken, false),
+        (Ending::Failed, false),
+        (Ending::TimedOut, false),
+        (Ending::Left, false),
+    ] {
+        let mut gate = serving(Repeat::AtMostOnce);
+        let first = forwarded(gate.arrive(&arrival("/browse/1"), at_ms(1)));
+        let next = gate.ended(first.request, ending, None, at_ms(2));
+        assert_eq!(
+            matches!(next, Next::Retry(_)),
+            again,
+            "{ending:?}: {next:?}"
+        );
+        if let Next::Retry(second) = next {
+            assert_ne!(second.upstream, first.upstream);
+        }
+    }
+}
+
+#[test]
+fn only_a_request_that_did_not_run_is_given_up_as_not_run() {
+    let mut gate = serving(Repeat::AtMostOnce);
+    let first = forwarded(gate.arrive(&arrival("/browse/1"), at_ms(1)));
+    let Next::Retry(second) = gate.ended(first.request, Ending::Full, None, at_ms(2)) else {
+        panic!("a second upstream is there");
+    };
+    let next = gate.ended(second.request, Ending::Full, None, at_ms(3));
+    assert!(
+        matches!(next, Next::GiveUp(Failure::NotRun { .. })),
+        "{next:?}"
+    );
+
+    let mut gate = serving(Repeat::Idempotent);
+    let first = forwarded(gate.arrive(&arrival("/browse/1"), at_ms(1)));
+    let Next::Retry(second) = gate.ended(first.request, Ending::Broken, None, at_ms(2)) else {
+        panic!("an idempotent request goes again");
+    };
+    let next = gate.ended(second.request, Ending::Full, None, at_ms(3));
+    assert_eq!(next, Next::GiveUp(Failure::Unknown));
+}
+
+#[test]
+fn a_request_is_sent_to_no_more_upstreams_than_its_route_allows() {
+    let mut gate = serving(Repeat::Idempotent);
+    let mut target = forwarded(gate.arrive(&arrival("/browse/1"), at_ms(1)));
+    let mut attempts = 1;
+    while let Next::Retry(again) = gate.ended(target.request, Ending::Failed, None, at_ms(2)) {
+        attempts += 1;
+        target = again;
+    }
+    assert_eq!(attempts, 2);
+}
+
+#[test]
+fn repeats_stay_within_the_gateways_part_of_the_budget() {
+    let mut gate = serving(Repeat::Idempotent);
+    let (mut requests, mut repeats) = (0.0, 0.0);
+    for n in 0..1_000 {
+        let now = at_ms(n * 10);
+        let Decision::Forward(target) = gate.arrive(&arrival("/browse/1"), now) else {
+            continue;
+        };
+        requests += 1.0;
+        if let Next::Retry(again) = gate.ended(target.request, Ending::Failed, None, now) {
+            repeats += 1.0;
+            gate.ended(again.request, Ending::Failed, None, now);
+        }
+    }
+    // Four gateways share the slack of 60 over this span of 10 s.
+    assert!(
+        repeats <= 0.2 * requests + 60.0 / 4.0,
+        "{repeats} of {requests}"
+    );
+    assert!(repeats >= 10.0, "{repeats} of {requests}");
+}
+
+#[test]
+fn a_cold_upstream_gets_no_more_than_the_gateways_part_of_its_rate() {
+    let mut gate = gate();
+    let routes = vec![route(
+        "browse",
+        "/browse/",
+        Repeat::Idempotent,
+        &[("catalogue", 1_000)],
+    )];
+    let mut cold = instance("w-1", "catalogue", "east-a", 1);
+    cold.cold_until_ms = 11_000;
+    gate.followed(answer(2, Some(plan(1, routes)), vec![cold]), at_ms(0));
+    let mut sent = 0;
+    for n in 0..1_000 {
+        let now = at_ms(n * 5);
+        if let Decision::Forward(target) = gate.arrive(&arrival("/browse/1"), now) {
+            sent += 1;
+            gate.ended(target.request, Ending::Answered, None, now);
+        }
+    }
+    // Two a second over four gateways, for five seconds.
+    assert!((1..=3).contains(&sent), "{sent}");
+}
+
+#[test]
+fn a_request_that_would_be_late_everywhere_is_refused_at_once() {
+    let mut gate = serving(Repeat::Idempotent);
+    let busy = Load {
+        running: 3,
+        waiting: 9,
+        slots: 3,
+    };
+    let mut refused = None;
+    for n in 0..60 {
+        let now = at_ms(n);
+        match gate.arrive(&arrival("/browse/1"), now) {
+            Decision::Forward(target) => {
+                gate.ended(target.request, Ending::Full, Some(busy), now);
+            }
+            Decision::Refuse {
+                refusal,
+                retry_after_ms,
+            } => {
+                refused = Some(refusal);
+                assert!(retry_after_ms >= 100);
+            }
+            Decision::NoRoute => panic!("the route is there"),
+        }
+    }
+    assert_eq!(refused, Some(Refusal::Overloaded));
+}
+
+#[test]
+fn a_stopping_gateway_takes_requests_for_a_while_and_is_not_ready() {
+    let mut gate = serving(Repeat::Idempotent);
+    gate.stop(at_ms(100));
+    assert!(!gate.is_ready());
+    assert!(!gate.question().report.takes_clients);
+    forwarded(gate.arrive(&arrival("/browse/1"), at_ms(1_000)));
+    let late = gate.arrive(&arrival("/browse/1"), at_ms(4_000));
+    assert_eq!(refusal(&late), Some(Refusal::Stopping));
+}
+
+#[test]
+fn a_route_with_homes_runs_nowhere_else() {
+    let mut gate = gate();
+    let mut browse = route(
+        "browse",
+        "/browse/",
+        Repeat::Idempotent,
+        &[("catalogue", 1_000)],
+    );
+    browse.home_regions = vec![name("west")];
+    let instances = DOMAINS.iter().zip(10..).map(|((domain, _), revision)| {
+        instance(&format!("w-{domain}"), "catalogue", domain, revision)
+    });
+    let instances = instances.collect();
+    gate.followed(answer(20, Some(plan(1, vec![browse])), instances), at_ms(0));
+    for n in 0..50 {
+        let target = forwarded(gate.arrive(&arrival("/browse/1"), at_ms(n)));
+        assert!(target.upstream.as_str().starts_with("w-west"));
+        gate.ended(target.request, Ending::Answered, None, at_ms(n));
+    }
+}
+
+#[test]
+fn an_upstream_that_fails_again_and_again_is_left_alone() {
+    let mut gate = serving(Repeat::AtMostOnce);
+    let mut sent = 0;
+    for n in 0..100 {
+        let now = at_ms(n * 4);
+        let Decision::Forward(target) = gate.arrive(&arrival("/browse/1"), now) else {
+            continue;
+        };
+        let is_broken = target.upstream.as_str() == "w-east-a";
+        sent += u32::from(is_broken);
+        let ending = if is_broken {
+            Ending::Broken
+        } else {
+            Ending::Answered
+        };
+        gate.ended(target.request, ending, None, now);
+    }
+    assert!((1..=4).contains(&sent), "{sent}");
+}
+
+proptest! {
+    /// Whatever comes, each request is settled once and leaves nothing behind.
+    #[test]
+    fn every_request_ends(endings in proptest::collection::vec(0..8_u8, 1..80)) {
+        let mut gate = serving(Repeat::Idempotent);
+        let all = [
+            Ending::Answered, Ending::Failed, Ending::Full, Ending::Misdirected,
+            Ending::NotSent, Ending::Broken, Ending::TimedOut, Ending::Left,
+        ];
+        for (n, ending) in (0..).zip(&endings) {
+            let now = at_ms(n * 20);
+            if let Decision::Forward(mut target) = gate.arrive(&arrival("/browse/1"), now) {
+                let ending = all[usize::from(*ending)];
+                while let Next::Retry(again) = gate.ended(target.request, ending, None, now) {
+                    prop_assert_ne!(&again.upstream, &target.upstream);
+                    target = again;
+                }
+            }
+            prop_assert_eq!(gate.in_flight(), 0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/tests/support/mod.rs
@@ -0,0 +1,152 @@
+//! A gateway with made-up plans and instances.
+
+#![allow(dead_code)]
+
+use control::FollowAnswer;
+use gate::{Arrival, Decision, Gate, GateBounds, GateConfig, Target};
+use plan::{
+    Instance, InstanceState, Limits, Part, Plan, Repeat, Route, ServiceTerms, SteeringChanges,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use types::{DomainName, TimeUs};
+
+/// The gateway's failure domains, two in each region.
+pub const DOMAINS: [(&str, &str); 4] = [
+    ("east-a", "east"),
+    ("east-b", "east"),
+    ("west-a", "west"),
+    ("west-b", "west"),
+];
+
+pub fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a valid name")
+}
+
+pub fn gate() -> Gate {
+    let regions: BTreeMap<_, _> = DOMAINS
+        .iter()
+        .map(|(domain, region)| (name(domain), name(region)))
+        .collect();
+    let config = GateConfig {
+        name: name("10.1.0.15"),
+        address: name("10.1.0.15:8080"),
+        region: name("east"),
+        failure_domain: name("east-a"),
+        regions,
+        seeds: vec!["10.1.0.1".to_owned()],
+        bounds: GateBounds {
+            retry_ratio: 0.2,
+            retry_slack: 60.0,
+            retry_window_ms: 10_000,
+            region_shift_max: 0.15,
+            grace_ms: 6_000,
+        },
+    };
+    Gate::new(config, at_ms(0))
+}
+
+pub const fn at_ms(ms: u64) -> TimeUs {
+    TimeUs(1_000_000 + ms * 1_000)
+}
+
+pub fn route(route: &str, prefix: &str, repeat: Repeat, parts: &[(&str, i64)]) -> Route {
+    Route {
+        name: route.to_owned(),
+        host: "shop.example".to_owned(),
+        prefix: prefix.to_owned(),
+        repeat,
+        timeout_ms: 4_000,
+        target_ms: 600,
+        priority: 0,
+        parts: parts
+            .iter()
+            .map(|(service, weight_milli)| Part {
+                service: name(service),
+                weight_milli: *weight_milli,
+            })
+            .collect(),
+        attempts_max: 2,
+        sticky: false,
+        home_regions: Vec::new(),
+    }
+}
+
+pub fn plan(version: u64, routes: Vec<Route>) -> Plan {
+    let terms = |service: &str| ServiceTerms {
+        name: name(service),
+        connections_max: 100,
+        cold_milli_per_s: 2_000,
+    };
+    Plan {
+        version,
+        routes,
+        services: vec![terms("catalogue"), terms("orders")],
+        limits: Limits {
+            header_max_bytes: 16_384,
+            body_max_bytes: 1 << 20,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+    }
+}
+
+pub fn instance(id: &str, service: &str, domain: &str, revision: u64) -> Instance {
+    let port = 8_000 + u16::try_from(id.len() + revision as usize).unwrap_or_default();
+    Instance {
+        id: name(id),
+        service: name(service),
+        address: std::net::SocketAddr::from(([10, 9, 0, 1], port)),
+        failure_domain: name(domain),
+        slots: 3,
+        state: InstanceState::Ready,
+        cold_until_ms: 0,
+        born_ms: 1,
+        sequence: 1,
+        revision,
+    }
+}
+
+/// What a replica answers at a revision.
+pub fn answer(revision: u64, plan: Option<Plan>, instances: Vec<Instance>) -> FollowAnswer {
+    FollowAnswer {
+        revision,
+        clock_ms: 1_000,
+        confirmed: true,
+        members: vec!["10.1.0.1".to_owned()],
+        gateways: 4,
+        interval_ms: 400,
+        changes: SteeringChanges {
+            complete: false,
+            plan,
+            evacuated: None,
+            instances,
+        },
+    }
+}
+
+/// A replica's answer that changes the evacuated failure domains.
+pub fn evacuated(revision: u64, domains: &[&str]) -> FollowAnswer {
+    let mut answer = answer(revision, None, Vec::new());
+    let domains: BTreeSet<DomainName> = domains.iter().map(|domain| name(domain)).collect();
+    answer.changes.evacuated = Some(domains);
+    answer
+}
+
+pub fn arrival(path: &str) -> Arrival<'_> {
+    Arrival {
+        host: "shop.example",
+        path,
+        wait_ms: Some(3_000),
+        object: None,
+    }
+}
+
+pub fn forwarded(decision: Decision) -> Target {
+    match decision {
+        Decision::Forward(target) => target,
+        other => panic!("not forwarded: {other:?}"),
+    }
+}
