--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -14,22 +14,34 @@
 /// The keys of `[discovery]`.
 pub(crate) const DISCOVERY_KEYS: [&str; 3] = ["seeds", "peer_port", "founds"];
 
-/// The keys of `[bounds]`.
-pub(crate) const BOUND_KEYS: [&str; 12] = [
-    "heartbeat_s",
-    "drain_s",
-    "grace_s",
-    "apply_s",
-    "lookup_lifetime_s",
-    "retry_ratio",
-    "retry_window_s",
-    "retry_slack",
-    "cold_burst_factor",
-    "cold_slack",
-    "region_shift_max",
-    "address_reuse_s",
+/// The keys of `[bounds]` with their values where none is given, in thousandths: the values that
+/// both of today's deployments share, or the stricter one of them.
+const BOUND_DEFAULTS: [(&str, u64); 12] = [
+    ("heartbeat_s", 1_500),
+    ("drain_s", 2_000),
+    ("grace_s", 6_000),
+    ("apply_s", 2_000),
+    ("lookup_lifetime_s", 5_000),
+    ("retry_ratio", 200),
+    ("retry_window_s", 10_000),
+    ("retry_slack", 60_000),
+    ("cold_burst_factor", 1_500),
+    ("cold_slack", 5_000),
+    ("region_shift_max", 150),
+    ("address_reuse_s", 2_000),
 ];
 
+/// The keys of `[bounds]`.
+pub(crate) const BOUND_KEYS: [&str; 12] = {
+    let mut keys = [""; 12];
+    let mut index = 0;
+    while index < keys.len() {
+        keys[index] = BOUND_DEFAULTS[index].0;
+        index += 1;
+    }
+    keys
+};
+
 /// Thousandths in one.
 const MILLI: f64 = 1_000.0;
 
@@ -100,12 +112,19 @@
     Ok(regions)
 }
 
-/// A decimal number in thousandths; so seconds become milliseconds.
+/// A decimal number in thousandths, so that seconds become milliseconds; a key that is missing or
+/// empty has its default.
 fn milli(section: &Section<'_>, key: &str) -> Result<u64, SettingsError> {
-    let value: f64 = section.required(key, Expected::Decimal)?;
+    let given: Option<String> = section.optional(key, Expected::Decimal)?;
+    let Some(text) = given.filter(|text| !text.is_empty()) else {
+        let default = BOUND_DEFAULTS.iter().find(|(name, _)| *name == key);
+        return Ok(default.map_or(0, |(_, milli)| *milli));
+    };
+    let invalid = || section.invalid(key, &text, Expected::Decimal);
+    let value: f64 = text.parse().map_err(|_| invalid())?;
     let milli = (value * MILLI).round();
     if !(0.0..=MILLI_MAX).contains(&milli) {
-        return Err(section.invalid(key, &value.to_string(), Expected::Decimal));
+        return Err(invalid());
     }
     Ok(milli as u64)
 }
--- /dev/null
+++ b/crates/settings/tests/gateway.rs
@@ -0,0 +1,96 @@
+//! Settings of gateways and of deployments that find their replicas by seeds.
+
+use settings::{Interface, Settings};
+
+const GATEWAY: &str = "
+[node]
+name = 10.1.0.15
+role = gateway
+region = east
+failure_domain = east-a
+single_threaded = true
+
+[deployment]
+name = test
+failure_domains = east-a, west-a
+key_file = link.key
+
+[gateway]
+listen = 10.1.0.15:8641
+status_listen = 10.1.0.15:8640
+descriptors_max = 4100
+
+[discovery]
+seeds = 10.1.0.17:8649,10.2.0.43:8649
+peer_port = 7620
+founds = true
+
+[bounds]
+drain_s = 2.5
+retry_ratio =
+
+[regions]
+east-a = east
+west-a = west
+";
+
+fn parse(text: &str) -> Result<Settings, String> {
+    Settings::parse(text, "test.ini").map_err(|error| error.to_string())
+}
+
+#[test]
+fn a_gateway_is_read_with_its_seeds_bounds_and_regions() {
+    let settings = parse(GATEWAY).expect("the settings are whole");
+    let discovery = settings.discovery.expect("[discovery] is there");
+    assert_eq!(discovery.seeds.len(), 2);
+    assert!(discovery.founds);
+    assert_eq!(settings.regions.len(), 2);
+    assert!(settings.replicas.is_empty() && settings.node.single_threaded);
+    assert_eq!(settings.gateway.map(|it| it.descriptors_max), Some(4_100));
+}
+
+#[test]
+fn bounds_that_are_missing_or_empty_have_their_defaults() {
+    let bounds = parse(GATEWAY).expect("the settings are whole").bounds;
+    let bounds = bounds.expect("[bounds] is there");
+    assert_eq!(bounds.drain_ms, 2_500);
+    assert_eq!((bounds.retry_ratio_milli, bounds.grace_ms), (200, 6_000));
+}
+
+#[test]
+fn a_wrong_bound_seed_or_region_is_named() {
+    for (whole, wrong, named) in [
+        ("drain_s = 2.5", "drain_s = soon", "[bounds] drain_s"),
+        ("drain_s = 2.5", "drain_s = -1", "[bounds] drain_s"),
+        ("drain_s = 2.5", "drain_s = NaN", "[bounds] drain_s"),
+        ("10.2.0.43:8649", "10.2.0.43", "[discovery] seeds"),
+        ("founds = true", "founds = perhaps", "[discovery] founds"),
+        ("west-a = west", "north-a = north", "[regions] north-a"),
+        ("descriptors_max = 4100", "", "[gateway] descriptors_max"),
+    ] {
+        let text = GATEWAY.replace(whole, wrong);
+        let error = parse(&text).expect_err(wrong);
+        assert!(error.contains(named), "{error}");
+    }
+}
+
+#[test]
+fn a_gateway_needs_its_section_and_a_way_to_find_replicas() {
+    let without_gateway = GATEWAY
+        .replace("[gateway]", "[log]")
+        .replace("listen = ", "level = ");
+    assert!(parse(&without_gateway).is_err());
+    let (before, _) = GATEWAY.split_once("[discovery]").expect("it is there");
+    assert!(parse(before).is_err());
+}
+
+#[test]
+fn a_control_replica_with_seeds_needs_no_list_of_replicas() {
+    let control = "\n[control]\nlisten = 10.1.0.17:8649\nlookup_listen = 10.1.0.17:8644\n\
+                   peer_listen = 10.1.0.17:7620\ninterface = platform\ndata = /data\n";
+    let text = GATEWAY.replace("role = gateway", "role = control") + control;
+    let settings = parse(&text).expect("the settings are whole");
+    let own = settings.control.expect("[control] is there");
+    assert_eq!(own.interface, Interface::Platform);
+    assert!(own.lookup_listen.is_some() && settings.gateway.is_none());
+}
--- a/crates/settings/tests/parse.rs
+++ b/crates/settings/tests/parse.rs
@@ -37,7 +37,7 @@
     (
         "role = both",
         "role = boss",
-        "[node] role: \"boss\" is not a role (entry, control or both)",
+        "[node] role: \"boss\" is not a role (entry, control, both or gateway)",
     ),
     (
         "name = vm-1",
