Prefer upstreams of the gateway's own failure domain

Ruled out: clients that look-ups send to another failure domain (naming only those of the client's own changed nothing).

Taken: 80 ms.

--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -26,7 +26,7 @@
 const OTHERS_WEIGHT: f64 = 0.1;
 
 /// What an upstream in another failure domain costs, in microseconds.
-const DOMAIN_COST_US: f64 = 12_000.0;
+const DOMAIN_COST_US: f64 = 80_000.0;
 
 /// What a request that an upstream already has costs beside waiting, as a part of the service's
 /// time over its slots.
