Let a replica that joins learn whom it may ask for admission

A seed lost its disk and came back at 3.0 s; it asked only the other seeds, none of which led, and stayed a learner outside the group for 30 s, so that the final fault took a third disk.

Any replica now answers a request to join with the members that it knows. Test: a_replica_that_knows_only_followers_learns_whom_to_ask.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -270,11 +270,18 @@
         /// What is asked.
         body: Follow,
     },
-    /// Another replica asks to join.
+    /// Another replica asks to join; answered at once.
     Join {
+        /// Names the question in the answer.
+        join: u64,
         /// The replica, as the link authenticated it.
         from: ReplicaId,
     },
+    /// A replica that was asked for admission names the members that it knows.
+    Members {
+        /// Their names.
+        names: Vec<String>,
+    },
 }
 
 /// Something for the shell to do, in this order.
@@ -303,6 +310,13 @@
         /// The answer.
         answer: PollAnswer,
     },
+    /// The answer to a replica that asks to join: whom else it may ask.
+    JoinAnswer {
+        /// The question.
+        join: u64,
+        /// The names of the members.
+        members: Vec<String>,
+    },
     /// The answer to a gateway.
     FollowAnswer {
         /// The question.
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -14,6 +14,7 @@
 use raft::{Entry, Payload, ProposeError, Raft, Restored, Role, Snapshot, Status};
 use share::HolderId;
 use state::{Command, Operation, State};
+use std::collections::BTreeSet;
 use types::{ApiError, TimeUs};
 
 /// Names what the replica asks of its own log; no request has it.
@@ -40,6 +41,8 @@
     pub(crate) gateways: Gateways,
     pub(crate) heartbeats: Heartbeats,
     pub(crate) members_check_us: TimeUs,
+    /// The members that others named while this replica knew no leader.
+    pub(crate) named: BTreeSet<String>,
     clock: LogClock,
     pub(crate) snapshot_index: u64,
     pub(crate) leads: bool,
@@ -62,6 +65,7 @@
             gateways: Gateways::default(),
             heartbeats: Heartbeats::new(config.instance_silence_us, now_us),
             members_check_us: now_us,
+            named: BTreeSet::new(),
             clock: LogClock::new(now_us),
             config,
             snapshot_index: 0,
@@ -98,7 +102,8 @@
             }
             Input::Poll { poll, body } => self.answer_poll(poll, &body, outputs),
             Input::Follow { follow, body } => self.answer_follow(follow, &body, outputs),
-            Input::Join { from } => self.join(from, outputs),
+            Input::Join { join, from } => self.join(join, from, outputs),
+            Input::Members { names } => self.note_members(names),
         }
         self.expire(outputs);
         outputs.retain(|output| !is_own_answer(output));
--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -8,12 +8,16 @@
 use plan::{Change, Registration, Verdict};
 use raft::{ReplicaId, Role};
 use state::Operation;
+use std::collections::BTreeSet;
 use types::ApiError;
 
 /// A voter that is silent for so long gives way: to a replica that joins, or where it makes the
 /// number of voters even.
 const SILENT_VOTER_US: u64 = 2_500_000;
 
+/// The most replicas that are remembered because others named them.
+const NAMED_MAX: usize = 64;
+
 /// How often the leader looks for silent voters, in milliseconds.
 const MEMBERS_CHECK_MS: u64 = 500;
 
@@ -96,10 +100,15 @@
         }
     }
 
-    /// Admits a replica that asks to join, in the place of a silent voter where there is one.
-    pub(crate) fn join(&mut self, id: ReplicaId, outputs: &mut Vec<Output>) {
+    /// Admits a replica that asks to join, in the place of a silent voter where there is one. Any
+    /// replica names the members, since the one that joins may know none that leads.
+    pub(crate) fn join(&mut self, join: u64, id: ReplicaId, outputs: &mut Vec<Output>) {
         let status = self.raft.status();
         let membership = &status.membership;
+        outputs.push(Output::JoinAnswer {
+            join,
+            members: self.contacts().into_iter().collect(),
+        });
         let is_member = membership.voters.contains(&id) || membership.learners.contains(&id);
         if !self.leads || !self.config.learns_members || is_member {
             return;
@@ -132,6 +141,22 @@
         }
     }
 
+    /// Notes whom else this replica may ask for admission.
+    pub(crate) fn note_members(&mut self, names: Vec<String>) {
+        if self.named.len() + names.len() <= NAMED_MAX {
+            self.named.extend(names);
+        }
+    }
+
+    /// The replicas to keep links to: the members, and those that others named.
+    #[must_use]
+    pub fn contacts(&self) -> BTreeSet<String> {
+        let membership = self.raft.status().membership;
+        let members = membership.voters.iter().chain(&membership.learners);
+        let members = members.map(|id| id.name.clone());
+        members.chain(self.named.iter().cloned()).collect()
+    }
+
     /// Whether this replica should ask to be admitted: it knows no leader.
     #[must_use]
     pub fn seeks_group(&self) -> bool {
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -72,6 +72,7 @@
     pub sent: Vec<(ReplicaId, Message)>,
     pub cut: BTreeSet<ReplicaId>,
     pub follow_answers: BTreeMap<u64, FollowAnswer>,
+    pub join_answers: BTreeMap<u64, Vec<String>>,
     heartbeat_us: u64,
     learns_members: bool,
     founders: Membership,
@@ -107,6 +108,7 @@
             heartbeat_us,
             learns_members,
             follow_answers: BTreeMap::new(),
+            join_answers: BTreeMap::new(),
             replicas: BTreeMap::new(),
             disks: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -206,6 +208,9 @@
             Output::FollowAnswer { follow, answer } => {
                 self.follow_answers.insert(follow, answer);
             }
+            Output::JoinAnswer { join, members } => {
+                self.join_answers.insert(join, members);
+            }
             Output::Changed(_) => {}
             Output::Broken(error) => panic!("{replica} broke off: {error}"),
         }
--- a/crates/control/tests/steering.rs
+++ b/crates/control/tests/steering.rs
@@ -234,7 +234,7 @@
     for _ in 0..20 {
         let leader = cluster.wait_for_leader();
         let from = newcomer.clone();
-        cluster.step(&leader, Input::Join { from });
+        cluster.step(&leader, Input::Join { join: 1, from });
         cluster.run_ms(200);
     }
     let leader = cluster.wait_for_leader();
@@ -243,6 +243,25 @@
     assert!(voters.contains(&newcomer) && !voters.contains(&silent));
 }
 
+#[test]
+fn a_replica_that_knows_only_followers_learns_whom_to_ask() {
+    let mut cluster = Cluster::with_learned_members(3);
+    let leader = cluster.wait_for_leader();
+    let follower = cluster.follower();
+    let newcomer = id("control-9", 77);
+    cluster.start(&newcomer);
+    assert!(cluster.replicas[&newcomer].seeks_group());
+    let from = newcomer.clone();
+    cluster.step(&follower, Input::Join { join: 7, from });
+    let names = cluster
+        .join_answers
+        .remove(&7)
+        .expect("joins are answered at once");
+    cluster.step(&newcomer, Input::Members { names });
+    let contacts = cluster.replicas[&newcomer].contacts();
+    assert!(contacts.contains(&leader.name), "{contacts:?}");
+}
+
 #[test]
 fn a_gateway_is_named_to_clients_until_it_falls_silent() {
     let mut cluster = Cluster::new(3);
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -21,7 +21,7 @@
 };
 use tokio::sync::{oneshot, watch};
 use types::{ApiError, TimeUs};
-use wire::peer::{FollowAnswer, Frame, Join, RaftMessage, frame::Body};
+use wire::peer::{FollowAnswer, Frame, Join, JoinAnswer, RaftMessage, frame::Body};
 
 /// How often a replica that knows no leader asks to be admitted, in milliseconds.
 const JOIN_MS: u64 = 500;
@@ -156,6 +156,12 @@
             }
             Output::PollAnswer { poll, answer } => self.answer_poll(poll, &answer),
             Output::FollowAnswer { follow, answer } => self.answer_follow(follow, &answer),
+            Output::JoinAnswer { join, members } => {
+                if let Some((serial, replies)) = self.polls.remove(&join) {
+                    let body = Some(Body::JoinAnswer(JoinAnswer { members }));
+                    let _ = replies.try_send(Frame { serial, body });
+                }
+            }
             Output::Changed(status) => {
                 self.note_change(&status);
                 self.dial_members();
@@ -194,10 +200,8 @@
 
     /// Dials the members of the group and the replicas that are known from the settings.
     fn dial_members(&mut self) {
-        let membership = self.args.core.status().membership;
-        let members = membership.voters.iter().chain(&membership.learners);
-        let members = members.map(|id| id.name.clone());
-        let names: BTreeSet<String> = members.chain(self.args.known.iter().cloned()).collect();
+        let mut names: BTreeSet<String> = self.args.core.contacts();
+        names.extend(self.args.known.iter().cloned());
         if let Err(error) = self.args.replicas.follow(&names) {
             warn!(self.args.log, "a replica can't be dialed"; "error" => %error);
         }
@@ -254,7 +258,17 @@
                     name: peer.node.clone(),
                     incarnation: peer.incarnation,
                 };
-                self.step(Input::Join { from });
+                let join = self.next_request;
+                self.next_request += 1;
+                self.polls.insert(join, (frame.serial, replies));
+                self.step(Input::Join { join, from });
+                self.polls.remove(&join);
+            }
+            Some(Body::JoinAnswer(answer)) => {
+                self.step(Input::Members {
+                    names: answer.members,
+                });
+                self.dial_members();
             }
             _ => {
                 self.args.metrics.malformed_frames.inc();
