Count what a longer run at an unfamiliar upstream costs others

Cause: an upstream that does not know an object runs it three times as long and keeps the slot from requests that it could have served in time.

--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -16,6 +16,10 @@
 /// What a service's requests take before any was seen, in microseconds.
 const TIME_UNKNOWN_US: f64 = 200_000.0;
 
+/// What the longer run at an upstream that does not know an object costs others, as a part of the
+/// time that it is longer.
+const SLOT_COST: f64 = 1.0;
+
 /// How much longer than usual a request may well run.
 const RUN_SPREAD: f64 = 1.2;
 
@@ -260,7 +264,9 @@
         if upstream.is_cold(now_us) {
             run_us *= COLD_RATIO;
         }
-        let mut cost = wait_us + run_us + BUSY_COST * self.time_us * load / slots;
+        let extra_us = run_us - wish.times.run_us(true) * slowness;
+        let mut cost =
+            wait_us + run_us + SLOT_COST * extra_us + BUSY_COST * self.time_us * load / slots;
         if upstream.instance.failure_domain != *wish.domain {
             cost += DOMAIN_COST_US;
         }
