--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -114,6 +114,13 @@
         /// Its address.
         address: String,
     },
+    /// Tell what became of a request.
+    Explain {
+        /// The request.
+        request: String,
+        /// The logs; `-` is the standard input.
+        logs: Vec<PathBuf>,
+    },
 }
 
 /// A whole command line.
@@ -155,6 +162,7 @@
     prune: bool,
     dry_run: bool,
     until_in_force: bool,
+    logs: Vec<PathBuf>,
     words: Vec<String>,
 }
 
@@ -178,6 +186,7 @@
             Arg::Short('f') | Arg::Long("file") => {
                 raw.files.extend(parser.values()?.map(PathBuf::from));
             }
+            Arg::Long("log") => raw.logs.extend(parser.values()?.map(PathBuf::from)),
             Arg::Long("prune") => raw.prune = true,
             Arg::Long("dry-run") => raw.dry_run = true,
             Arg::Long("until-in-force") => raw.until_in_force = true,
@@ -200,7 +209,7 @@
 impl Raw {
     fn finish(mut self) -> Result<Args, ArgsError> {
         let command = self.command()?;
-        let needs_servers = !matches!(command, Command::Dump { .. });
+        let needs_servers = !matches!(command, Command::Dump { .. } | Command::Explain { .. });
         if needs_servers && self.servers.is_empty() {
             return Err(missing("oleanderctl", "--servers"));
         }
@@ -255,6 +264,13 @@
             "dump" => Command::Dump {
                 address: need("ADDRESS")?,
             },
+            "explain" => Command::Explain {
+                request: need("REQUEST")?,
+                logs: match self.logs.is_empty() {
+                    true => vec![PathBuf::from("-")],
+                    false => std::mem::take(&mut self.logs),
+                },
+            },
             _ => return Err(ArgsError::UnknownCommand { command: name }),
         };
         match words.next() {
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -7,6 +7,7 @@
     declarations::read_declarations,
     diff::differences,
     error::{CtlError, ExitCode},
+    explain::{explain, tell},
     replicas,
     table::Table,
     watch::{changes, status_line, until_in_force},
@@ -17,7 +18,12 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::{Value, json};
 use state::{Applied, Item, List};
-use std::{fs, io::Write, path::PathBuf, time::Duration};
+use std::{
+    fs,
+    io::{self, Write},
+    path::{Path, PathBuf},
+    time::Duration,
+};
 use tokio::time::Instant;
 use types::{ApiError, Kind, ResourceName};
 
@@ -59,6 +65,7 @@
             replicas::admit(&mut caller, name, deadline, args.json, out).await?;
         }
         Command::Dump { address } => dump(&caller, address, out).await?,
+        Command::Explain { request, logs } => explain_request(request, logs, args.json, out)?,
     }
     Ok(ExitCode::Done)
 }
@@ -74,6 +81,36 @@
     Ok(Client::new().with_token(text.lines().next().unwrap_or_default().trim()))
 }
 
+/// Tells what became of a request.
+fn explain_request(
+    request: &str,
+    logs: &[PathBuf],
+    json: bool,
+    out: &mut dyn Write,
+) -> Result<(), CtlError> {
+    let texts = logs
+        .iter()
+        .map(|path| read_log(path))
+        .collect::<Result<Vec<String>, _>>()?;
+    let story = explain(request, texts.iter().flat_map(|text| text.lines()))?;
+    match json {
+        true => writeln!(out, "{}", serde_json::to_string_pretty(&story)?)?,
+        false => write!(out, "{}", tell(&story))?,
+    }
+    Ok(())
+}
+
+fn read_log(path: &Path) -> Result<String, CtlError> {
+    let read = match path.as_os_str() == "-" {
+        true => io::read_to_string(io::stdin()),
+        false => fs::read_to_string(path),
+    };
+    read.map_err(|error| CtlError::Log {
+        path: path.to_owned(),
+        error,
+    })
+}
+
 async fn dump(caller: &Caller, address: &str, out: &mut dyn Write) -> Result<(), CtlError> {
     let sent = caller
         .client()
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -1,6 +1,8 @@
 //! What can go wrong, and the exit code that tells it.
 
-use crate::{args::ArgsError, client::ClientError, declarations::DeclarationsError};
+use crate::{
+    args::ArgsError, client::ClientError, declarations::DeclarationsError, explain::NoSuchRequest,
+};
 use std::{io, path::PathBuf};
 use thiserror::Error;
 use types::{ApiError, InvalidName};
@@ -74,6 +76,17 @@
         /// What went wrong.
         error: io::Error,
     },
+    /// A log can't be read.
+    #[error("{path}: {error}")]
+    Log {
+        /// Its path.
+        path: PathBuf,
+        /// What went wrong.
+        error: io::Error,
+    },
+    /// No log names the request.
+    #[error(transparent)]
+    NoSuchRequest(#[from] NoSuchRequest),
     /// No reachable replica has this name and waits to be admitted.
     #[error("no reachable replica named {name} waits to be admitted")]
     NoLearner {
@@ -99,14 +112,17 @@
     #[must_use]
     pub fn exit_code(&self) -> ExitCode {
         match self {
-            Self::Args(_) | Self::Declarations(_) | Self::Name(_) | Self::TokenFile { .. } => {
-                ExitCode::Usage
-            }
+            Self::Args(_)
+            | Self::Declarations(_)
+            | Self::Name(_)
+            | Self::TokenFile { .. }
+            | Self::Log { .. } => ExitCode::Usage,
             Self::Api(error) => api_exit_code(error),
             Self::Unsettled { error, .. } => error.exit_code(),
             Self::Unreachable(_) => ExitCode::Unreachable,
             Self::NotInForce { .. } => ExitCode::NotInForce,
             Self::Dump { .. }
+            | Self::NoSuchRequest(_)
             | Self::NoLearner { .. }
             | Self::NotVoting { .. }
             | Self::Answer(_)
--- a/crates/ctl/src/help.rs
+++ b/crates/ctl/src/help.rs
@@ -16,6 +16,7 @@
   replicas                                show each control replica's view of the replicas
   admit NAME                              admit a replica that lost its disk; wait until it votes
   dump ADDRESS                            print the state of the process at ADDRESS
+  explain REQUEST [--log FILE...]         tell what became of a request, from JSON logs
 
 options:
   --servers A,B,C     HTTP addresses of the control replicas
@@ -24,6 +25,7 @@
   --timeout SECONDS   give up after this time; 15, and 60 for watch --until-in-force
   --request-id ID     id of the change; a resend with the same id gets the first answer again
   -f, --file PATH     a TOML file or a folder of *.toml files; may be repeated
+  --log FILE...       JSON logs of processes; - or none is the standard input
   --prune             withdraw resources that the files don't declare
   --dry-run           answer what would change, and change nothing
   -h, --help          print this text
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -7,6 +7,7 @@
 mod declarations;
 mod diff;
 mod error;
+mod explain;
 mod help;
 mod replicas;
 mod table;
@@ -20,6 +21,7 @@
     declarations::{DeclarationsError, parse_declarations, read_declarations},
     diff::{Difference, differences},
     error::{CtlError, ExitCode},
+    explain::{NoSuchRequest, Record, Story, explain, tell},
     help::HELP,
     table::Table,
     watch::{Progress, progress},
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -1,7 +1,7 @@
 //! The task that owns a gateway's core.
 
 use crate::{clock::Clock, gateway::metrics::GatewayMetrics, replicas::ReplicaLinks};
-use gate::{Arrival, Decision, Ending, Gate, Load, Next};
+use gate::{Arrival, Belief, Decision, Ending, Gate, Load, Next};
 use kameo::{
     Actor, Reply,
     actor::ActorRef,
@@ -149,6 +149,31 @@
         self.followed = names;
     }
 
+    /// Writes a line for each change of what the gateway believes.
+    fn log_beliefs(&mut self) {
+        for belief in self.args.core.take_beliefs() {
+            match belief {
+                Belief::Instance {
+                    upstream,
+                    state,
+                    cold_ms,
+                    revision,
+                } => info!(self.args.log, "upstream changed";
+                    "upstream" => upstream.as_str(),
+                    "state" => %state,
+                    "cold_ms" => cold_ms,
+                    "revision" => revision),
+                Belief::Paused { upstream, ending } => info!(self.args.log, "upstream paused";
+                    "upstream" => upstream.as_str(), "ending" => ending.as_str()),
+                Belief::Evacuated { domains } => {
+                    let domains: Vec<&str> = domains.iter().map(|it| it.as_str()).collect();
+                    info!(self.args.log, "evacuations changed";
+                        "domains" => domains.join(","));
+                }
+            }
+        }
+    }
+
     fn take_answer(&mut self, answer_json: &[u8]) {
         let answer = match serde_json::from_slice(answer_json) {
             Ok(answer) => answer,
@@ -160,6 +185,7 @@
         let now_us = self.args.clock.now_us();
         let before = self.args.core.plan_version();
         let changed = self.args.core.followed(answer, now_us);
+        self.log_beliefs();
         let core = &self.args.core;
         if !changed {
             return;
@@ -227,7 +253,9 @@
         self.args.metrics.count_ended(ended.ending);
         let now_us = self.args.clock.now_us();
         let core = &mut self.args.core;
-        Follows(core.ended(ended.request, ended.ending, ended.load, now_us))
+        let next = core.ended(ended.request, ended.ending, ended.load, now_us);
+        self.log_beliefs();
+        Follows(next)
     }
 }
 
--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -9,7 +9,7 @@
     },
     http::{Body, json, metrics, read_body, strip_connection_headers, with_body},
 };
-use gate::{Decision, Ending, Failure, Load, Next, Refusal, Target};
+use gate::{Busy, Decision, Ending, Failure, Load, Next, Refusal, Target};
 use hyper::{
     Request, Response, StatusCode, Uri,
     body::Incoming,
@@ -112,7 +112,11 @@
             Decision::Refuse {
                 refusal,
                 retry_after_ms,
-            } => return self.refuse(&head.headers, refusal, retry_after_ms),
+                best,
+            } => {
+                self.log_refusal(&head.headers, refusal, retry_after_ms, best.as_ref());
+                return refused(retry_after_ms);
+            }
             Decision::Forward(target) => target,
         };
         strip_connection_headers(&mut head.headers);
@@ -131,46 +135,59 @@
             actor: self.actor.clone(),
             request: Some(target.request),
         };
-        loop {
+        let mut failed = false;
+        let response = loop {
             let outcome = self.attempts.make(call, &target).await;
             let next = in_flight.end(outcome.ending, outcome.load).await;
             if outcome.ending != Ending::Answered {
+                failed = true;
                 self.log_attempt(call, &target, outcome.ending, came_us);
             }
             match (next, outcome.response) {
-                (Next::Deliver, Some(response)) => {
-                    let taken_us = self.clock.now_us().since_us(came_us);
-                    self.metrics.answered_s.observe(taken_us as f64 / 1e6);
-                    return response;
-                }
+                (Next::Deliver, Some(response)) => break response,
                 (Next::Retry(again), _) => {
                     self.metrics.repeats.inc();
                     in_flight.request = Some(again.request);
                     target = again;
                 }
                 (Next::GiveUp(Failure::NotRun { retry_after_ms }), _) => {
-                    return refused(retry_after_ms);
+                    break refused(retry_after_ms);
                 }
-                (Next::GiveUp(Failure::TimedOut), _) => return status(StatusCode::GATEWAY_TIMEOUT),
+                (Next::GiveUp(Failure::TimedOut), _) => break status(StatusCode::GATEWAY_TIMEOUT),
                 (Next::GiveUp(Failure::Unknown) | Next::Deliver, _) => {
-                    return status(StatusCode::BAD_GATEWAY);
+                    break status(StatusCode::BAD_GATEWAY);
                 }
             }
+        };
+        let taken_us = self.clock.now_us().since_us(came_us);
+        if response.status().is_success() {
+            self.metrics.answered_s.observe(taken_us as f64 / 1e6);
         }
+        if failed {
+            info!(self.log, "request ended";
+                "request" => request_name(&call.headers),
+                "status" => response.status().as_u16(),
+                "attempts" => target.attempt,
+                "elapsed_ms" => taken_us / 1_000);
+        }
+        response
     }
 
-    fn refuse(
+    fn log_refusal(
         &self,
         headers: &hyper::HeaderMap,
         refusal: Refusal,
         retry_after_ms: u64,
-    ) -> Response<Body> {
+        best: Option<&Busy>,
+    ) {
         self.metrics.count_refused(refusal);
         info!(self.log, "request refused";
             "request" => request_name(headers),
             "cause" => refusal.as_str(),
-            "retry_after_ms" => retry_after_ms);
-        refused(retry_after_ms)
+            "retry_after_ms" => retry_after_ms,
+            "upstream" => best.map(|best| best.upstream.to_string()),
+            "wait_ms" => best.map(|best| best.wait_ms),
+            "wait_max_ms" => best.map(|best| best.wait_max_ms));
     }
 
     fn log_attempt(&self, call: &Call, target: &Target, ending: Ending, came_us: TimeUs) {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -126,13 +126,12 @@
         return std::future::pending().await;
     };
     loop {
-        match replica {
-            Some(running) => match (running.broken().await, &settings.discovery) {
+        if let Some(running) = replica {
+            match (running.broken().await, &settings.discovery) {
                 (Broken::Unreadable, _) => return,
                 (Broken::Storage, None) => return std::future::pending().await,
                 (Broken::Storage, Some(_)) => {}
-            },
-            None => {}
+            }
         }
         if let Some(failed) = replica.take() {
             failed.stop().await;
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -1,7 +1,8 @@
 //! What goes into a gateway's core and what comes out of it.
 
+use plan::InstanceState;
 use std::net::SocketAddr;
-use types::{TimeUs, UpstreamName};
+use types::{DomainName, TimeUs, UpstreamName};
 
 /// A client's request, as far as decisions need it.
 #[derive(Clone, Copy, Debug)]
@@ -16,6 +17,34 @@
     pub object: Option<u64>,
 }
 
+/// A change of what a gateway believes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Belief {
+    /// An instance registered, changed, or left.
+    Instance {
+        /// The instance.
+        upstream: UpstreamName,
+        /// Its state.
+        state: InstanceState,
+        /// For how much longer it is cold.
+        cold_ms: u64,
+        /// The index of the log that says so.
+        revision: u64,
+    },
+    /// Failures keep an upstream from getting work for a while.
+    Paused {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// How the last attempt ended.
+        ending: Ending,
+    },
+    /// The evacuated failure domains changed.
+    Evacuated {
+        /// All of them.
+        domains: Vec<DomainName>,
+    },
+}
+
 /// Where an attempt goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
@@ -62,6 +91,17 @@
     }
 }
 
+/// The least busy upstream of a request that is refused for want of room.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Busy {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// How long the request would wait there.
+    pub wait_ms: u64,
+    /// How long it may wait.
+    pub wait_max_ms: u64,
+}
+
 /// What becomes of a request that came.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -73,6 +113,8 @@
         refusal: Refusal,
         /// When the client may come back.
         retry_after_ms: u64,
+        /// The upstream that would have been the best, where one was too busy.
+        best: Option<Busy>,
     },
     /// It goes to an upstream.
     Forward(Target),
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -1,8 +1,8 @@
 //! The core of a gateway.
 
 use crate::{
-    config::GateConfig, follow::Followed, requests::Flight, service::Service, split::Split,
-    times::RunTimes, upstream::Upstream,
+    api::Belief, config::GateConfig, follow::Followed, requests::Flight, service::Service,
+    split::Split, times::RunTimes, upstream::Upstream,
 };
 use control::{Follow, FollowAnswer, GatewayReport};
 use plan::{Instance, Plan, RouteTable, ServiceTerms};
@@ -33,6 +33,7 @@
     pub(crate) flights: HashMap<u64, Flight>,
     pub(crate) next_request: u64,
     regions_us: TimeUs,
+    pub(crate) beliefs: Vec<Belief>,
     /// Set while the gateway stops: it takes new requests until then.
     pub(crate) takes_until_us: Option<TimeUs>,
 }
@@ -57,6 +58,7 @@
             flights: HashMap::new(),
             next_request: 1,
             regions_us: now_us,
+            beliefs: Vec::new(),
             takes_until_us: None,
         }
     }
@@ -91,6 +93,11 @@
         self.revision
     }
 
+    /// Takes the changes of what it believes since the last call.
+    pub fn take_beliefs(&mut self) -> Vec<Belief> {
+        std::mem::take(&mut self.beliefs)
+    }
+
     /// Begins to stop: clients are sent away, and new requests are taken only for a while.
     pub fn stop(&mut self, now_us: TimeUs) {
         let takes_ms = self.config.bounds.grace_ms as f64 * STOP_TAKES_PART;
@@ -148,6 +155,10 @@
             self.keep_only(&changes.instances);
         }
         if let Some(evacuated) = changes.evacuated {
+            if evacuated != self.evacuated {
+                let domains = evacuated.iter().cloned().collect();
+                self.beliefs.push(Belief::Evacuated { domains });
+            }
             self.evacuated = evacuated;
         }
         for instance in changes.instances {
@@ -178,6 +189,12 @@
     fn take_instance(&mut self, instance: Instance, clock_ms: u64, now_us: TimeUs) {
         let cold_ms = instance.cold_until_ms.saturating_sub(clock_ms);
         let cold_until_us = now_us.after_ms(cold_ms);
+        self.beliefs.push(Belief::Instance {
+            upstream: instance.id.clone(),
+            state: instance.state,
+            cold_ms,
+            revision: instance.revision,
+        });
         let region = self.region_of(&instance.failure_domain);
         let known = self
             .services
@@ -211,7 +228,7 @@
         }
     }
 
-    fn service(&mut self, name: &ServiceName, now_us: TimeUs) -> &mut Service {
+    pub(crate) fn service(&mut self, name: &ServiceName, now_us: TimeUs) -> &mut Service {
         let cold_per_s = self.cold_per_s.get(name).copied().unwrap_or_default();
         let own_region = &self.config.region;
         self.services
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -16,7 +16,7 @@
 mod upstream;
 
 pub use crate::{
-    api::{Arrival, Decision, Ending, Failure, Load, Next, Refusal, Target},
+    api::{Arrival, Belief, Busy, Decision, Ending, Failure, Load, Next, Refusal, Target},
     config::{GateBounds, GateConfig},
     gate::Gate,
 };
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -1,7 +1,7 @@
 //! What becomes of requests: admission, repeats, ends.
 
 use crate::{
-    api::{Arrival, Decision, Ending, Failure, Load, Next, Refusal, Target},
+    api::{Arrival, Belief, Busy, Decision, Ending, Failure, Load, Next, Refusal, Target},
     gate::Gate,
     service::{Choice, Wish},
     split::Split,
@@ -171,7 +171,16 @@
         if choice.wait_us > wait_max_us {
             let over_ms = ((choice.wait_us - wait_max_us) / 1e3) as u64;
             let retry_after_ms = over_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
-            return refuse(Refusal::Overloaded, retry_after_ms);
+            let best = service.upstreams[choice.index].instance.id.clone();
+            return Decision::Refuse {
+                refusal: Refusal::Overloaded,
+                retry_after_ms,
+                best: Some(Busy {
+                    upstream: best,
+                    wait_ms: (choice.wait_us / 1e3) as u64,
+                    wait_max_ms: (wait_max_us / 1e3) as u64,
+                }),
+            };
         }
         let request = self.next_request;
         self.next_request += 1;
@@ -201,8 +210,7 @@
     }
 
     fn send(&mut self, request: u64, mut flight: Flight, choice: Choice, now_us: TimeUs) -> Target {
-        let service = self.services.get_mut(&flight.service);
-        let service = service.expect("a choice was made among the service's upstreams");
+        let service = self.service(&flight.service.clone(), now_us);
         flight.runs_at_once = service.has_free_slot(choice.index, now_us);
         service.send(choice.index, flight.object, now_us);
         let instance = &service.upstreams[choice.index].instance;
@@ -234,7 +242,10 @@
         };
         let upstream = &mut service.upstreams[index];
         upstream.own = upstream.own.saturating_sub(1);
-        upstream.note_ending(ending, now_us);
+        if upstream.note_ending(ending, now_us) {
+            let upstream = id.clone();
+            self.beliefs.push(Belief::Paused { upstream, ending });
+        }
         if let Some(load) = load {
             service.note_load(index, load, now_us);
         }
@@ -254,5 +265,6 @@
     Decision::Refuse {
         refusal,
         retry_after_ms,
+        best: None,
     }
 }
--- a/crates/gate/src/upstream.rs
+++ b/crates/gate/src/upstream.rs
@@ -148,8 +148,9 @@
         self.objects.push_back(object);
     }
 
-    /// Notes how an attempt ended.
-    pub(crate) fn note_ending(&mut self, ending: Ending, now_us: TimeUs) {
+    /// Notes how an attempt ended; whether the upstream gets no work for a while because of it.
+    pub(crate) fn note_ending(&mut self, ending: Ending, now_us: TimeUs) -> bool {
+        let paused_until_us = self.paused_until_us;
         match ending {
             Ending::Answered => {
                 self.failing -= FAILURE_WEIGHT * self.failing;
@@ -167,6 +168,7 @@
             Ending::Misdirected => self.pause(now_us),
             Ending::Full | Ending::Left => {}
         }
+        self.paused_until_us != paused_until_us
     }
 
     fn pause(&mut self, now_us: TimeUs) {
--- a/crates/gate/tests/requests.rs
+++ b/crates/gate/tests/requests.rs
@@ -248,7 +248,10 @@
             Decision::Refuse {
                 refusal,
                 retry_after_ms,
+                best,
             } => {
+                let best = best.expect("the best upstream is too busy");
+                assert!(best.wait_ms > best.wait_max_ms);
                 refused = Some(refusal);
                 assert!(retry_after_ms >= 100);
             }
