--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -27,7 +27,7 @@
 const WAIT_PART_STEP: f64 = 0.1;
 
 /// A request waits for at least this part of its target, however long it runs.
-const WAIT_PART_MIN: f64 = 0.6;
+const WAIT_PART_MIN: f64 = 1.0;
 
 /// A request in flight.
 #[derive(Debug)]
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -139,7 +139,7 @@
             None => true,
         };
         let candidates: Vec<usize> = usable.iter().copied().filter(in_region).collect();
-        let firsts = self.firsts(&candidates, wish.object);
+        let firsts = self.firsts(&candidates, wish);
         let cost = |index: usize| self.rate(index, wish, &firsts, now_us);
         candidates
             .iter()
@@ -227,17 +227,23 @@
         }
     }
 
-    /// The upstreams that an object's requests go to first, one in each failure domain; every
-    /// gateway names the same ones.
-    fn firsts(&self, candidates: &[usize], object: Option<u64>) -> Vec<usize> {
-        let Some(object) = object else {
+    /// The upstreams that an object's requests go to first, one in each failure domain, or in each
+    /// region where a run at an upstream that doesn't know the object takes too long; every gateway
+    /// names the same ones.
+    fn firsts(&self, candidates: &[usize], wish: Wish<'_>) -> Vec<usize> {
+        let Some(object) = wish.object else {
             return Vec::new();
         };
-        let mut firsts: BTreeMap<&DomainName, (u64, usize)> = BTreeMap::new();
+        let is_tight = wish.times.run_us(false) * RUN_SPREAD > wish.left_us;
+        let mut firsts: BTreeMap<&str, (u64, usize)> = BTreeMap::new();
         for index in candidates {
-            let instance = &self.upstreams[*index].instance;
-            let ranked = (rank(&instance.id, object), *index);
-            let first = firsts.entry(&instance.failure_domain).or_insert(ranked);
+            let upstream = &self.upstreams[*index];
+            let ranked = (rank(&upstream.instance.id, object), *index);
+            let place = match is_tight {
+                true => upstream.region.as_str(),
+                false => upstream.instance.failure_domain.as_str(),
+            };
+            let first = firsts.entry(place).or_insert(ranked);
             *first = ranked.max(*first);
         }
         firsts.into_values().map(|(_, index)| index).collect()
