Let an object have one first upstream in a region where an unfamiliar run can't be in time

Cause: with one first upstream in each failure domain, each domain learns each object by itself, and an upstream of a small domain is first for more objects than it remembers. Where a run at an upstream that doesn't know the object is longer than the route's target, that costs more than the bytes between failure domains.

--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -84,6 +84,7 @@
             domain,
             times,
             left_us: self.deadline_us.since_us(now_us) as f64,
+            target_us: self.target_us as f64,
         }
     }
 
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -61,6 +61,8 @@
     pub(crate) times: RunTimes,
     /// How long the request may still take.
     pub(crate) left_us: f64,
+    /// How long it may take to be worth most.
+    pub(crate) target_us: f64,
 }
 
 /// A chosen upstream.
@@ -234,7 +236,7 @@
         let Some(object) = wish.object else {
             return Vec::new();
         };
-        let is_tight = wish.times.run_us(false) * RUN_SPREAD > wish.left_us;
+        let is_tight = wish.times.run_us(false) > wish.target_us;
         let mut firsts: BTreeMap<&str, (u64, usize)> = BTreeMap::new();
         for index in candidates {
             let upstream = &self.upstreams[*index];
