--- /dev/null
+++ b/crates/gate/tests/choice.rs
@@ -0,0 +1,116 @@
+//! Which upstream a request goes to.
+
+mod support;
+
+use gate::{Arrival, Decision, Ending, Gate, Load};
+use plan::Repeat;
+use std::collections::BTreeSet;
+use support::{answer, arrival, at_ms, forwarded, gate, gate_in, instance, plan, route};
+
+/// Two upstreams in each failure domain of the east, and a sticky route with a target.
+fn sticky(mut gate: Gate, target_ms: u64) -> Gate {
+    let mut browse = route(
+        "browse",
+        "/browse/",
+        Repeat::Idempotent,
+        &[("catalogue", 1_000)],
+    );
+    browse.sticky = true;
+    browse.target_ms = target_ms;
+    let upstreams = [
+        ("w-1", "east-a"),
+        ("w-22", "east-a"),
+        ("w-333", "east-b"),
+        ("w-4444", "east-b"),
+    ];
+    let instances = upstreams.iter().zip(10..);
+    let instances =
+        instances.map(|((id, domain), revision)| instance(id, "catalogue", domain, revision));
+    let instances = instances.collect();
+    gate.followed(answer(20, Some(plan(1, vec![browse])), instances), at_ms(0));
+    gate
+}
+
+fn chosen(gate: &mut Gate, object: u64, ms: u64) -> String {
+    let arrival = Arrival {
+        object: Some(object),
+        ..arrival("/browse/1")
+    };
+    let target = forwarded(gate.arrive(&arrival, at_ms(ms)));
+    gate.ended(target.request, Ending::Answered, None, at_ms(ms + 300));
+    target.upstream.to_string()
+}
+
+#[test]
+fn gateways_of_a_region_send_an_object_to_the_same_upstream() {
+    let mut one = sticky(gate(), 600);
+    let mut other = sticky(gate_in("east-b"), 600);
+    let mut used = BTreeSet::new();
+    for object in 0..24 {
+        let first = chosen(&mut one, object, 400 * object);
+        assert_eq!(chosen(&mut other, object, 400 * object), first);
+        assert_eq!(chosen(&mut one, object, 400 * object + 1), first);
+        used.insert(first);
+    }
+    assert_eq!(used.len(), 4, "objects are spread over all upstreams");
+}
+
+#[test]
+fn a_request_waits_up_to_its_target_before_it_is_refused() {
+    let mut gate = gate();
+    let routes = vec![route(
+        "browse",
+        "/browse/",
+        Repeat::Idempotent,
+        &[("catalogue", 1_000)],
+    )];
+    let upstream = instance("w-1", "catalogue", "east-a", 1);
+    gate.followed(answer(2, Some(plan(1, routes)), vec![upstream]), at_ms(0));
+    let report = |gate: &mut Gate, waiting: u32, ms: u64| {
+        let load = Load {
+            running: 3,
+            waiting,
+            slots: 3,
+        };
+        let target = forwarded(gate.arrive(&arrival("/browse/1"), at_ms(ms)));
+        gate.ended(target.request, Ending::Left, Some(load), at_ms(ms));
+    };
+    // Each run takes 0.2 s before any was seen, so that three runs wait about as long as one run.
+    report(&mut gate, 5, 10);
+    assert!(matches!(
+        gate.arrive(&arrival("/browse/1"), at_ms(11)),
+        Decision::Forward(_)
+    ));
+    report(&mut gate, 12, 12);
+    let decision = gate.arrive(&arrival("/browse/1"), at_ms(13));
+    assert!(matches!(decision, Decision::Refuse { .. }), "{decision:?}");
+}
+
+/// A region with a sixth of the slots: its gateways keep a third of their requests, as long as
+/// nothing else is known, also after a time without requests.
+#[test]
+fn the_shares_of_regions_rest_while_nothing_is_asked() {
+    let mut gate = gate();
+    let routes = vec![route(
+        "browse",
+        "/browse/",
+        Repeat::Idempotent,
+        &[("catalogue", 1_000)],
+    )];
+    let mut instances = vec![instance("w-1", "catalogue", "east-a", 1)];
+    for n in 2..7 {
+        let id = format!("w-{}", "2".repeat(n));
+        instances.push(instance(&id, "catalogue", "west-a", n as u64));
+    }
+    gate.followed(answer(9, Some(plan(1, routes)), instances), at_ms(0));
+    for ms in (0..8_000).step_by(50) {
+        gate.tick(at_ms(ms));
+    }
+    let mut home = 0;
+    for n in 0..30 {
+        let target = forwarded(gate.arrive(&arrival("/browse/1"), at_ms(8_000 + n)));
+        home += u32::from(target.upstream.as_str() == "w-1");
+        gate.ended(target.request, Ending::Answered, None, at_ms(8_000 + n));
+    }
+    assert!((8..=12).contains(&home), "{home} of 30");
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -25,7 +25,13 @@
     text.parse().expect("a valid name")
 }
 
+/// A gateway in the failure domain east-a.
 pub fn gate() -> Gate {
+    gate_in("east-a")
+}
+
+/// A gateway in a failure domain of the east.
+pub fn gate_in(domain: &str) -> Gate {
     let regions: BTreeMap<_, _> = DOMAINS
         .iter()
         .map(|(domain, region)| (name(domain), name(region)))
@@ -34,7 +40,7 @@
         name: name("10.1.0.15"),
         address: name("10.1.0.15:8080"),
         region: name("east"),
-        failure_domain: name("east-a"),
+        failure_domain: name(domain),
         regions,
         seeds: vec!["10.1.0.1".to_owned()],
         bounds: GateBounds {
