Hand large changes to a gateway from one replica only

Each gateway asks five replicas in turn, and each answered with the whole plan until one answer had come, over a link of 5 Mbit/s, for each of the changes that followed. Ruled out: processor time (0.017 of a core at most) and the core, which was stable then.

A replica now holds plans and changes of more than 16 instances back and says that there is something newer; the gateway asks one replica for it. Test: large_changes_are_fetched_from_one_replica.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -203,13 +203,17 @@
     pub report: GatewayReport,
     /// The index up to which it knows the changes.
     pub revision: u64,
+    /// Whether it wants large changes too; it asks one replica for them.
+    pub wants_large: bool,
 }
 
 /// The answer to a [`Follow`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct FollowAnswer {
-    /// The index that `changes` lead to.
+    /// The index of the latest change that the replica knows.
+    pub newest: u64,
+    /// The index that `changes` lead to; the gateway's own while large changes are held back.
     pub revision: u64,
     /// The log's clock.
     pub clock_ms: u64,
--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -5,7 +5,7 @@
     core::{Control, OWN_REQUEST},
     gateways::follow_interval_ms,
 };
-use plan::{Change, Registration, Verdict};
+use plan::{Change, Registration, SteeringChanges, Verdict};
 use raft::{ReplicaId, Role};
 use state::Operation;
 use std::collections::BTreeSet;
@@ -18,6 +18,10 @@
 /// The most replicas that are remembered because others named them.
 const NAMED_MAX: usize = 64;
 
+/// Changes of more instances than this are large, as is a plan: a gateway with a thin link gets them
+/// from one replica only.
+const SMALL_INSTANCES: usize = 16;
+
 /// How often the leader looks for silent voters, in milliseconds.
 const MEMBERS_CHECK_MS: u64 = 500;
 
@@ -27,19 +31,27 @@
         self.gateways.expire(self.now_us);
         self.gateways.note(&body.gateway, &body.report, self.now_us);
         let steering = self.state.steering();
+        let mut changes = steering.changes_since(body.revision);
+        let is_large = changes.plan.is_some() || changes.instances.len() > SMALL_INSTANCES;
+        let mut revision = steering.revision();
+        if is_large && !body.wants_large {
+            changes = SteeringChanges::default();
+            revision = body.revision;
+        }
         let status = self.raft.status();
         let voters = status.membership.voters.iter();
         let members = voters.chain(&status.membership.learners);
         outputs.push(Output::FollowAnswer {
             follow,
             answer: FollowAnswer {
-                revision: steering.revision(),
+                newest: steering.revision(),
+                revision,
                 clock_ms: self.log_clock_ms(),
                 confirmed: status.leader.is_some(),
                 members: members.map(|id| id.name.clone()).collect(),
                 gateways: self.gateways.len(),
                 interval_ms: follow_interval_ms(self.gateways.len()),
-                changes: steering.changes_since(body.revision),
+                changes,
             },
         });
     }
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -321,6 +321,7 @@
                 takes_clients: true,
             },
             revision,
+            wants_large: true,
         };
         self.step(replica, Input::Follow { follow, body });
         let answer = self.follow_answers.remove(&follow);
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -120,18 +120,12 @@
         let now_us = self.args.clock.now_us();
         let due = self.args.core.tick(now_us);
         self.dial_replicas();
-        if due.is_empty() {
-            return;
-        }
-        let Ok(question_json) = serde_json::to_vec(&self.args.core.question()) else {
-            warn!(
-                self.args.log,
-                "a question for the replicas can't be encoded"
-            );
-            return;
-        };
         for replica in due {
-            let question_json = question_json.clone();
+            let question = self.args.core.question(&replica);
+            let Ok(question_json) = serde_json::to_vec(&question) else {
+                warn!(self.args.log, "a question for a replica can't be encoded");
+                continue;
+            };
             let body = Some(Body::Follow(Follow { question_json }));
             self.args.links.send(&replica, Frame { serial: 0, body });
         }
@@ -174,7 +168,7 @@
         }
     }
 
-    fn take_answer(&mut self, answer_json: &[u8]) {
+    fn take_answer(&mut self, replica: &str, answer_json: &[u8]) {
         let answer = match serde_json::from_slice(answer_json) {
             Ok(answer) => answer,
             Err(error) => {
@@ -184,7 +178,7 @@
         };
         let now_us = self.args.clock.now_us();
         let before = self.args.core.plan_version();
-        let changed = self.args.core.followed(answer, now_us);
+        let changed = self.args.core.followed(replica, answer, now_us);
         self.log_beliefs();
         let core = &self.args.core;
         if !changed {
@@ -216,9 +210,10 @@
 
     async fn handle(&mut self, Linked(event): Linked, _: &mut Context<Self, Self::Reply>) {
         match event {
-            Event::Frame { frame, .. } => {
+            Event::Frame { peer, frame, .. } => {
                 if let Some(Body::FollowAnswer(answer)) = frame.body {
-                    self.take_answer(&answer.answer_json);
+                    self.take_answer(&peer.node, &answer.answer_json);
+                    self.ask_replicas();
                 }
             }
             Event::Up { peer, .. } => {
--- a/crates/gate/src/follow.rs
+++ b/crates/gate/src/follow.rs
@@ -9,6 +9,10 @@
 /// The period of questions before a plan has come, in milliseconds.
 const FIRST_INTERVAL_MS: u64 = 100;
 
+/// A replica that does not answer with large changes for so long is given up for another, in
+/// milliseconds; a plan of a few hundred kilobytes takes half of it over a link of 5 Mbit/s.
+const FETCH_MS: u64 = 1_000;
+
 /// A replica that no answer names as a member is asked for so long, in milliseconds.
 const FORGET_MS: u64 = 10_000;
 
@@ -24,6 +28,8 @@
 pub(crate) struct Followed {
     replicas: BTreeMap<String, Replica>,
     interval_ms: u64,
+    /// The replica that is asked for large changes, and until when its answer is waited for.
+    fetch: Option<(String, TimeUs)>,
 }
 
 impl Followed {
@@ -31,6 +37,7 @@
         let mut followed = Self {
             replicas: BTreeMap::new(),
             interval_ms: INTERVAL_MS,
+            fetch: None,
         };
         followed.reseed(seeds, now_us);
         followed
@@ -86,6 +93,28 @@
         due.into_iter().map(|(name, _)| name.clone()).collect()
     }
 
+    /// Asks one replica for large changes at once, unless another is being asked.
+    pub(crate) fn fetch(&mut self, replica: &str, now_us: TimeUs) {
+        let is_waiting = |(_, until_us): &(String, TimeUs)| !until_us.reached(now_us);
+        if self.fetch.as_ref().is_some_and(is_waiting) {
+            return;
+        }
+        if let Some(asked) = self.replicas.get_mut(replica) {
+            asked.ask_us = now_us;
+            self.fetch = Some((replica.to_owned(), now_us.after_ms(FETCH_MS)));
+        }
+    }
+
+    /// Notes that large changes have come.
+    pub(crate) fn fetched(&mut self) {
+        self.fetch = None;
+    }
+
+    /// Whether a replica is the one to ask for large changes.
+    pub(crate) fn is_fetching_from(&self, replica: &str) -> bool {
+        self.fetch.as_ref().is_some_and(|(name, _)| name == replica)
+    }
+
     /// Lets every replica be asked at once.
     pub(crate) fn ask_all(&mut self, now_us: TimeUs) {
         self.replicas
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -126,7 +126,7 @@
 
     /// The question for a replica.
     #[must_use]
-    pub fn question(&self) -> Follow {
+    pub fn question(&self, replica: &str) -> Follow {
         Follow {
             gateway: self.config.name.clone(),
             report: GatewayReport {
@@ -136,19 +136,24 @@
                 takes_clients: self.is_ready(),
             },
             revision: self.revision,
+            wants_large: self.followed.is_fetching_from(replica),
         }
     }
 
     /// Takes a replica's answer; whether it changed anything.
-    pub fn followed(&mut self, answer: FollowAnswer, now_us: TimeUs) -> bool {
+    pub fn followed(&mut self, replica: &str, answer: FollowAnswer, now_us: TimeUs) -> bool {
         if answer.confirmed {
             let (members, interval_ms) = (&answer.members, answer.interval_ms);
             self.followed.note(members, interval_ms, now_us);
             self.gateways = answer.gateways.max(1);
         }
         if answer.revision <= self.revision {
+            if answer.newest > self.revision {
+                self.followed.fetch(replica, now_us);
+            }
             return false;
         }
+        self.followed.fetched();
         self.revision = answer.revision;
         let changes = answer.changes;
         if changes.complete {
--- a/crates/gate/tests/choice.rs
+++ b/crates/gate/tests/choice.rs
@@ -5,7 +5,7 @@
 use gate::{Arrival, Decision, Ending, Gate, Load};
 use plan::Repeat;
 use std::collections::BTreeSet;
-use support::{answer, arrival, at_ms, forwarded, gate, gate_in, instance, plan, route};
+use support::{REPLICA, answer, arrival, at_ms, forwarded, gate, gate_in, instance, plan, route};
 
 /// Two upstreams in each failure domain of the east, and a sticky route with a target.
 fn sticky(mut gate: Gate, target_ms: u64) -> Gate {
@@ -27,7 +27,11 @@
     let instances =
         instances.map(|((id, domain), revision)| instance(id, "catalogue", domain, revision));
     let instances = instances.collect();
-    gate.followed(answer(20, Some(plan(1, vec![browse])), instances), at_ms(0));
+    gate.followed(
+        REPLICA,
+        answer(20, Some(plan(1, vec![browse])), instances),
+        at_ms(0),
+    );
     gate
 }
 
@@ -65,7 +69,11 @@
         &[("catalogue", 1_000)],
     )];
     let upstream = instance("w-1", "catalogue", "east-a", 1);
-    gate.followed(answer(2, Some(plan(1, routes)), vec![upstream]), at_ms(0));
+    gate.followed(
+        REPLICA,
+        answer(2, Some(plan(1, routes)), vec![upstream]),
+        at_ms(0),
+    );
     let report = |gate: &mut Gate, waiting: u32, ms: u64| {
         let load = Load {
             running: 3,
@@ -102,7 +110,11 @@
         let id = format!("w-{}", "2".repeat(n));
         instances.push(instance(&id, "catalogue", "west-a", n as u64));
     }
-    gate.followed(answer(9, Some(plan(1, routes)), instances), at_ms(0));
+    gate.followed(
+        REPLICA,
+        answer(9, Some(plan(1, routes)), instances),
+        at_ms(0),
+    );
     for ms in (0..8_000).step_by(50) {
         gate.tick(at_ms(ms));
     }
--- a/crates/gate/tests/requests.rs
+++ b/crates/gate/tests/requests.rs
@@ -7,7 +7,8 @@
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use support::{
-    DOMAINS, answer, arrival, at_ms, evacuated, forwarded, gate, instance, name, plan, route,
+    DOMAINS, REPLICA, answer, arrival, at_ms, evacuated, forwarded, gate, instance, name, plan,
+    route,
 };
 
 /// A gateway with one upstream of `catalogue` in each failure domain.
@@ -18,6 +19,7 @@
         instance(&format!("w-{domain}"), "catalogue", domain, revision)
     });
     gate.followed(
+        REPLICA,
         answer(20, Some(plan(1, routes)), instances.collect()),
         at_ms(0),
     );
@@ -55,7 +57,11 @@
         instance("w-1", "catalogue", "east-a", 1),
         instance("w-22", "orders", "east-a", 2),
     ];
-    gate.followed(answer(3, Some(plan(1, routes)), instances), at_ms(0));
+    gate.followed(
+        REPLICA,
+        answer(3, Some(plan(1, routes)), instances),
+        at_ms(0),
+    );
     let browse = forwarded(gate.arrive(&arrival("/browse/1"), at_ms(1)));
     assert_eq!(browse.upstream.as_str(), "w-1");
     let other = forwarded(gate.arrive(&arrival("/browser"), at_ms(1)));
@@ -78,7 +84,11 @@
         instance("w-1", "catalogue", "east-a", 1),
         instance("w-22", "orders", "east-a", 2),
     ];
-    gate.followed(answer(3, Some(plan(1, routes)), instances), at_ms(0));
+    gate.followed(
+        REPLICA,
+        answer(3, Some(plan(1, routes)), instances),
+        at_ms(0),
+    );
     let mut counts: BTreeMap<String, u32> = BTreeMap::new();
     for n in 0..100 {
         let target = forwarded(gate.arrive(&arrival("/browse/1"), at_ms(n * 10)));
@@ -96,17 +106,17 @@
     let mut gate = serving(Repeat::Idempotent);
     let mut draining = instance("w-east-a", "catalogue", "east-a", 21);
     draining.state = InstanceState::Draining;
-    gate.followed(answer(21, None, vec![draining]), at_ms(10));
-    gate.followed(evacuated(22, &["east-b"]), at_ms(20));
+    gate.followed(REPLICA, answer(21, None, vec![draining]), at_ms(10));
+    gate.followed(REPLICA, evacuated(22, &["east-b"]), at_ms(20));
     let mut gone = instance("w-west-a", "catalogue", "west-a", 23);
     gone.state = InstanceState::Gone;
-    gate.followed(answer(23, None, vec![gone]), at_ms(30));
+    gate.followed(REPLICA, answer(23, None, vec![gone]), at_ms(30));
     for n in 0..20 {
         let target = forwarded(gate.arrive(&arrival("/browse/1"), at_ms(40 + n)));
         assert_eq!(target.upstream.as_str(), "w-west-b");
         gate.ended(target.request, Ending::Answered, None, at_ms(40 + n));
     }
-    gate.followed(evacuated(24, &["east-b", "west-b"]), at_ms(100));
+    gate.followed(REPLICA, evacuated(24, &["east-b", "west-b"]), at_ms(100));
     let decision = gate.arrive(&arrival("/browse/1"), at_ms(101));
     assert_eq!(refusal(&decision), Some(Refusal::NoUpstream));
 }
@@ -120,10 +130,51 @@
         Repeat::Idempotent,
         &[("orders", 1)],
     )];
-    assert!(!gate.followed(answer(19, Some(plan(9, routes)), Vec::new()), at_ms(5)));
+    assert!(!gate.followed(
+        REPLICA,
+        answer(19, Some(plan(9, routes)), Vec::new()),
+        at_ms(5)
+    ));
     assert_eq!((gate.plan_version(), gate.revision()), (1, 20));
 }
 
+#[test]
+fn large_changes_are_fetched_from_one_replica() {
+    let mut gate = serving(Repeat::Idempotent);
+    let held_back = || {
+        let mut held_back = answer(20, None, Vec::new());
+        held_back.newest = 30;
+        held_back
+    };
+    gate.followed(REPLICA, held_back(), at_ms(10));
+    let asked = gate.tick(at_ms(10));
+    assert!(asked.iter().any(|replica| replica == REPLICA));
+    assert!(gate.question(REPLICA).wants_large);
+    gate.followed("10.1.0.2", held_back(), at_ms(20));
+    assert!(
+        !gate.question("10.1.0.2").wants_large,
+        "one replica is asked already"
+    );
+    gate.followed("10.1.0.2", held_back(), at_ms(1_500));
+    assert!(
+        gate.question("10.1.0.2").wants_large,
+        "the first one did not answer"
+    );
+    let routes = vec![route(
+        "other",
+        "/other/",
+        Repeat::Idempotent,
+        &[("catalogue", 1)],
+    )];
+    assert!(gate.followed(
+        "10.1.0.2",
+        answer(30, Some(plan(2, routes)), Vec::new()),
+        at_ms(1_600)
+    ));
+    assert_eq!((gate.plan_version(), gate.revision()), (2, 30));
+    assert!(!gate.question("10.1.0.2").wants_large);
+}
+
 #[test]
 fn a_request_that_runs_at_most_once_is_sent_again_only_where_nothing_ran() {
     for (ending, again) in [
@@ -217,7 +268,11 @@
     )];
     let mut cold = instance("w-1", "catalogue", "east-a", 1);
     cold.cold_until_ms = 11_000;
-    gate.followed(answer(2, Some(plan(1, routes)), vec![cold]), at_ms(0));
+    gate.followed(
+        REPLICA,
+        answer(2, Some(plan(1, routes)), vec![cold]),
+        at_ms(0),
+    );
     let mut sent = 0;
     for n in 0..1_000 {
         let now = at_ms(n * 5);
@@ -266,7 +321,7 @@
     let mut gate = serving(Repeat::Idempotent);
     gate.stop(at_ms(100));
     assert!(!gate.is_ready());
-    assert!(!gate.question().report.takes_clients);
+    assert!(!gate.question(REPLICA).report.takes_clients);
     forwarded(gate.arrive(&arrival("/browse/1"), at_ms(1_000)));
     let late = gate.arrive(&arrival("/browse/1"), at_ms(4_000));
     assert_eq!(refusal(&late), Some(Refusal::Stopping));
@@ -286,7 +341,11 @@
         instance(&format!("w-{domain}"), "catalogue", domain, revision)
     });
     let instances = instances.collect();
-    gate.followed(answer(20, Some(plan(1, vec![browse])), instances), at_ms(0));
+    gate.followed(
+        REPLICA,
+        answer(20, Some(plan(1, vec![browse])), instances),
+        at_ms(0),
+    );
     for n in 0..50 {
         let target = forwarded(gate.arrive(&arrival("/browse/1"), at_ms(n)));
         assert!(target.upstream.as_str().starts_with("w-west"));
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -10,6 +10,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use types::{DomainName, TimeUs};
 
+/// The replica that answers.
+pub const REPLICA: &str = "10.1.0.1";
+
 /// The gateway's failure domains, two in each region.
 pub const DOMAINS: [(&str, &str); 4] = [
     ("east-a", "east"),
@@ -42,7 +45,7 @@
         region: name("east"),
         failure_domain: name(domain),
         regions,
-        seeds: vec!["10.1.0.1".to_owned()],
+        seeds: vec![REPLICA.to_owned(), "10.1.0.2".to_owned()],
         bounds: GateBounds {
             retry_ratio: 0.2,
             retry_slack: 60.0,
@@ -118,6 +121,7 @@
 /// What a replica answers at a revision.
 pub fn answer(revision: u64, plan: Option<Plan>, instances: Vec<Instance>) -> FollowAnswer {
     FollowAnswer {
+        newest: revision,
         revision,
         clock_ms: 1_000,
         confirmed: true,
