Remove settings and decisions that nothing uses, and keep one copy of the hash

Five bounds were read and never used. With waits of at least the whole target, the parts by priority never decided anything.

--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -20,15 +20,6 @@
 /// A client that is refused may come back after this time at the latest, in milliseconds.
 const RETRY_AFTER_MAX_MS: u64 = 1_000;
 
-/// The longest wait of a request of the first rank, as a part of what its target leaves.
-const WAIT_PART: f64 = 1.0;
-
-/// By how much each further rank waits less.
-const WAIT_PART_STEP: f64 = 0.1;
-
-/// A request waits for at least this part of its target, however long it runs.
-const WAIT_PART_MIN: f64 = 1.0;
-
 /// A request in flight.
 #[derive(Debug)]
 pub(crate) struct Flight {
@@ -38,7 +29,6 @@
     homes: Vec<RegionName>,
     attempts_max: u32,
     idempotent: bool,
-    priority: u32,
     deadline_us: TimeUs,
     target_us: u64,
     tried: Vec<UpstreamName>,
@@ -65,7 +55,6 @@
             homes: route.home_regions.clone(),
             attempts_max: route.attempts_max,
             idempotent: route.repeat == Repeat::Idempotent,
-            priority: route.priority,
             deadline_us: now_us.after_ms(wait_ms),
             target_us: route.target_ms.min(wait_ms) * 1_000,
             tried: Vec::new(),
@@ -87,13 +76,6 @@
             target_us: self.target_us as f64,
         }
     }
-
-    /// The longest time for which it may wait at an upstream that runs it for `run_us`.
-    fn wait_max_us(&self, run_us: f64) -> f64 {
-        let target_us = self.target_us as f64;
-        let part = (WAIT_PART - WAIT_PART_STEP * f64::from(self.priority)).max(WAIT_PART_MIN);
-        (part * (target_us - run_us)).max(WAIT_PART_MIN * target_us)
-    }
 }
 
 impl Gate {
@@ -102,7 +84,7 @@
         let Some(table) = &self.table else {
             return refuse(Refusal::NoPlan, RETRY_AFTER_START_MS);
         };
-        let Some((_, route)) = table.find(arrival.host, arrival.path) else {
+        let Some(route) = table.find(arrival.host, arrival.path) else {
             return Decision::NoRoute;
         };
         let takes_until_us = self.takes_until_us;
@@ -168,7 +150,8 @@
         let Some(choice) = service.choose(wish, self.gateways, now_us) else {
             return refuse(Refusal::NoUpstream, RETRY_AFTER_MAX_MS);
         };
-        let wait_max_us = flight.wait_max_us(choice.run_us);
+        // A longer wait makes it late whatever its run takes, and a slot is worth more to another.
+        let wait_max_us = flight.target_us as f64;
         if choice.wait_us > wait_max_us {
             let over_ms = ((choice.wait_us - wait_max_us) / 1e3) as u64;
             let retry_after_ms = over_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -8,7 +8,7 @@
     upstream::Upstream,
 };
 use std::collections::BTreeMap;
-use types::{DomainName, RegionName, TimeUs, UpstreamName};
+use types::{DomainName, RegionName, TimeUs, UpstreamName, fnv1a};
 
 /// The weight of a new sample of a service's time.
 const TIME_WEIGHT: f64 = 0.05;
@@ -299,14 +299,10 @@
     (bounds.retry_slack * REPEATS_USED / 2.0 / gateways.max(1) as f64).max(1.0)
 }
 
-/// The place of an upstream in an object's order, the same at every gateway (FNV-1a).
+/// The place of an upstream in an object's order, the same at every gateway.
 fn rank(id: &UpstreamName, object: u64) -> u64 {
-    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    let bytes = id.as_str().bytes().chain(object.to_le_bytes());
-    let hash = bytes.fold(OFFSET_BASIS, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
-    });
+    const SPREAD: u64 = 0xbf58_476d_1ce4_e5b9;
+    let hash = fnv1a(id.as_str().bytes().chain(object.to_le_bytes()));
     // The last bytes must reach the high bits, which decide the order.
-    (hash ^ (hash >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+    (hash ^ (hash >> 29)).wrapping_mul(SPREAD)
 }
--- a/crates/plan/src/steering.rs
+++ b/crates/plan/src/steering.rs
@@ -8,7 +8,7 @@
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
-use types::{DomainName, UpstreamName};
+use types::{DomainName, UpstreamName, fnv1a};
 
 /// Instances that have left and are still remembered, so that a late heartbeat can't bring one back.
 pub const GONE_MAX: usize = 2_048;
@@ -94,7 +94,7 @@
     /// Whether this document was accepted before.
     #[must_use]
     pub fn is_accepted(&self, version: u64, document: &str) -> bool {
-        self.accepted.get(&version) == Some(&digest(document))
+        self.accepted.get(&version) == Some(&fnv1a(document.bytes()))
     }
 
     /// How a registration stands to what is known, at a time of the log's clock.
@@ -180,7 +180,7 @@
         if version <= current {
             return Err(InvalidPlan::OldVersion { version, current }.into());
         }
-        self.accepted.insert(version, digest(document));
+        self.accepted.insert(version, fnv1a(document.bytes()));
         if self.accepted.len() > ACCEPTED_MAX {
             self.accepted.pop_first();
         }
@@ -254,12 +254,3 @@
         })
     }
 }
-
-/// FNV-1a, which is the same on every replica and build.
-fn digest(document: &str) -> u64 {
-    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0000_0100_0000_01b3;
-    document.bytes().fold(OFFSET_BASIS, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
-    })
-}
--- a/crates/plan/src/table.rs
+++ b/crates/plan/src/table.rs
@@ -26,10 +26,10 @@
         Self { routes, of_host }
     }
 
-    /// The route with the longest prefix that begins `path`, by its index; a port in `host` is not
+    /// The route with the longest prefix that begins `path`; a port in `host` is not
     /// looked at.
     #[must_use]
-    pub fn find(&self, host: &str, path: &str) -> Option<(usize, &Route)> {
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let host = host.split(':').next().unwrap_or(host);
         let indices = match self.of_host.get(host) {
             Some(indices) => indices,
@@ -39,7 +39,7 @@
             .iter()
             .copied()
             .find(|index| path.starts_with(&self.routes[*index].prefix))?;
-        Some((index, &self.routes[index]))
+        Some(&self.routes[index])
     }
 
     /// Every route.
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -16,24 +16,19 @@
 
 /// The keys of `[bounds]` with their values where none is given, in thousandths: the values that
 /// both of today's deployments share, or the stricter one of them.
-const BOUND_DEFAULTS: [(&str, u64); 12] = [
+const BOUND_DEFAULTS: [(&str, u64); 7] = [
     ("heartbeat_s", 1_500),
-    ("drain_s", 2_000),
     ("grace_s", 6_000),
-    ("apply_s", 2_000),
     ("lookup_lifetime_s", 5_000),
     ("retry_ratio", 200),
     ("retry_window_s", 10_000),
     ("retry_slack", 60_000),
-    ("cold_burst_factor", 1_500),
-    ("cold_slack", 5_000),
     ("region_shift_max", 150),
-    ("address_reuse_s", 2_000),
 ];
 
 /// The keys of `[bounds]`.
-pub(crate) const BOUND_KEYS: [&str; 12] = {
-    let mut keys = [""; 12];
+pub(crate) const BOUND_KEYS: [&str; 7] = {
+    let mut keys = [""; 7];
     let mut index = 0;
     while index < keys.len() {
         keys[index] = BOUND_DEFAULTS[index].0;
@@ -77,17 +72,12 @@
 pub(crate) fn bounds(section: &Section<'_>) -> Result<BoundSettings, SettingsError> {
     Ok(BoundSettings {
         heartbeat_ms: milli(section, "heartbeat_s")?,
-        drain_ms: milli(section, "drain_s")?,
         grace_ms: milli(section, "grace_s")?,
-        apply_ms: milli(section, "apply_s")?,
         lookup_lifetime_ms: milli(section, "lookup_lifetime_s")?,
         retry_ratio_milli: milli(section, "retry_ratio")?,
         retry_window_ms: milli(section, "retry_window_s")?,
         retry_slack_milli: milli(section, "retry_slack")?,
-        cold_burst_factor_milli: milli(section, "cold_burst_factor")?,
-        cold_slack_milli: milli(section, "cold_slack")?,
         region_shift_max_milli: milli(section, "region_shift_max")?,
-        address_reuse_ms: milli(section, "address_reuse_s")?,
     })
 }
 
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -173,12 +173,8 @@
 pub struct BoundSettings {
     /// The period of instances' heartbeats.
     pub heartbeat_ms: u64,
-    /// How long an instance that drains may still get new work.
-    pub drain_ms: u64,
     /// How long a process may take to stop.
     pub grace_ms: u64,
-    /// How long an accepted plan may take to be in force.
-    pub apply_ms: u64,
     /// The longest lifetime of a look-up answer.
     pub lookup_lifetime_ms: u64,
     /// Repeats for each request, in thousandths, over all gateways.
@@ -187,15 +183,9 @@
     pub retry_window_ms: u64,
     /// Repeats that a span allows besides the ratio, in thousandths, over all gateways.
     pub retry_slack_milli: u64,
-    /// By how much a cold upstream's rate may be passed within a second, in thousandths.
-    pub cold_burst_factor_milli: u64,
-    /// Requests that a cold upstream may get besides, in thousandths.
-    pub cold_slack_milli: u64,
     /// The largest share of a region's requests that may change region within two seconds, in
     /// thousandths.
     pub region_shift_max_milli: u64,
-    /// How soon the address of an upstream that ended may belong to another one.
-    pub address_reuse_ms: u64,
 }
 
 /// A line of `[replicas]`: one control replica.
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -26,7 +26,7 @@
 founds = true
 
 [bounds]
-drain_s = 2.5
+grace_s = 2.5
 retry_ratio =
 
 [regions]
@@ -53,16 +53,19 @@
 fn bounds_that_are_missing_or_empty_have_their_defaults() {
     let bounds = parse(GATEWAY).expect("the settings are whole").bounds;
     let bounds = bounds.expect("[bounds] is there");
-    assert_eq!(bounds.drain_ms, 2_500);
-    assert_eq!((bounds.retry_ratio_milli, bounds.grace_ms), (200, 6_000));
+    assert_eq!(bounds.grace_ms, 2_500);
+    assert_eq!(
+        (bounds.retry_ratio_milli, bounds.heartbeat_ms),
+        (200, 1_500)
+    );
 }
 
 #[test]
 fn a_wrong_bound_seed_or_region_is_named() {
     for (whole, wrong, named) in [
-        ("drain_s = 2.5", "drain_s = soon", "[bounds] drain_s"),
-        ("drain_s = 2.5", "drain_s = -1", "[bounds] drain_s"),
-        ("drain_s = 2.5", "drain_s = NaN", "[bounds] drain_s"),
+        ("grace_s = 2.5", "grace_s = soon", "[bounds] grace_s"),
+        ("grace_s = 2.5", "grace_s = -1", "[bounds] grace_s"),
+        ("grace_s = 2.5", "grace_s = NaN", "[bounds] grace_s"),
         ("10.2.0.43:8649", "10.2.0.43", "[discovery] seeds"),
         ("founds = true", "founds = perhaps", "[discovery] founds"),
         ("west-a = west", "north-a = north", "[regions] north-a"),
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod announcement;
 mod error;
+mod hash;
 mod lease;
 mod lookup;
 mod name;
@@ -15,6 +16,7 @@
 pub use crate::{
     announcement::{AnnounceAnswer, Announcement, UpstreamState},
     error::{ApiError, ErrorBody},
+    hash::fnv1a,
     lease::{CONFIG_LEASE_MS, poll_interval_ms},
     lookup::{LookupAnswer, LookupEntry},
     name::{
