Let entries use the links to replicas that gateways and replicas use

An entry dialed its replicas by code of its own beside ReplicaLinks. The shared type also left out a replica of the process's own name, which an entry that shares its process with a replica needs; only a replica leaves itself out now, where it names whom to dial.

--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -202,6 +202,7 @@
     fn dial_members(&mut self) {
         let mut names: BTreeSet<String> = self.args.core.contacts();
         names.extend(self.args.known.iter().cloned());
+        names.remove(&self.args.id.name);
         if let Err(error) = self.args.replicas.follow(&names) {
             warn!(self.args.log, "a replica can't be dialed"; "error" => %error);
         }
--- a/crates/daemon/src/entry/links.rs
+++ b/crates/daemon/src/entry/links.rs
@@ -1,8 +1,9 @@
 //! The links of an entry to control replicas and other entries.
 
+use crate::replicas::ReplicaLinks;
 use entry::PeerAddress;
 use link::{Event, Identity, LinkError, Outbound, dial};
-use settings::ReplicaSettings;
+use settings::Settings;
 use std::collections::BTreeMap;
 use tokio::sync::mpsc;
 use types::{EntryName, ReplicaName};
@@ -13,32 +14,24 @@
 pub struct Links {
     identity: Identity,
     inbox: mpsc::Sender<Event>,
-    replicas: BTreeMap<ReplicaName, Outbound>,
+    replicas: ReplicaLinks,
     peers: BTreeMap<EntryName, (PeerAddress, Outbound)>,
 }
 
 impl Links {
-    /// Dials every control replica.
+    /// Dials every control replica that the settings declare.
     ///
     /// # Errors
     ///
     /// When the identity holds no key.
     pub fn new(
+        settings: &Settings,
         identity: Identity,
         inbox: mpsc::Sender<Event>,
-        replicas: &[ReplicaSettings],
     ) -> Result<Self, LinkError> {
-        let dialed = replicas.iter().map(|replica| {
-            let name = replica.name.clone();
-            let outbound = dial(
-                replica.peer_address,
-                Some(name.as_str()),
-                identity.clone(),
-                inbox.clone(),
-            );
-            Ok((name, outbound?))
-        });
-        let replicas = dialed.collect::<Result<_, LinkError>>()?;
+        let declared = settings.replicas.iter().map(|it| it.name.to_string());
+        let mut replicas = ReplicaLinks::new(settings, identity.clone(), inbox.clone());
+        replicas.follow(&declared.collect())?;
         Ok(Self {
             identity,
             inbox,
@@ -49,9 +42,7 @@
 
     /// Sends a frame to a control replica.
     pub fn send_replica(&self, name: &ReplicaName, frame: Frame) {
-        if let Some(outbound) = self.replicas.get(name) {
-            let _ = outbound.try_send(frame);
-        }
+        self.replicas.send(name.as_str(), frame);
     }
 
     /// Sends a frame to another entry.
--- a/crates/daemon/src/entry/start.rs
+++ b/crates/daemon/src/entry/start.rs
@@ -71,7 +71,7 @@
     let name = EntryName::new(&settings.node.name)?;
     let (inbox, events) = mpsc::channel(LINK_EVENTS);
     let listener = listen(own.peer_listen, identity.clone(), inbox.clone()).await?;
-    let links = Links::new(identity.clone(), inbox, &settings.replicas)?;
+    let links = Links::new(settings, identity.clone(), inbox)?;
     let mut registry = Registry::with_prefix("oleanderwell_entry");
     let metrics = Arc::new(EntryMetrics::new(&mut registry));
     let (stopped_sender, stopped) = watch::channel(false);
--- a/crates/daemon/src/replicas.rs
+++ b/crates/daemon/src/replicas.rs
@@ -89,7 +89,7 @@
     }
 
     fn dial(&mut self, name: &str) -> Result<(), LinkError> {
-        if name == self.identity.node || self.links.contains_key(name) {
+        if self.links.contains_key(name) {
             return Ok(());
         }
         let Some(address) = self.addresses.of(name) else {
