Guard a request before the gateway's core knows it

Cause: a handler learned a request's number from the core's reply. A client that left before the reply (or while an ended attempt was being repeated) left a request that the core never ended, and its upstream counted as one request busier until it registered anew.

The handler now names the request, and its guard stands before the core is asked. The core tells whether the request was still in flight, so that only such ends are counted.

Ruled out: an end that is sent twice; the core ignores requests that it doesn't know.

--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -61,6 +61,8 @@
 /// A client's request.
 #[derive(Debug)]
 pub struct Arrive {
+    /// Names the request in what follows.
+    pub request: u64,
     /// The host that it names.
     pub host: String,
     /// Its path.
@@ -86,6 +88,13 @@
     pub load: Option<Load>,
 }
 
+/// The client of a request has left, whatever has become of the request until now.
+#[derive(Clone, Copy, Debug)]
+pub struct Left {
+    /// The request.
+    pub request: u64,
+}
+
 /// What follows the end of an attempt.
 #[derive(Debug, Reply)]
 pub struct Follows(pub Next);
@@ -231,6 +240,7 @@
 
     async fn handle(&mut self, arrive: Arrive, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
         let arrival = Arrival {
+            request: arrive.request,
             host: &arrive.host,
             path: &arrive.path,
             wait_ms: arrive.wait_ms,
@@ -254,6 +264,17 @@
     }
 }
 
+impl Message<Left> for GatewayActor {
+    type Reply = ();
+
+    async fn handle(&mut self, Left { request }: Left, _: &mut Context<Self, Self::Reply>) {
+        let now_us = self.args.clock.now_us();
+        if self.args.core.left(request, now_us) {
+            self.args.metrics.count_ended(Ending::Left);
+        }
+    }
+}
+
 impl Message<Stop> for GatewayActor {
     type Reply = ();
 
--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -3,7 +3,7 @@
 use crate::{
     clock::Clock,
     gateway::{
-        actor::{Arrive, Decided, Ended, Follows, GatewayActor, Look},
+        actor::{Arrive, Decided, Ended, Follows, GatewayActor, Left, Look},
         attempt::{Attempts, Call},
         metrics::GatewayMetrics,
     },
@@ -20,13 +20,19 @@
 use prometheus_client::registry::Registry;
 use serde_json::json;
 use slog::{Logger, info};
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
 use tokio::sync::watch;
 use types::{ApiError, TimeUs};
 
 /// The largest body of a client's request.
 const REQUEST_MAX_BYTES: usize = 64 * 1024 * 1024;
 
+/// When a client of a gateway whose core has ended may come back, in milliseconds.
+const STOPPED_RETRY_MS: u64 = 100;
+
 /// What the handlers of clients' requests need.
 #[derive(Clone, Debug)]
 pub struct GatewayHttp {
@@ -38,46 +44,52 @@
     pub clock: Clock,
     /// The counters.
     pub metrics: Arc<GatewayMetrics>,
+    /// The number of the next request.
+    pub next_request: Arc<AtomicU64>,
     /// Whether the gateway stops, so that connections are not kept.
     pub stopping: watch::Receiver<bool>,
     /// The log.
     pub log: Logger,
 }
 
-/// A client's request that the core has taken; ends it when the client leaves.
+/// A client's request from before the core knows it until it is settled; ends it when the client
+/// leaves.
 struct InFlight {
     actor: ActorRef<GatewayActor>,
-    request: Option<u64>,
+    request: u64,
+    is_open: bool,
 }
 
 impl InFlight {
+    /// Offers the request to the core; what becomes of it.
+    async fn arrive(&mut self, arrive: Arrive) -> Option<Decision> {
+        let Decided(decision) = self.actor.ask(arrive).await.ok()?;
+        self.is_open = matches!(decision, Decision::Forward(_));
+        Some(decision)
+    }
+
     /// Ends the attempt; what follows.
     async fn end(&mut self, ending: Ending, load: Option<Load>) -> Next {
-        let Some(request) = self.request.take() else {
-            return Next::GiveUp(Failure::Unknown);
-        };
         let ended = Ended {
-            request,
+            request: self.request,
             ending,
             load,
         };
-        match self.actor.ask(ended).await {
+        let next = match self.actor.ask(ended).await {
             Ok(Follows(next)) => next,
             Err(_) => Next::GiveUp(Failure::Unknown),
-        }
+        };
+        self.is_open = matches!(next, Next::Retry(_));
+        next
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        if let Some(request) = self.request {
-            let ended = Ended {
-                request,
-                ending: Ending::Left,
-                load: None,
-            };
+        if self.is_open {
+            let request = self.request;
             // An actor that has ended has no state left to correct.
-            let _ = self.actor.tell(ended).try_send();
+            let _ = self.actor.tell(Left { request }).try_send();
         }
     }
 }
@@ -102,10 +114,14 @@
             Err(ApiError::BodyTooLarge { .. }) => return status(StatusCode::PAYLOAD_TOO_LARGE),
             Err(_) => return status(StatusCode::BAD_REQUEST),
         };
-        let arrive = arrive(&head.headers, &head.uri);
-        let decision = match self.actor.ask(arrive).await {
-            Ok(Decided(decision)) => decision,
-            Err(_) => return refused(100),
+        let mut in_flight = InFlight {
+            actor: self.actor.clone(),
+            request: self.next_request.fetch_add(1, Ordering::Relaxed),
+            is_open: true,
+        };
+        let arrive = arrive(in_flight.request, &head.headers, &head.uri);
+        let Some(decision) = in_flight.arrive(arrive).await else {
+            return refused(STOPPED_RETRY_MS);
         };
         let target = match decision {
             Decision::NoRoute => return status(StatusCode::NOT_FOUND),
@@ -126,15 +142,17 @@
             headers: head.headers,
             body,
         };
-        self.run(&call, target, came_us).await
+        self.run(&call, target, in_flight, came_us).await
     }
 
     /// Makes attempts until one is delivered or none is left.
-    async fn run(&self, call: &Call, mut target: Target, came_us: TimeUs) -> Response<Body> {
-        let mut in_flight = InFlight {
-            actor: self.actor.clone(),
-            request: Some(target.request),
-        };
+    async fn run(
+        &self,
+        call: &Call,
+        mut target: Target,
+        mut in_flight: InFlight,
+        came_us: TimeUs,
+    ) -> Response<Body> {
         let mut failed = false;
         let response = loop {
             let outcome = self.attempts.make(call, &target).await;
@@ -147,7 +165,6 @@
                 (Next::Deliver, Some(response)) => break response,
                 (Next::Retry(again), _) => {
                     self.metrics.repeats.inc();
-                    in_flight.request = Some(again.request);
                     target = again;
                 }
                 (Next::GiveUp(Failure::NotRun { retry_after_ms }), _) => {
@@ -238,10 +255,11 @@
     }
 }
 
-fn arrive(headers: &hyper::HeaderMap, uri: &Uri) -> Arrive {
+fn arrive(request: u64, headers: &hyper::HeaderMap, uri: &Uri) -> Arrive {
     let terms = request_terms(headers);
     let host = headers.get(HOST).and_then(|host| host.to_str().ok());
     Arrive {
+        request,
         host: host.or(uri.host()).unwrap_or_default().to_owned(),
         path: uri.path().to_owned(),
         wait_ms: terms.wait_ms,
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -115,6 +115,7 @@
         },
         clock,
         metrics,
+        next_request: Arc::default(),
         stopping: is_stopping,
         log: log.clone(),
     };
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -7,6 +7,8 @@
 /// A client's request, as far as decisions need it.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival<'a> {
+    /// Names the request in [`Gate::ended`](crate::Gate::ended); never used again in this run.
+    pub request: u64,
     /// The host that it names.
     pub host: &'a str,
     /// Its path, without the query.
@@ -48,7 +50,7 @@
 /// Where an attempt goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
-    /// Names the request in [`Gate::ended`](crate::Gate::ended).
+    /// The request, as its [`Arrival`] names it.
     pub request: u64,
     /// The instance that must run it.
     pub upstream: UpstreamName,
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -31,7 +31,6 @@
     evacuated: BTreeSet<DomainName>,
     pub(crate) gateways: usize,
     pub(crate) flights: HashMap<u64, Flight>,
-    pub(crate) next_request: u64,
     regions_us: TimeUs,
     pub(crate) beliefs: Vec<Belief>,
     /// Set while the gateway stops: it takes new requests until then.
@@ -56,7 +55,6 @@
             evacuated: BTreeSet::new(),
             gateways: 1,
             flights: HashMap::new(),
-            next_request: 1,
             regions_us: now_us,
             beliefs: Vec::new(),
             takes_until_us: None,
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -100,7 +100,16 @@
             return refuse(Refusal::NoUpstream, RETRY_AFTER_MAX_MS);
         };
         let flight = Flight::new(arrival, route, part, wait_ms, now_us);
-        self.admit(flight, now_us)
+        self.admit(arrival.request, flight, now_us)
+    }
+
+    /// Ends a request whose client has left; whether it was in flight.
+    pub fn left(&mut self, request: u64, now_us: TimeUs) -> bool {
+        let Some(flight) = self.flights.remove(&request) else {
+            return false;
+        };
+        self.note_end(&flight, Ending::Left, None, now_us);
+        true
     }
 
     /// Takes the end of an attempt and decides what follows.
@@ -140,7 +149,7 @@
         }
     }
 
-    fn admit(&mut self, flight: Flight, now_us: TimeUs) -> Decision {
+    fn admit(&mut self, request: u64, flight: Flight, now_us: TimeUs) -> Decision {
         let times = self.times_of(&flight.route);
         let Some(service) = self.services.get_mut(&flight.service) else {
             return refuse(Refusal::NoUpstream, RETRY_AFTER_MAX_MS);
@@ -166,8 +175,6 @@
                 }),
             };
         }
-        let request = self.next_request;
-        self.next_request += 1;
         Decision::Forward(self.send(request, flight, choice, now_us))
     }
 
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -7,7 +7,10 @@
 use plan::{
     Instance, InstanceState, Limits, Part, Plan, Repeat, Route, ServiceTerms, SteeringChanges,
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::atomic::{AtomicU64, Ordering},
+};
 use types::{DomainName, TimeUs};
 
 /// The replica that answers.
@@ -146,7 +149,9 @@
 }
 
 pub fn arrival(path: &str) -> Arrival<'_> {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
     Arrival {
+        request: NEXT.fetch_add(1, Ordering::Relaxed),
         host: "shop.example",
         path,
         wait_ms: Some(3_000),
