Send gateways the changed routes of a plan, deflated

Cause: each change of a plan went to each gateway whole. With 1,350 routes that is 400 kB of JSON for 34 gateways whose links carry 4.5 to 5.5 Mbit/s beside clients' requests; the write of a frame took longer than its 2 s, the link was closed and dialed again, and the gateway asked anew.

The state keeps the index at which each route changed last, so that an answer carries the changed and removed routes; answers over 1 KiB are deflated. The route table is kept by host and prefix and changes in place. Replicas take calls of 4 MiB and frames of 16 MiB: a second large manifest was refused with 413.

--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -18,9 +18,9 @@
 /// The most replicas that are remembered because others named them.
 const NAMED_MAX: usize = 64;
 
-/// Changes of more instances than this are large, as is a plan: a gateway with a thin link gets them
+/// Changes of more instances and routes than this are large: a gateway with a thin link gets them
 /// from one replica only.
-const SMALL_INSTANCES: usize = 16;
+const SMALL_CHANGES: usize = 16;
 
 /// How often the leader looks for silent voters, in milliseconds.
 const MEMBERS_CHECK_MS: u64 = 500;
@@ -32,7 +32,8 @@
         self.gateways.note(&body.gateway, &body.report, self.now_us);
         let steering = self.state.steering();
         let mut changes = steering.changes_since(body.revision);
-        let is_large = changes.plan.is_some() || changes.instances.len() > SMALL_INSTANCES;
+        let routes = changes.plan.as_ref().map_or(0, |plan| plan.routes.len());
+        let is_large = changes.instances.len() + routes > SMALL_CHANGES;
         let mut revision = steering.revision();
         if is_large && !body.wants_large {
             changes = SteeringChanges::default();
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -21,7 +21,7 @@
 };
 use tokio::sync::{oneshot, watch};
 use types::{ApiError, TimeUs};
-use wire::peer::{FollowAnswer, Frame, Join, JoinAnswer, RaftMessage, frame::Body};
+use wire::peer::{Frame, Join, JoinAnswer, RaftMessage, frame::Body};
 
 /// How often a replica that knows no leader asks to be admitted, in milliseconds.
 const JOIN_MS: u64 = 500;
@@ -187,9 +187,9 @@
         let Some((serial, replies)) = self.polls.remove(&follow) else {
             return;
         };
-        match serde_json::to_vec(answer) {
-            Ok(answer_json) => {
-                let body = Some(Body::FollowAnswer(FollowAnswer { answer_json }));
+        match convert::follow_answer(answer) {
+            Ok(answer) => {
+                let body = Some(Body::FollowAnswer(answer));
                 let _ = replies.try_send(Frame { serial, body });
             }
             Err(error) => {
--- a/crates/daemon/src/control/convert.rs
+++ b/crates/daemon/src/control/convert.rs
@@ -1,11 +1,11 @@
 //! Conversion between a control replica's core and the wire.
 
-use control::{Poll, PollAnswer, PollRejection};
+use control::{FollowAnswer, Poll, PollAnswer, PollRejection};
 use link::Peer;
 use state::Change;
 use thiserror::Error;
 use types::{EntryName, InvalidName};
-use wire::{WireError, grant_to_wire, peer, want_from_wire};
+use wire::{WireError, follow_answer_to_wire, grant_to_wire, peer, want_from_wire};
 
 /// A poll that breaks its rules.
 #[derive(Debug, Error)]
@@ -13,14 +13,23 @@
     /// The entry's name is invalid.
     #[error(transparent)]
     Name(#[from] InvalidName),
-    /// A report of progress is no valid JSON.
-    #[error("invalid progress: {0}")]
-    Progress(#[from] serde_json::Error),
+    /// A report of progress or an answer has no valid JSON form.
+    #[error("invalid JSON form: {0}")]
+    Json(#[from] serde_json::Error),
     /// A want breaks its rules.
     #[error(transparent)]
     Want(#[from] WireError),
 }
 
+/// The answer to a gateway.
+///
+/// # Errors
+///
+/// When it can't be encoded.
+pub fn follow_answer(answer: &FollowAnswer) -> Result<peer::FollowAnswer, ConvertError> {
+    Ok(follow_answer_to_wire(serde_json::to_vec(answer)?)?)
+}
+
 /// The poll of the entry that a connection named.
 ///
 /// # Errors
--- a/crates/daemon/src/control/front.rs
+++ b/crates/daemon/src/control/front.rs
@@ -15,8 +15,8 @@
 use slog::{Logger, info};
 use std::net::SocketAddr;
 
-/// The largest body of a call; a change must fit into one frame between replicas.
-const CALL_MAX_BYTES: usize = 384 * 1024;
+/// The largest body of a call; a change that holds it twice must fit into one frame between replicas.
+const CALL_MAX_BYTES: usize = 4 * 1024 * 1024;
 
 /// Answers calls of instances and operators, and clients' look-ups, in the platform's way.
 #[derive(Clone, Debug)]
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -12,7 +12,10 @@
 use slog::{Logger, info, warn};
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 use tokio::sync::watch;
-use wire::peer::{Follow, Frame, frame::Body};
+use wire::{
+    WireError, follow_answer_from_wire,
+    peer::{Follow, FollowAnswer, Frame, frame::Body},
+};
 
 /// What the actor is made of.
 #[derive(Debug)]
@@ -50,6 +53,15 @@
     }
 }
 
+/// Why an answer of a replica can't be read.
+#[derive(Debug, thiserror::Error)]
+enum UnreadableAnswer {
+    #[error(transparent)]
+    Wire(#[from] WireError),
+    #[error("it is no answer: {0}")]
+    Json(#[from] serde_json::Error),
+}
+
 /// Time has passed.
 #[derive(Clone, Copy, Debug)]
 pub struct Tick;
@@ -177,8 +189,8 @@
         }
     }
 
-    fn take_answer(&mut self, replica: &str, answer_json: &[u8]) {
-        let answer = match serde_json::from_slice(answer_json) {
+    fn take_answer(&mut self, replica: &str, answer: &FollowAnswer) {
+        let answer = match follow_answer(answer) {
             Ok(answer) => answer,
             Err(error) => {
                 warn!(self.args.log, "an answer of a replica can't be read"; "error" => %error);
@@ -206,6 +218,11 @@
     }
 }
 
+fn follow_answer(answer: &FollowAnswer) -> Result<control::FollowAnswer, UnreadableAnswer> {
+    let answer_json = follow_answer_from_wire(answer)?;
+    Ok(serde_json::from_slice(&answer_json)?)
+}
+
 impl Message<Tick> for GatewayActor {
     type Reply = ();
 
@@ -221,7 +238,7 @@
         match event {
             Event::Frame { peer, frame, .. } => {
                 if let Some(Body::FollowAnswer(answer)) = frame.body {
-                    self.take_answer(&peer.node, &answer.answer_json);
+                    self.take_answer(&peer.node, &answer);
                     self.ask_replicas();
                 }
             }
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -5,7 +5,7 @@
     split::Split, times::RunTimes, upstream::Upstream,
 };
 use control::{Follow, FollowAnswer, GatewayReport};
-use plan::{Instance, Plan, RouteTable, ServiceTerms};
+use plan::{Instance, PlanChanges, RouteTable, ServiceTerms};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use types::{DomainName, RegionName, ServiceName, TimeUs, UpstreamName};
 
@@ -244,26 +244,21 @@
         region.unwrap_or(&self.config.region).clone()
     }
 
-    fn take_plan(&mut self, plan: &Plan) {
+    fn take_plan(&mut self, plan: &PlanChanges) {
         self.plan_version = plan.version;
         self.idle_timeout_ms = Some(plan.limits.idle_timeout_ms);
-        let table = RouteTable::new(plan);
-        let mut splits = HashMap::new();
-        let mut times = HashMap::new();
-        for route in table.routes() {
-            let kept = self.splits.remove(&route.name);
-            let split = kept.filter(|split| split.fits(route));
-            let known = self.times.remove(&route.name);
-            let known = known.unwrap_or_else(|| RunTimes::new(route.target_ms));
-            times.insert(route.name.clone(), known);
-            splits.insert(
-                route.name.clone(),
-                split.unwrap_or_else(|| Split::new(route)),
-            );
+        let table = self.table.get_or_insert_default();
+        table.apply(plan);
+        self.splits.retain(|name, _| table.contains(name));
+        self.times.retain(|name, _| table.contains(name));
+        for route in &plan.routes {
+            let known = self.times.entry(route.name.clone());
+            known.or_insert_with(|| RunTimes::new(route.target_ms));
+            let split = self.splits.get(&route.name);
+            if split.is_none_or(|split| !split.fits(route)) {
+                self.splits.insert(route.name.clone(), Split::new(route));
+            }
         }
-        self.splits = splits;
-        self.times = times;
-        self.table = Some(table);
         let per_s = |terms: &ServiceTerms| terms.cold_milli_per_s as f64 / 1e3;
         let terms = plan.services.iter();
         self.cold_per_s = terms.map(|it| (it.name.clone(), per_s(it))).collect();
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -5,7 +5,8 @@
 use control::FollowAnswer;
 use gate::{Arrival, Decision, Gate, GateBounds, GateConfig, Target};
 use plan::{
-    Instance, InstanceState, Limits, Part, Plan, Repeat, Route, ServiceTerms, SteeringChanges,
+    Instance, InstanceState, Limits, Part, Plan, PlanChanges, Repeat, Route, ServiceTerms,
+    SteeringChanges,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -133,7 +134,7 @@
         interval_ms: 400,
         changes: SteeringChanges {
             complete: false,
-            plan,
+            plan: plan.as_ref().map(PlanChanges::whole),
             evacuated: None,
             instances,
         },
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -5,6 +5,7 @@
 //! same [`Change`]s in the same order. [`RouteTable`] finds the route of a request.
 
 mod change;
+mod changes;
 mod instance;
 mod model;
 mod steering;
@@ -13,6 +14,7 @@
 
 pub use crate::{
     change::{Applied, Change, PlanDeclaration, Refused},
+    changes::PlanChanges,
     instance::{Instance, InstanceState, Registration, Verdict},
     model::{Limits, Part, Plan, Repeat, Route, ServiceTerms},
     steering::{GONE_MAX, Steering, SteeringChanges},
--- a/crates/plan/src/steering.rs
+++ b/crates/plan/src/steering.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     change::{Applied, Change, PlanDeclaration, Refused},
+    changes::{PlanChanges, RouteHistory},
     instance::{Instance, InstanceState, Registration, Verdict},
     model::Plan,
     validate::{InvalidPlan, validate},
@@ -22,8 +23,8 @@
 pub struct SteeringChanges {
     /// Whether `instances` lists every instance rather than the changed ones.
     pub complete: bool,
-    /// The plan, when it changed.
-    pub plan: Option<Plan>,
+    /// What changed of the plan, when it changed.
+    pub plan: Option<PlanChanges>,
     /// The evacuated failure domains, when they changed.
     pub evacuated: Option<BTreeSet<DomainName>>,
     /// The changed instances, those that have left included.
@@ -37,6 +38,7 @@
     plan: Plan,
     document: String,
     revision: u64,
+    history: RouteHistory,
 }
 
 /// The plan in force, the evacuated failure domains and the instances.
@@ -126,7 +128,10 @@
             complete,
             plan: in_force
                 .filter(|it| complete || it.revision > index)
-                .map(|it| it.plan.clone()),
+                .map(|it| {
+                    it.history
+                        .changes_since(&it.plan, if complete { 0 } else { index })
+                }),
             evacuated: (complete || self.evacuated_revision > index)
                 .then(|| self.evacuated.clone()),
             instances: instances.cloned().collect(),
@@ -184,10 +189,15 @@
         if self.accepted.len() > ACCEPTED_MAX {
             self.accepted.pop_first();
         }
+        let previous = self.in_force.take();
+        let (previous, mut history) =
+            previous.map_or_else(Default::default, |it| (Some(it.plan), it.history));
+        history.note(previous.as_ref(), plan, index);
         self.in_force = Some(InForce {
             plan: plan.clone(),
             document: document.clone(),
             revision: index,
+            history,
         });
         self.revision = index;
         Ok(Applied::Declared { version })
--- a/crates/plan/src/table.rs
+++ b/crates/plan/src/table.rs
@@ -1,29 +1,43 @@
 //! Finds the route of a request.
 
-use crate::model::{Plan, Route};
-use std::collections::HashMap;
+use crate::{changes::PlanChanges, model::Route};
+use std::collections::{BTreeMap, HashMap};
 
-/// The routes of a plan by host, longest prefix first.
+/// The routes of a plan by host and prefix.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
-    routes: Vec<Route>,
-    of_host: HashMap<String, Vec<usize>>,
+    routes: BTreeMap<String, Route>,
+    /// The names of routes by their lower-case host and their prefix.
+    names: HashMap<String, HashMap<String, String>>,
 }
 
 impl RouteTable {
-    /// The table of a plan.
-    #[must_use]
-    pub fn new(plan: &Plan) -> Self {
-        let routes = plan.routes.clone();
-        let mut of_host: HashMap<String, Vec<usize>> = HashMap::new();
-        for (index, route) in routes.iter().enumerate() {
+    /// Takes over the routes that changed.
+    pub fn apply(&mut self, changes: &PlanChanges) {
+        if changes.complete {
+            *self = Self::default();
+        }
+        // Routes may change places with one another, so all of them leave theirs first.
+        let changed = changes.routes.iter().map(|route| &route.name);
+        for name in changes.removed.iter().chain(changed) {
+            self.remove(name);
+        }
+        for route in &changes.routes {
             let host = route.host.to_ascii_lowercase();
-            of_host.entry(host).or_default().push(index);
+            let names = self.names.entry(host).or_default();
+            names.insert(route.prefix.clone(), route.name.clone());
+            self.routes.insert(route.name.clone(), route.clone());
         }
-        for indices in of_host.values_mut() {
-            indices.sort_by_key(|index| std::cmp::Reverse(routes[*index].prefix.len()));
+    }
+
+    fn remove(&mut self, name: &str) {
+        let Some(route) = self.routes.remove(name) else {
+            return;
+        };
+        let host = route.host.to_ascii_lowercase();
+        if let Some(names) = self.names.get_mut(&host) {
+            names.remove(&route.prefix);
         }
-        Self { routes, of_host }
     }
 
     /// The route with the longest prefix that begins `path`; a port in `host` is not
@@ -31,20 +45,24 @@
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let host = host.split(':').next().unwrap_or(host);
-        let indices = match self.of_host.get(host) {
-            Some(indices) => indices,
-            None => self.of_host.get(&host.to_ascii_lowercase())?,
+        let names = match self.names.get(host) {
+            Some(names) => names,
+            None => self.names.get(&host.to_ascii_lowercase())?,
         };
-        let index = indices
-            .iter()
-            .copied()
-            .find(|index| path.starts_with(&self.routes[*index].prefix))?;
-        Some(&self.routes[index])
+        let ends = path.rmatch_indices('/').map(|(index, _)| index + 1);
+        let mut prefixes = ends.map(|end| &path[..end]);
+        let name = prefixes.find_map(|prefix| names.get(prefix))?;
+        self.routes.get(name)
     }
 
     /// Every route.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.values()
+    }
+
+    /// Whether a route of this name is there.
     #[must_use]
-    pub fn routes(&self) -> &[Route] {
-        &self.routes
+    pub fn contains(&self, name: &str) -> bool {
+        self.routes.contains_key(name)
     }
 }
--- a/crates/plan/src/validate.rs
+++ b/crates/plan/src/validate.rs
@@ -2,7 +2,7 @@
 
 use crate::model::{Plan, Route};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use thiserror::Error;
 
 /// Why a plan can't be in force.
@@ -17,6 +17,12 @@
         /// The service.
         service: String,
     },
+    /// Two routes have one name.
+    #[error("two routes have the name {route}")]
+    SameName {
+        /// The name.
+        route: String,
+    },
     /// Two routes share host and prefix.
     #[error("routes {first} and {second} share host and prefix")]
     SamePlace {
@@ -60,10 +66,17 @@
 /// The first [`InvalidPlan`] found.
 pub fn validate(plan: &Plan) -> Result<(), InvalidPlan> {
     let services: BTreeSet<&str> = plan.services.iter().map(|s| s.name.as_str()).collect();
-    let mut places = std::collections::BTreeMap::new();
+    let mut names = BTreeSet::new();
+    let mut places = BTreeMap::new();
     for route in &plan.routes {
         check_route(route, &services)?;
-        if let Some(first) = places.insert((&route.host, &route.prefix), &route.name) {
+        if !names.insert(route.name.as_str()) {
+            return Err(InvalidPlan::SameName {
+                route: route.name.clone(),
+            });
+        }
+        let place = (route.host.to_ascii_lowercase(), &route.prefix);
+        if let Some(first) = places.insert(place, &route.name) {
             return Err(InvalidPlan::SamePlace {
                 first: first.clone(),
                 second: route.name.clone(),
--- /dev/null
+++ b/crates/wire/src/follow_message.rs
@@ -0,0 +1,56 @@
+//! What gateways ask and learn, as it crosses the wire.
+
+use crate::{error::WireError, peer::FollowAnswer};
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
+use std::{
+    borrow::Cow,
+    io::{Read, Write},
+};
+
+/// Answers of fewer bytes are sent as they are: deflating them saves less than a packet.
+const PLAIN_MAX_BYTES: usize = 1_024;
+
+/// The largest answer, deflated or not.
+const ANSWER_MAX_BYTES: u64 = 64 << 20;
+
+/// An answer in its JSON form; a large one is deflated, since gateways may have thin links.
+///
+/// # Errors
+///
+/// When the answer can't be deflated.
+pub fn follow_answer_to_wire(answer_json: Vec<u8>) -> Result<FollowAnswer, WireError> {
+    if answer_json.len() <= PLAIN_MAX_BYTES {
+        return Ok(FollowAnswer {
+            answer_json,
+            answer_json_deflated: Vec::new(),
+        });
+    }
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(&answer_json)?;
+    Ok(FollowAnswer {
+        answer_json: Vec::new(),
+        answer_json_deflated: encoder.finish()?,
+    })
+}
+
+/// The JSON form of an answer.
+///
+/// # Errors
+///
+/// When the bytes are not deflated, or hold more than an answer may.
+pub fn follow_answer_from_wire(answer: &FollowAnswer) -> Result<Cow<'_, [u8]>, WireError> {
+    if answer.answer_json_deflated.is_empty() {
+        return Ok(Cow::Borrowed(&answer.answer_json));
+    }
+    let decoder = DeflateDecoder::new(answer.answer_json_deflated.as_slice());
+    let mut answer_json = Vec::new();
+    decoder
+        .take(ANSWER_MAX_BYTES + 1)
+        .read_to_end(&mut answer_json)?;
+    if answer_json.len() as u64 > ANSWER_MAX_BYTES {
+        return Err(WireError::Invalid {
+            field: "answer_json_deflated",
+        });
+    }
+    Ok(Cow::Owned(answer_json))
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod claim_message;
 mod error;
+mod follow_message;
 mod limits;
 mod member_message;
 mod raft_message;
@@ -18,6 +19,7 @@
 pub use crate::{
     claim_message::{claim_from_wire, claim_to_wire},
     error::WireError,
+    follow_message::{follow_answer_from_wire, follow_answer_to_wire},
     limits::FRAME_MAX_BYTES,
     member_message::{sync_from_wire, sync_to_wire},
     raft_message::{raft_from_wire, raft_to_wire},
