Let an object keep to its region as far as the number of requests allows

Cause: a gateway gave an object's usual region an advance of one request over the shares of the regions, whatever the load. Where hundreds of requests come in the two seconds over which changes of region count, one request is far less than chance moves, and objects went to a second and third region, where no upstream knew them.

The advance is now 3% of a region's requests in that span (a fifth of the bound), spread over its gateways by the root of their number; the usual region is found by weighted rendezvous hashing, so that moving shares move as few objects as they must.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -1,8 +1,8 @@
 //! The core of a gateway.
 
 use crate::{
-    api::Belief, config::GateConfig, follow::Followed, requests::Flight, service::Service,
-    split::Split, times::RunTimes, upstream::Upstream,
+    api::Belief, config::GateConfig, follow::Followed, regions::Scope, requests::Flight,
+    service::Service, split::Split, times::RunTimes, upstream::Upstream,
 };
 use control::{Follow, FollowAnswer, GatewayReport};
 use plan::{Instance, PlanChanges, RouteTable, ServiceTerms};
@@ -269,9 +269,13 @@
 
     fn follow_regions(&mut self, now_us: TimeUs) {
         let regions: BTreeSet<&RegionName> = self.config.regions.values().collect();
-        let shift_max = self.config.bounds.region_shift_max;
+        let scope = Scope {
+            regions: regions.len(),
+            gateways: self.gateways,
+            shift_max: self.config.bounds.region_shift_max,
+        };
         for service in self.services.values_mut() {
-            service.follow_regions(regions.len(), shift_max, now_us);
+            service.follow_regions(scope, now_us);
         }
     }
 }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -8,6 +8,7 @@
 mod config;
 mod follow;
 mod gate;
+mod rank;
 mod regions;
 mod requests;
 mod service;
--- a/crates/gate/src/regions.rs
+++ b/crates/gate/src/regions.rs
@@ -3,6 +3,7 @@
 //! Each gateway keeps a share for each region and moves it slowly towards the region that is least
 //! pressed, so that a change of traffic never moves many requests to other regions at once.
 
+use crate::rank::rank;
 use std::collections::BTreeMap;
 use types::{RegionName, TimeUs};
 
@@ -33,14 +34,15 @@
 /// A change of a region's slots by less than this part leaves shares slow.
 const SLOTS_CHANGE: f64 = 0.1;
 
-/// By how much a region's requests may run ahead of its share, or stay behind.
-const CREDIT_MAX: f64 = 3.0;
+/// By how many slacks a region's requests may run ahead of its share, or stay behind.
+const CREDIT_SLACKS: f64 = 3.0;
 
-/// By how much the usual region of an object goes before others.
-const USUAL_CREDIT: f64 = 1.0;
+/// The smallest slack, in requests: by so much the usual region of an object goes before others.
+const SLACK_MIN: f64 = 1.0;
 
-/// Spreads the numbers of objects evenly (the golden ratio of 64 bits).
-const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+/// The slack of a region's gateways together, as a part of their requests in the span over which a
+/// change of region counts; a fifth of the change that is allowed.
+const SLACK_PART: f64 = 0.03;
 
 /// What a region's usable upstreams have to do.
 #[derive(Clone, Copy, Debug, Default)]
@@ -57,6 +59,17 @@
     }
 }
 
+/// What the regions' shares keep to.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Scope {
+    /// All regions.
+    pub(crate) regions: usize,
+    /// All gateways.
+    pub(crate) gateways: usize,
+    /// The largest share of a region's requests that may change region within two seconds.
+    pub(crate) shift_max: f64,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Share {
     share: f64,
@@ -73,6 +86,10 @@
     fast_until_us: TimeUs,
     /// Requests since the shares moved last.
     requests: u32,
+    /// Requests within a span over which the allowed change counts, as an average that fades.
+    usual_requests: f64,
+    /// By how many requests the usual region of an object goes before others.
+    slack: f64,
     /// Until when the service counts as used.
     used_until_us: TimeUs,
 }
@@ -85,6 +102,8 @@
             moved_us: now_us,
             fast_until_us: now_us,
             requests: 0,
+            usual_requests: 0.0,
+            slack: SLACK_MIN,
             used_until_us: now_us,
         }
     }
@@ -93,15 +112,21 @@
     pub(crate) fn follow(
         &mut self,
         pressures: &BTreeMap<RegionName, Pressure>,
-        regions: usize,
-        shift_max: f64,
+        scope: Scope,
         now_us: TimeUs,
     ) {
+        let Scope {
+            regions, shift_max, ..
+        } = scope;
         let elapsed_s = now_us.since_us(self.moved_us) as f64 / 1e6;
         self.moved_us = now_us;
-        if std::mem::take(&mut self.requests) > 0 {
+        let requests = std::mem::take(&mut self.requests);
+        if requests > 0 {
             self.used_until_us = now_us.after_ms(USED_MS);
         }
+        let kept = (-elapsed_s / SHIFT_WINDOW_S).exp();
+        self.usual_requests = self.usual_requests * kept + f64::from(requests);
+        self.slack = self.slack(scope);
         let is_idle = self.used_until_us.reached(now_us);
         if is_idle || self.shares.values().all(|share| share.share <= 0.0) {
             return self.begin(pressures, regions);
@@ -115,6 +140,14 @@
         self.step(pressures, per_s * elapsed_s);
     }
 
+    /// What one gateway's requests may run beside their shares. Deviations of gateways are
+    /// independent of each other, so their sum grows with the root of their number only.
+    fn slack(&self, scope: Scope) -> f64 {
+        let gateways = scope.gateways as f64 / scope.regions.max(1) as f64;
+        let slack = SLACK_PART * self.usual_requests * gateways.max(1.0).sqrt();
+        slack.max(SLACK_MIN)
+    }
+
     /// The region of the next request among those that `is_allowed`. Requests for one object
     /// mostly go to one region, as far as the shares stay as they are.
     pub(crate) fn next(
@@ -123,13 +156,14 @@
         is_allowed: impl Fn(&RegionName) -> bool,
     ) -> Option<RegionName> {
         self.requests += 1;
+        let credit_max = CREDIT_SLACKS * self.slack;
         for share in self.shares.values_mut() {
-            share.credit = (share.credit + share.share).clamp(-CREDIT_MAX, CREDIT_MAX);
+            share.credit = (share.credit + share.share).clamp(-credit_max, credit_max);
         }
         let usual = object.and_then(|object| self.usual(object)).cloned();
         let allowed = self.shares.iter().filter(|(name, _)| is_allowed(name));
         let credit = |name: &RegionName, share: &Share| match usual.as_ref() == Some(name) {
-            true => share.credit + USUAL_CREDIT,
+            true => share.credit + self.slack,
             false => share.credit,
         };
         let chosen = allowed
@@ -143,19 +177,17 @@
         chosen
     }
 
-    /// The region of an object: objects are spread over the shares in a fixed order, the gateway's
-    /// own region first.
+    /// The region of an object by weighted rendezvous hashing: when shares move, only as many
+    /// objects as must do so change their region.
     fn usual(&self, object: u64) -> Option<&RegionName> {
-        let place = (object.wrapping_mul(SPREAD) >> 11) as f64 / (1_u64 << 53) as f64;
-        let own = self.shares.get_key_value(&self.own);
-        let others = self.shares.iter().filter(|(name, _)| **name != self.own);
-        let mut upper = 0.0;
-        let mut ordered = own.into_iter().chain(others);
-        let found = ordered.find(|(_, share)| {
-            upper += share.share;
-            place < upper
-        });
-        found.map(|(name, _)| name)
+        let distance = |name: &RegionName, share: f64| {
+            let place = (rank(name.as_str(), object) >> 11) as f64 / (1_u64 << 53) as f64;
+            -place.max(f64::MIN_POSITIVE).ln() / share
+        };
+        let shares = self.shares.iter().filter(|(_, share)| share.share > 0.0);
+        let distances = shares.map(|(name, share)| (name, distance(name, share.share)));
+        let nearest = distances.min_by(|(_, a), (_, b)| a.total_cmp(b));
+        nearest.map(|(name, _)| name)
     }
 
     /// Starts from equal demand in each region: a region keeps what its upstreams can take of its
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -3,12 +3,13 @@
 use crate::{
     bucket::Bucket,
     config::GateBounds,
-    regions::{Pressure, RegionShares},
+    rank::rank,
+    regions::{Pressure, RegionShares, Scope},
     times::RunTimes,
     upstream::Upstream,
 };
 use std::collections::BTreeMap;
-use types::{DomainName, RegionName, TimeUs, UpstreamName, fnv1a};
+use types::{DomainName, RegionName, TimeUs, UpstreamName};
 
 /// The weight of a new sample of a service's time.
 const TIME_WEIGHT: f64 = 0.05;
@@ -110,7 +111,7 @@
     }
 
     /// Moves the shares of the regions.
-    pub(crate) fn follow_regions(&mut self, regions: usize, shift_max: f64, now_us: TimeUs) {
+    pub(crate) fn follow_regions(&mut self, scope: Scope, now_us: TimeUs) {
         let mut pressures: BTreeMap<RegionName, Pressure> = BTreeMap::new();
         for upstream in &self.upstreams {
             let pressure = pressures.entry(upstream.region.clone()).or_default();
@@ -119,7 +120,7 @@
                 pressure.load += upstream.load(self.usual_others, now_us);
             }
         }
-        self.regions.follow(&pressures, regions, shift_max, now_us);
+        self.regions.follow(&pressures, scope, now_us);
     }
 
     /// The best upstream for a request; none when none may take it.
@@ -240,7 +241,7 @@
         let mut firsts: BTreeMap<&str, (u64, usize)> = BTreeMap::new();
         for index in candidates {
             let upstream = &self.upstreams[*index];
-            let ranked = (rank(&upstream.instance.id, object), *index);
+            let ranked = (rank(upstream.instance.id.as_str(), object), *index);
             let place = match is_tight {
                 true => upstream.region.as_str(),
                 false => upstream.instance.failure_domain.as_str(),
@@ -298,11 +299,3 @@
 fn repeats_most(bounds: &GateBounds, gateways: usize) -> f64 {
     (bounds.retry_slack * REPEATS_USED / 2.0 / gateways.max(1) as f64).max(1.0)
 }
-
-/// The place of an upstream in an object's order, the same at every gateway.
-fn rank(id: &UpstreamName, object: u64) -> u64 {
-    const SPREAD: u64 = 0xbf58_476d_1ce4_e5b9;
-    let hash = fnv1a(id.as_str().bytes().chain(object.to_le_bytes()));
-    // The last bytes must reach the high bits, which decide the order.
-    (hash ^ (hash >> 29)).wrapping_mul(SPREAD)
-}
--- a/crates/gate/tests/choice.rs
+++ b/crates/gate/tests/choice.rs
@@ -4,7 +4,7 @@
 
 use gate::{Arrival, Decision, Ending, Gate, Load};
 use plan::Repeat;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use support::{REPLICA, answer, arrival, at_ms, forwarded, gate, gate_in, instance, plan, route};
 
 /// Two upstreams in each failure domain of the east, and a sticky route with a target.
@@ -36,12 +36,16 @@
 }
 
 fn chosen(gate: &mut Gate, object: u64, ms: u64) -> String {
+    chosen_with(gate, object, None, ms)
+}
+
+fn chosen_with(gate: &mut Gate, object: u64, load: Option<Load>, ms: u64) -> String {
     let arrival = Arrival {
         object: Some(object),
         ..arrival("/browse/1")
     };
     let target = forwarded(gate.arrive(&arrival, at_ms(ms)));
-    gate.ended(target.request, Ending::Answered, None, at_ms(ms + 300));
+    gate.ended(target.request, Ending::Answered, load, at_ms(ms + 300));
     target.upstream.to_string()
 }
 
@@ -126,3 +130,60 @@
     }
     assert!((8..=12).contains(&home), "{home} of 30");
 }
+
+/// One upstream in each region, as the region's only one.
+fn two_regions(gateways: usize) -> Gate {
+    let mut gate = gate();
+    let mut browse = route(
+        "browse",
+        "/browse/",
+        Repeat::Idempotent,
+        &[("catalogue", 1_000)],
+    );
+    browse.sticky = true;
+    let mut instances = vec![
+        instance("w-1", "catalogue", "east-a", 1),
+        instance("w-22", "catalogue", "west-a", 2),
+    ];
+    instances[0].slots = 3_000;
+    instances[1].slots = 9_000;
+    let mut answer = answer(9, Some(plan(1, vec![browse])), instances);
+    answer.gateways = gateways;
+    gate.followed(REPLICA, answer, at_ms(0));
+    gate
+}
+
+/// The objects of requests that come each 20 ms, in no order.
+fn objects() -> impl Iterator<Item = (u64, u64)> {
+    (0..1_500_u64).map(|n| (n * 20, n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 58))
+}
+
+#[test]
+fn where_many_requests_come_an_object_keeps_to_one_region() {
+    let mut gate = two_regions(27);
+    // The home region is so much busier that nothing speaks for moving its share.
+    let load = Load {
+        running: 900,
+        waiting: 0,
+        slots: 3_000,
+    };
+    let mut counts: BTreeMap<(u64, String), u32> = BTreeMap::new();
+    for (ms, object) in objects() {
+        if ms % 100 == 0 {
+            gate.tick(at_ms(ms));
+        }
+        let upstream = chosen_with(&mut gate, object, Some(load), ms);
+        *counts.entry((object, upstream)).or_default() += 1;
+    }
+    let total: u32 = counts.values().sum();
+    let mut most: BTreeMap<u64, u32> = BTreeMap::new();
+    for ((object, _), count) in &counts {
+        let most = most.entry(*object).or_default();
+        *most = (*count).max(*most);
+    }
+    let kept: u32 = most.values().sum();
+    assert!(
+        20 * (total - kept) <= total,
+        "{kept} of {total} kept to one"
+    );
+}
