Bring requests home from all other regions alike while none is pressed

Cause: each gateway moved its shares from the region that seemed dearest to the one that seemed cheapest, however little they differed, and views of unpressed regions differ by chance.

Shares now move between two regions only where one is pressed; else they come home from all others in proportion.

Test: gateways_that_see_other_loads_of_unpressed_regions_choose_the_same_region (before: 46 of 64 objects alike, bound 60).

--- a/crates/gate/src/regions.rs
+++ b/crates/gate/src/regions.rs
@@ -257,34 +257,79 @@
     }
 
     fn step(&mut self, pressures: &BTreeMap<RegionName, Pressure>, most: f64) {
-        let cost = |name: &RegionName| {
+        let ratio = |name: &RegionName| {
             let pressure = pressures.get(name).filter(|it| it.slots > 0.0)?;
-            let distance = if *name == self.own { 0.0 } else { REMOTE_COST };
-            Some(pressure.ratio() + distance)
+            Some(pressure.ratio())
         };
-        let costs: Vec<(RegionName, f64)> = self
-            .shares
-            .keys()
-            .filter_map(|name| Some((name.clone(), cost(name)?)))
-            .collect();
-        let has_share = |name: &RegionName| self.shares[name].share > 0.0;
-        let from = costs
+        let ratios = self.shares.keys();
+        let ratios = ratios.filter_map(|name| Some((name.clone(), ratio(name)?)));
+        let ratios: Vec<(RegionName, f64)> = ratios.collect();
+        let pressed = ratios
             .iter()
-            .filter(|(name, cost)| has_share(name) && (*name != self.own || *cost > PRESSURE_LOW))
+            .filter(|(name, ratio)| self.shares[name].share > 0.0 && *ratio > PRESSURE_LOW)
             .max_by(|(_, a), (_, b)| a.total_cmp(b));
-        let to = costs.iter().min_by(|(_, a), (_, b)| a.total_cmp(b));
-        let (Some((from, from_cost)), Some((to, to_cost))) = (from, to) else {
+        match pressed {
+            Some((name, ratio)) => self.relieve(name, *ratio, &ratios, most),
+            None => self.come_home(&ratios, most),
+        }
+    }
+
+    /// Moves requests from a pressed region to the one where they cost least.
+    fn relieve(
+        &mut self,
+        pressed: &RegionName,
+        ratio: f64,
+        ratios: &[(RegionName, f64)],
+        most: f64,
+    ) {
+        let distance = |name: &RegionName| match *name == self.own {
+            true => 0.0,
+            false => REMOTE_COST,
+        };
+        let costs = ratios.iter().map(|(name, it)| (name, it + distance(name)));
+        let Some((to, cost)) = costs.min_by(|(_, a), (_, b)| a.total_cmp(b)) else {
             return;
         };
-        let gap = from_cost - to_cost;
-        if from == to || gap < PRESSURE_GAP {
+        let gap = ratio + distance(pressed) - cost;
+        if to == pressed || gap < PRESSURE_GAP {
             return;
         }
-        let moved = self.shares[from].share.min(most * gap.min(1.0).sqrt());
-        for (name, change) in [(from, -moved), (to, moved)] {
-            if let Some(share) = self.shares.get_mut(name) {
-                share.share += change;
-            }
+        let moved = self.shares[pressed].share.min(most * gap.min(1.0).sqrt());
+        self.add(pressed, -moved);
+        self.add(to, moved);
+    }
+
+    /// While no region is pressed, moves requests to the gateway's own region from all others alike:
+    /// gateways whose views of the others differ a little still keep the same shares.
+    fn come_home(&mut self, ratios: &[(RegionName, f64)], most: f64) {
+        let Some((_, own_ratio)) = ratios.iter().find(|(name, _)| *name == self.own) else {
+            return;
+        };
+        let others = ratios.iter().filter(|(name, _)| *name != self.own);
+        let away: f64 = others
+            .clone()
+            .map(|(name, _)| self.shares[name].share)
+            .sum();
+        if away <= 0.0 {
+            return;
+        }
+        let weighted = others.map(|(name, ratio)| self.shares[name].share * ratio);
+        let gap = weighted.sum::<f64>() / away + REMOTE_COST - own_ratio;
+        if gap < PRESSURE_GAP {
+            return;
+        }
+        let moved = away.min(most * gap.min(1.0).sqrt());
+        for (name, share) in &mut self.shares {
+            share.share += match *name == self.own {
+                true => moved,
+                false => -moved * share.share / away,
+            };
+        }
+    }
+
+    fn add(&mut self, name: &RegionName, change: f64) {
+        if let Some(share) = self.shares.get_mut(name) {
+            share.share += change;
         }
     }
 }
--- a/crates/gate/tests/choice.rs
+++ b/crates/gate/tests/choice.rs
@@ -5,7 +5,9 @@
 use gate::{Arrival, Decision, Ending, Gate, Load};
 use plan::Repeat;
 use std::collections::{BTreeMap, BTreeSet};
-use support::{REPLICA, answer, arrival, at_ms, forwarded, gate, gate_in, instance, plan, route};
+use support::{
+    REPLICA, answer, arrival, at_ms, forwarded, gate, gate_among, gate_in, instance, plan, route,
+};
 
 /// Two upstreams in each failure domain of the east, and a sticky route with a target.
 fn sticky(mut gate: Gate, target_ms: u64) -> Gate {
@@ -187,3 +189,62 @@
         "{kept} of {total} kept to one"
     );
 }
+
+/// A gateway whose region has few slots beside two others.
+fn small_region() -> Gate {
+    let domains = [("east-a", "east"), ("south-a", "south"), ("west-a", "west")];
+    let mut gate = gate_among(&domains, "east-a");
+    let mut browse = route(
+        "browse",
+        "/browse/",
+        Repeat::Idempotent,
+        &[("catalogue", 1_000)],
+    );
+    browse.sticky = true;
+    let mut instances = vec![
+        instance("w-1", "catalogue", "east-a", 1),
+        instance("w-22", "catalogue", "south-a", 2),
+        instance("w-333", "catalogue", "west-a", 3),
+    ];
+    for (instance, slots) in instances.iter_mut().zip([300, 1_000, 1_000]) {
+        instance.slots = slots;
+    }
+    let mut answer = answer(9, Some(plan(1, vec![browse])), instances);
+    answer.gateways = 27;
+    gate.followed(REPLICA, answer, at_ms(0));
+    gate
+}
+
+#[test]
+fn gateways_that_see_other_loads_of_unpressed_regions_choose_the_same_region() {
+    let run = |south: u32, west: u32| {
+        let mut gate = small_region();
+        for (ms, object) in objects() {
+            if ms % 100 == 0 {
+                gate.tick(at_ms(ms));
+            }
+            let arrival = Arrival {
+                object: Some(object),
+                ..arrival("/browse/1")
+            };
+            let target = forwarded(gate.arrive(&arrival, at_ms(ms)));
+            let running = match target.upstream.as_str() {
+                "w-1" => 90,
+                "w-22" => south,
+                _ => west,
+            };
+            let load = Load {
+                running,
+                waiting: 0,
+                slots: 1_000,
+            };
+            gate.ended(target.request, Ending::Answered, Some(load), at_ms(ms + 5));
+        }
+        let objects = 0..64;
+        let chosen = objects.map(|object| chosen(&mut gate, object, 30_000 + object * 20));
+        chosen.collect::<Vec<_>>()
+    };
+    let (one, other) = (run(350, 250), run(250, 350));
+    let same = one.iter().zip(&other).filter(|(one, other)| one == other);
+    assert!(same.count() >= 60, "{one:?} and {other:?}");
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -39,7 +39,12 @@
 
 /// A gateway in a failure domain of the east.
 pub fn gate_in(domain: &str) -> Gate {
-    let regions: BTreeMap<_, _> = DOMAINS
+    gate_among(&DOMAINS, domain)
+}
+
+/// A gateway in one of these failure domains of the east and of other regions.
+pub fn gate_among(domains: &[(&str, &str)], domain: &str) -> Gate {
+    let regions: BTreeMap<_, _> = domains
         .iter()
         .map(|(domain, region)| (name(domain), name(region)))
         .collect();
