Let operators declare the plan of gateways through the product's own interface

GET and PUT /v1/plan, PUT and DELETE /v1/evacuations/DOMAIN, and oleanderctl plan, evacuate, end-evacuation, also on a deployment whose replicas take the platform's calls. A plan declared in its own form is not kept twice; it is read back there as a manifest.

--- a/crates/api/src/body.rs
+++ b/crates/api/src/body.rs
@@ -1,5 +1,6 @@
 //! The JSON bodies of requests.
 
+use plan::Plan;
 use raft::ReplicaId;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -58,6 +59,16 @@
     pub based_on: Option<u64>,
 }
 
+/// Body of `PUT /v1/plan`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub struct PlanBody {
+    /// The version that the plan takes the place of; 0 before the first.
+    pub based_on: u64,
+    /// The plan.
+    pub plan: Plan,
+}
+
 /// Body of `POST /v1/replicas`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -8,7 +8,10 @@
 mod parse;
 
 pub use crate::{
-    body::{AdmitBody, ApplyBody, ChangeBody, DeleteBody, PutBody},
+    body::{AdmitBody, ApplyBody, ChangeBody, DeleteBody, PlanBody, PutBody},
     encode::{HttpAnswer, encode},
-    parse::{BODY_MAX_BYTES, HttpRequest, WATCH_MAX_MS, lookup_client, parse},
+    parse::{
+        BODY_MAX_BYTES, HttpRequest, PLAN_MAX_BYTES, WATCH_MAX_MS, body_max_bytes, lookup_client,
+        parse,
+    },
 };
--- a/crates/api/src/parse.rs
+++ b/crates/api/src/parse.rs
@@ -1,17 +1,22 @@
 //! From the parts of an HTTP request to a typed request.
 
-use crate::body::{AdmitBody, ApplyBody, ChangeBody, DeleteBody, PutBody};
+use crate::body::{AdmitBody, ApplyBody, ChangeBody, DeleteBody, PlanBody, PutBody};
 use control::Request;
+use plan::{Change, Document, PlanDeclaration};
 use raft::ReplicaId;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use state::{Declaration, Operation, REQUEST_ID_MAX_BYTES};
 use std::{net::IpAddr, str::FromStr};
-use types::{ApiError, Key, Kind, ResourceName, Spec};
+use types::{ApiError, DomainName, InvalidName, Key, Kind, ResourceName, Spec};
 
 /// The largest body of a request, in bytes.
 pub const BODY_MAX_BYTES: usize = 512 * 1024;
 
+/// The largest body that declares a plan, in bytes; the log's entry, which holds it twice, must fit
+/// into one frame between replicas.
+pub const PLAN_MAX_BYTES: usize = 4 * 1024 * 1024;
+
 /// The longest wait of a watch, in milliseconds; a longer one is cut to this.
 pub const WATCH_MAX_MS: u64 = 30_000;
 
@@ -51,10 +56,23 @@
         (["resources", kind, name], "DELETE") => parse_delete(parse_key(kind, name)?, request.body),
         (["apply"], "POST") => parse_apply(request.body),
         (["watch"], "GET") => parse_watch(request.query.unwrap_or_default()),
+        (["plan"], "GET") => Ok(Request::ReadPlan),
+        (["plan"], "PUT") => parse_plan(request.body),
+        (["evacuations", domain], "PUT") => Ok(Request::Steer {
+            change: Change::Evacuate {
+                domain: parse_domain(domain)?,
+            },
+        }),
+        (["evacuations", domain], "DELETE") => Ok(Request::Steer {
+            change: Change::EndEvacuation {
+                domain: parse_domain(domain)?,
+            },
+        }),
         (["replicas"], "GET") => Ok(Request::Replicas),
         (["replicas"], "POST") => parse_admit(request.body),
         (["resources"] | ["resources", _] | ["resources", _, _], _)
-        | (["apply" | "watch" | "replicas"], _) => Err(ApiError::MethodNotAllowed),
+        | (["apply" | "watch" | "replicas" | "plan"], _)
+        | (["evacuations", _], _) => Err(ApiError::MethodNotAllowed),
         _ => Err(ApiError::NotFound),
     }
 }
@@ -82,10 +100,23 @@
     }
 }
 
+/// The largest body of a request to a path, in bytes.
+#[must_use]
+pub fn body_max_bytes(path: &str) -> usize {
+    match path {
+        "/v1/plan" => PLAN_MAX_BYTES,
+        _ => BODY_MAX_BYTES,
+    }
+}
+
 fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, ApiError> {
-    if body.len() > BODY_MAX_BYTES {
+    parse_json_up_to(body, BODY_MAX_BYTES)
+}
+
+fn parse_json_up_to<T: DeserializeOwned>(body: &[u8], max_bytes: usize) -> Result<T, ApiError> {
+    if body.len() > max_bytes {
         return Err(ApiError::BodyTooLarge {
-            limit_bytes: BODY_MAX_BYTES as u64,
+            limit_bytes: max_bytes as u64,
         });
     }
     serde_json::from_slice(body).map_err(|error| malformed(&error))
@@ -157,6 +188,23 @@
     })
 }
 
+fn parse_plan(body: &[u8]) -> Result<Request, ApiError> {
+    let PlanBody { based_on, plan } = parse_json_up_to(body, PLAN_MAX_BYTES)?;
+    let declaration = PlanDeclaration {
+        plan,
+        document: Document::Own,
+        based_on,
+    };
+    Ok(Request::Steer {
+        change: Change::Declare(Box::new(declaration)),
+    })
+}
+
+fn parse_domain(name: &str) -> Result<DomainName, ApiError> {
+    let invalid = |error: InvalidName| ApiError::InvalidName { name: error.name };
+    DomainName::new(name).map_err(invalid)
+}
+
 fn parse_admit(body: &[u8]) -> Result<Request, ApiError> {
     let body: AdmitBody = parse_json(body)?;
     Ok(Request::Admit {
--- a/crates/api/tests/http.rs
+++ b/crates/api/tests/http.rs
@@ -1,7 +1,10 @@
 //! Requests and answers as HTTP carries them.
 
-use api::{BODY_MAX_BYTES, HttpRequest, WATCH_MAX_MS, encode, lookup_client, parse};
+use api::{
+    BODY_MAX_BYTES, HttpRequest, PLAN_MAX_BYTES, WATCH_MAX_MS, encode, lookup_client, parse,
+};
 use control::{Answer, Request};
+use plan::{Change, Document};
 use serde_json::{Value, json};
 use state::{List, Operation};
 use types::{ApiError, Kind};
@@ -48,6 +51,20 @@
         Ok(Request::Get { key })
     );
     assert_eq!(ask("GET", "/v1/replicas", b""), Ok(Request::Replicas));
+    assert_eq!(ask("GET", "/v1/plan", b""), Ok(Request::ReadPlan));
+    let domain = || "east-a".parse().expect("a valid name");
+    assert_eq!(
+        ask("PUT", "/v1/evacuations/east-a", b""),
+        Ok(Request::Steer {
+            change: Change::Evacuate { domain: domain() }
+        })
+    );
+    assert_eq!(
+        ask("DELETE", "/v1/evacuations/east-a", b""),
+        Ok(Request::Steer {
+            change: Change::EndEvacuation { domain: domain() }
+        })
+    );
     let watch = Request::Watch {
         from: 7,
         wait_ms: WATCH_MAX_MS,
@@ -182,3 +199,31 @@
         assert_eq!(lookup_client(Some(query)), Err(expected));
     }
 }
+
+fn plan_body(routes: &Value) -> Value {
+    json!({"based_on": 5, "plan": {
+        "version": 7, "routes": routes, "services": [],
+        "limits": {"header_max_bytes": 1, "body_max_bytes": 2, "header_timeout_ms": 3,
+            "idle_timeout_ms": 4},
+    }})
+}
+
+#[test]
+fn a_plan_is_declared_in_its_own_form() {
+    let request = ask_json("PUT", "/v1/plan", plan_body(&json!([])));
+    let Ok(Request::Steer {
+        change: Change::Declare(declaration),
+    }) = request
+    else {
+        panic!("not declared: {request:?}");
+    };
+    assert_eq!((declaration.based_on, declaration.plan.version), (5, 7));
+    assert_eq!(declaration.document, Document::Own);
+    let incomplete = ask_json("PUT", "/v1/plan", plan_body(&json!([{"name": "r"}])));
+    assert_eq!(error_type(incomplete), (400, "malformed_json".to_owned()));
+    let too_large = vec![b' '; PLAN_MAX_BYTES + 1];
+    let too_large = ask("PUT", "/v1/plan", &too_large);
+    assert_eq!(error_type(too_large), (413, "body_too_large".to_owned()));
+    let method = ask("POST", "/v1/plan", b"");
+    assert_eq!(error_type(method), (405, "method_not_allowed".to_owned()));
+}
--- a/crates/control/src/answers.rs
+++ b/crates/control/src/answers.rs
@@ -1,7 +1,7 @@
 //! The answers to operators' requests.
 
 use crate::{
-    api::{Answer, Output, Replicas, Request},
+    api::{Answer, Output, PlanInForce, Replicas, Request},
     core::Control,
     pending::Wait,
 };
@@ -104,9 +104,7 @@
                 .map(|resource| Answer::Item(Box::new(self.item(resource))))
                 .ok_or(ApiError::NotFound),
             Request::Preview { operation } => Ok(Answer::Applied(self.state.preview(operation)?)),
-            Request::ReadPlan => Ok(Answer::Plan {
-                document: self.state.steering().document().map(str::to_owned),
-            }),
+            Request::ReadPlan => Ok(Answer::Plan(Box::new(self.plan_in_force()))),
             Request::Change { .. }
             | Request::Steer { .. }
             | Request::Register { .. }
@@ -117,6 +115,15 @@
         }
     }
 
+    fn plan_in_force(&self) -> PlanInForce {
+        let steering = self.state.steering();
+        PlanInForce {
+            plan: steering.plan().cloned(),
+            evacuated: steering.evacuated().clone(),
+            document: steering.document().cloned(),
+        }
+    }
+
     fn list(&self, kind: Option<Kind>) -> List {
         let mut statuses: BTreeMap<u64, ResourceStatus> = BTreeMap::new();
         let items = self.state.resources(kind).map(|resource| Item {
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -2,14 +2,17 @@
 
 use crate::gateways::GatewayReport;
 use claim::Layout;
-use plan::{Change, Registration, SteeringChanges};
+use plan::{Change, Document, Plan, Registration, SteeringChanges};
 use raft::{Membership, Message, Persist, RaftConfig, ReplicaId, Role, Status};
 use serde::{Deserialize, Serialize};
 use share::{Grant, Want};
 use state::{Applied, Changes, CommandError, Item, List, Operation, SnapshotError, Watched};
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 use thiserror::Error;
-use types::{ApiError, EntryName, Key, Kind, ResourceProgress};
+use types::{ApiError, DomainName, EntryName, Key, Kind, ResourceProgress};
 
 /// The fixed parameters of a control replica.
 #[derive(Clone, Debug)]
@@ -65,7 +68,7 @@
         /// What the instance says of itself.
         registration: Registration,
     },
-    /// The document of the plan in force.
+    /// The plan in force and the evacuated failure domains.
     ReadPlan,
     /// The gateways that a client should use.
     Locate {
@@ -111,17 +114,27 @@
     Watched(Watched),
     /// Answers [`Request::Steer`] and [`Request::Register`].
     Steered(plan::Applied),
-    /// Answers [`Request::ReadPlan`]; none before the first plan.
-    Plan {
-        /// The document as the operator sent it.
-        document: Option<String>,
-    },
+    /// Answers [`Request::ReadPlan`].
+    Plan(Box<PlanInForce>),
     /// Answers [`Request::Locate`].
     Gateways(Vec<SocketAddr>),
     /// Answers [`Request::Replicas`] and [`Request::Admit`].
     Replicas(Box<Replicas>),
 }
 
+/// What gateways follow, as operators declared it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct PlanInForce {
+    /// The plan; none before the first.
+    pub plan: Option<Plan>,
+    /// The evacuated failure domains.
+    pub evacuated: BTreeSet<DomainName>,
+    /// The document that declared the plan.
+    #[serde(skip)]
+    pub document: Option<Document>,
+}
+
 /// A replica's view of all replicas.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,8 +18,8 @@
 
 pub use crate::{
     api::{
-        Answer, ControlConfig, ControlError, Follow, FollowAnswer, Input, Output, Poll, PollAnswer,
-        PollRejection, Replicas, Request,
+        Answer, ControlConfig, ControlError, Follow, FollowAnswer, Input, Output, PlanInForce,
+        Poll, PollAnswer, PollRejection, Replicas, Request,
     },
     core::Control,
     dump::ControlDump,
--- a/crates/control/tests/steering.rs
+++ b/crates/control/tests/steering.rs
@@ -5,8 +5,8 @@
 use cluster::{Cluster, id};
 use control::{Answer, Input, Request};
 use plan::{
-    Applied, Change, InstanceState, Limits, Part, Plan, PlanDeclaration, Registration, Repeat,
-    Route, ServiceTerms,
+    Applied, Change, Document, InstanceState, Limits, Part, Plan, PlanDeclaration, Registration,
+    Repeat, Route, ServiceTerms,
 };
 use types::ApiError;
 
@@ -50,12 +50,23 @@
 fn declare_for(version: u64, based_on: u64, document: &str, service: &str) -> Request {
     let change = Change::Declare(Box::new(PlanDeclaration {
         plan: plan(version, service),
-        document: document.to_owned(),
+        document: Document::Foreign(document.to_owned()),
         based_on,
     }));
     Request::Steer { change }
 }
 
+/// The version of the plan in force and its document.
+fn in_force(cluster: &mut Cluster) -> (u64, String) {
+    match cluster.settle(&Request::ReadPlan) {
+        Ok(Answer::Plan(in_force)) => match (in_force.plan, in_force.document) {
+            (Some(plan), Some(Document::Foreign(text))) => (plan.version, text),
+            other => panic!("no plan: {other:?}"),
+        },
+        other => panic!("not read: {other:?}"),
+    }
+}
+
 fn heartbeat(id: &str, born_ms: u64, sequence: u64) -> Registration {
     Registration {
         id: id.parse().expect("a valid name"),
@@ -87,11 +98,7 @@
     let later = cluster.settle(&declare(9, 5, "third"));
     assert_eq!(later, Ok(Answer::Steered(Applied::Declared { version: 9 })));
     assert_eq!(cluster.settle(&declare(5, 0, "first")), accepted);
-    let document = Some("third".to_owned());
-    assert_eq!(
-        cluster.settle(&Request::ReadPlan),
-        Ok(Answer::Plan { document })
-    );
+    assert_eq!(in_force(&mut cluster), (9, "third".to_owned()));
 }
 
 #[test]
@@ -107,11 +114,7 @@
         .expect("a valid plan");
     let old = cluster.settle(&declare(5, 5, "same version"));
     assert!(matches!(old, Err(ApiError::InvalidPlan { .. })), "{old:?}");
-    let document = Some("first".to_owned());
-    assert_eq!(
-        cluster.settle(&Request::ReadPlan),
-        Ok(Answer::Plan { document })
-    );
+    assert_eq!(in_force(&mut cluster), (5, "first".to_owned()));
 }
 
 #[test]
@@ -123,11 +126,7 @@
     let all: Vec<_> = cluster.replicas.keys().cloned().collect();
     all.iter().for_each(|replica| cluster.kill(replica));
     all.iter().for_each(|replica| cluster.start(replica));
-    let document = Some("first".to_owned());
-    assert_eq!(
-        cluster.settle(&Request::ReadPlan),
-        Ok(Answer::Plan { document })
-    );
+    assert_eq!(in_force(&mut cluster), (5, "first".to_owned()));
 }
 
 #[test]
@@ -278,3 +277,24 @@
     let named = cluster.answer_of(&leader, locate);
     assert_eq!(named, Ok(Answer::Gateways(Vec::new())));
 }
+
+#[test]
+fn a_plan_in_its_own_form_is_read_back_and_its_resend_is_accepted() {
+    let mut cluster = Cluster::new(3);
+    let own = |version: u64, based_on: u64, service: &str| Request::Steer {
+        change: Change::Declare(Box::new(PlanDeclaration {
+            plan: plan(version, service),
+            document: Document::Own,
+            based_on,
+        })),
+    };
+    let accepted = Ok(Answer::Steered(Applied::Declared { version: 5 }));
+    assert_eq!(cluster.settle(&own(5, 0, "catalogue")), accepted);
+    assert_eq!(cluster.settle(&own(5, 0, "catalogue")), accepted);
+    let other = cluster.settle(&own(5, 0, "payout"));
+    assert_eq!(other, Err(ApiError::PlanConflict { current_version: 5 }));
+    let Ok(Answer::Plan(in_force)) = cluster.settle(&Request::ReadPlan) else {
+        panic!("not read");
+    };
+    assert_eq!(in_force.plan, Some(plan(5, "catalogue")));
+}
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -4,6 +4,7 @@
 use std::{ffi::OsString, path::PathBuf, time::Duration};
 use strum::{Display, EnumString};
 use thiserror::Error;
+use types::{DomainName, InvalidName};
 
 const DEFAULT_TIMEOUT_S: u64 = 15;
 const DEFAULT_IN_FORCE_TIMEOUT_S: u64 = 60;
@@ -37,6 +38,9 @@
         /// The first of them.
         argument: String,
     },
+    /// A name breaks the rules of names.
+    #[error(transparent)]
+    Name(#[from] InvalidName),
     /// No such type of drain.
     #[error("can't drain a {kind:?}: it is upstream, entry, failure_domain or region")]
     DrainKind {
@@ -102,6 +106,23 @@
         /// Its name.
         name: String,
     },
+    /// Show the plan in force, or declare one.
+    Plan {
+        /// The file with the plan to declare.
+        file: Option<PathBuf>,
+        /// The version that it takes the place of; the one in force when it isn't told.
+        based_on: Option<u64>,
+    },
+    /// Send nothing more to the upstreams of a failure domain that gateways know.
+    Evacuate {
+        /// The failure domain.
+        domain: DomainName,
+    },
+    /// End an evacuation.
+    EndEvacuation {
+        /// The failure domain.
+        domain: DomainName,
+    },
     /// Show the control replicas.
     Replicas,
     /// Admit a control replica.
@@ -162,6 +183,7 @@
     prune: bool,
     dry_run: bool,
     until_in_force: bool,
+    based_on: Option<u64>,
     logs: Vec<PathBuf>,
     words: Vec<String>,
 }
@@ -187,6 +209,7 @@
                 raw.files.extend(parser.values()?.map(PathBuf::from));
             }
             Arg::Long("log") => raw.logs.extend(parser.values()?.map(PathBuf::from)),
+            Arg::Long("based-on") => raw.based_on = Some(parser.value()?.parse()?),
             Arg::Long("prune") => raw.prune = true,
             Arg::Long("dry-run") => raw.dry_run = true,
             Arg::Long("until-in-force") => raw.until_in_force = true,
@@ -257,6 +280,16 @@
                 kind: drain_kind(&need("TYPE")?)?,
                 name: need("NAME")?,
             },
+            "plan" => Command::Plan {
+                file: self.files.pop(),
+                based_on: self.based_on,
+            },
+            "evacuate" => Command::Evacuate {
+                domain: domain(&need("DOMAIN")?)?,
+            },
+            "end-evacuation" => Command::EndEvacuation {
+                domain: domain(&need("DOMAIN")?)?,
+            },
             "replicas" => Command::Replicas,
             "admit" => Command::Admit {
                 name: need("NAME")?,
@@ -295,6 +328,10 @@
         })
 }
 
+fn domain(name: &str) -> Result<DomainName, ArgsError> {
+    Ok(DomainName::new(name)?)
+}
+
 fn missing(command: &str, argument: &'static str) -> ArgsError {
     ArgsError::Missing {
         command: command.to_owned(),
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -8,7 +8,7 @@
     diff::differences,
     error::{CtlError, ExitCode},
     explain::{explain, tell},
-    replicas,
+    replicas, steering,
     table::Table,
     watch::{changes, status_line, until_in_force},
 };
@@ -60,6 +60,15 @@
         Command::Watch { until_in_force } => session.watch(*until_in_force, deadline).await?,
         Command::Drain { kind, name } => session.drain(*kind, name).await?,
         Command::Undrain { kind, name } => session.undrain(*kind, name).await?,
+        Command::Plan { file: None, .. } => steering::show(&mut caller, args.json, out).await?,
+        Command::Plan {
+            file: Some(file),
+            based_on,
+        } => steering::declare(&mut caller, file, *based_on, args.json, out).await?,
+        Command::Evacuate { domain } => steering::evacuate(&mut caller, domain, out).await?,
+        Command::EndEvacuation { domain } => {
+            steering::end_evacuation(&mut caller, domain, out).await?;
+        }
         Command::Replicas => replicas::show(&caller, args.json, out).await?,
         Command::Admit { name } => {
             replicas::admit(&mut caller, name, deadline, args.json, out).await?;
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     args::ArgsError, client::ClientError, declarations::DeclarationsError, explain::NoSuchRequest,
+    steering::PlanFileError,
 };
 use std::{io, path::PathBuf};
 use thiserror::Error;
@@ -35,6 +36,9 @@
     /// The declarations can't be read.
     #[error(transparent)]
     Declarations(#[from] DeclarationsError),
+    /// A plan's file can't be read.
+    #[error(transparent)]
+    PlanFile(#[from] PlanFileError),
     /// A name breaks the rules of names.
     #[error(transparent)]
     Name(#[from] InvalidName),
@@ -114,6 +118,7 @@
         match self {
             Self::Args(_)
             | Self::Declarations(_)
+            | Self::PlanFile(_)
             | Self::Name(_)
             | Self::TokenFile { .. }
             | Self::Log { .. } => ExitCode::Usage,
@@ -133,8 +138,9 @@
 
 const fn api_exit_code(error: &ApiError) -> ExitCode {
     match error {
-        ApiError::Conflict { .. } => ExitCode::Conflict,
+        ApiError::Conflict { .. } | ApiError::PlanConflict { .. } => ExitCode::Conflict,
         ApiError::InvalidResource { .. }
+        | ApiError::InvalidPlan { .. }
         | ApiError::MalformedJson { .. }
         | ApiError::InvalidName { .. }
         | ApiError::ResourcesTooLarge { .. }
--- a/crates/ctl/src/help.rs
+++ b/crates/ctl/src/help.rs
@@ -13,6 +13,10 @@
   watch [--until-in-force]                print changes, or wait until all is in force
   drain TYPE NAME                         empty an upstream, entry, failure_domain or region
   undrain TYPE NAME                       end a drain
+  plan                                    show the plan that gateways follow
+  plan -f FILE [--based-on VERSION]       declare the plan that the file holds
+  evacuate DOMAIN                         let gateways send nothing more to a failure domain
+  end-evacuation DOMAIN                   end an evacuation
   replicas                                show each control replica's view of the replicas
   admit NAME                              admit a replica that lost its disk; wait until it votes
   dump ADDRESS                            print the state of the process at ADDRESS
@@ -25,6 +29,7 @@
   --timeout SECONDS   give up after this time; 15, and 60 for watch --until-in-force
   --request-id ID     id of the change; a resend with the same id gets the first answer again
   -f, --file PATH     a TOML file or a folder of *.toml files; may be repeated
+  --based-on VERSION  the plan's version that is replaced; the one in force when not given
   --log FILE...       JSON logs of processes; - or none is the standard input
   --prune             withdraw resources that the files don't declare
   --dry-run           answer what would change, and change nothing
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -10,6 +10,7 @@
 mod explain;
 mod help;
 mod replicas;
+mod steering;
 mod table;
 mod watch;
 
@@ -23,6 +24,7 @@
     error::{CtlError, ExitCode},
     explain::{NoSuchRequest, Record, Story, explain, tell},
     help::HELP,
+    steering::PlanFileError,
     table::Table,
     watch::{Progress, progress},
 };
--- a/crates/daemon/src/control/front.rs
+++ b/crates/daemon/src/control/front.rs
@@ -4,6 +4,7 @@
     control::http::ControlHttp,
     http::{Body, read_body, with_body},
 };
+use api::PLAN_MAX_BYTES;
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
@@ -15,9 +16,6 @@
 use slog::{Logger, info};
 use std::net::SocketAddr;
 
-/// The largest body of a call; a change that holds it twice must fit into one frame between replicas.
-const CALL_MAX_BYTES: usize = 4 * 1024 * 1024;
-
 /// Answers calls of instances and operators, and clients' look-ups, in the platform's way.
 #[derive(Clone, Debug)]
 pub struct PlatformFront {
@@ -35,11 +33,11 @@
     /// Answers a call.
     pub async fn call(self, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path();
-        if path == "/metrics" || path == "/dump" {
+        if path == "/metrics" || path == "/dump" || path.starts_with("/v1/") {
             return self.control.handle(request).await;
         }
         let (head, body) = request.into_parts();
-        let Ok(body) = read_body(body, CALL_MAX_BYTES).await else {
+        let Ok(body) = read_body(body, PLAN_MAX_BYTES).await else {
             return with_body(
                 StatusCode::PAYLOAD_TOO_LARGE,
                 "application/json",
--- a/crates/daemon/src/control/http.rs
+++ b/crates/daemon/src/control/http.rs
@@ -4,7 +4,7 @@
     control::actor::{Ask, Cancel, ControlActor, Dump},
     http::{Body, bearer_token, error, json, metrics, read_body, same_token},
 };
-use api::{BODY_MAX_BYTES, HttpAnswer, HttpRequest, encode, parse};
+use api::{HttpAnswer, HttpRequest, body_max_bytes, encode, parse};
 use bytes::Bytes;
 use control::Answer;
 use http_body_util::{BodyExt, Full};
@@ -49,7 +49,7 @@
         if head.method != hyper::Method::GET {
             self.authorize(&head.headers)?;
         }
-        let body = read_body(body, BODY_MAX_BYTES).await?;
+        let body = read_body(body, body_max_bytes(head.uri.path())).await?;
         let body = parse(&HttpRequest {
             method: head.method.as_str(),
             path: head.uri.path(),
--- a/crates/plan/src/change.rs
+++ b/crates/plan/src/change.rs
@@ -3,7 +3,34 @@
 use crate::{instance::Registration, model::Plan, validate::InvalidPlan};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
-use types::{DomainName, UpstreamName};
+use types::{DomainName, UpstreamName, fnv1a};
+
+/// The text that declared a plan.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Document {
+    /// The plan's own JSON form, which need not be kept.
+    Own,
+    /// Text of another interface, kept for reading it back there.
+    Foreign(String),
+}
+
+impl Document {
+    /// Tells declarations of one version apart.
+    ///
+    /// # Errors
+    ///
+    /// When the plan has no JSON form.
+    pub(crate) fn digest(&self, plan: &Plan) -> Result<u64, InvalidPlan> {
+        match self {
+            Self::Own => {
+                let json = serde_json::to_vec(plan).map_err(|_| InvalidPlan::Form)?;
+                Ok(fnv1a(json.into_iter()))
+            }
+            Self::Foreign(text) => Ok(fnv1a(text.bytes())),
+        }
+    }
+}
 
 /// A plan with the document that declared it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,8 +38,8 @@
 pub struct PlanDeclaration {
     /// The plan.
     pub plan: Plan,
-    /// The document as the operator sent it, for reading it back.
-    pub document: String,
+    /// The document as the operator sent it.
+    pub document: Document,
     /// The version that the change starts from, 0 for the first.
     pub based_on: u64,
 }
@@ -52,7 +79,7 @@
 }
 
 /// What an accepted change answers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Applied {
     /// The plan is in force, or was accepted before.
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -13,7 +13,7 @@
 mod validate;
 
 pub use crate::{
-    change::{Applied, Change, PlanDeclaration, Refused},
+    change::{Applied, Change, Document, PlanDeclaration, Refused},
     changes::PlanChanges,
     instance::{Instance, InstanceState, Registration, Verdict},
     model::{Limits, Part, Plan, Repeat, Route, ServiceTerms},
--- a/crates/plan/src/steering.rs
+++ b/crates/plan/src/steering.rs
@@ -1,7 +1,7 @@
 //! The replicated state that gateways follow.
 
 use crate::{
-    change::{Applied, Change, PlanDeclaration, Refused},
+    change::{Applied, Change, Document, PlanDeclaration, Refused},
     changes::{PlanChanges, RouteHistory},
     instance::{Instance, InstanceState, Registration, Verdict},
     model::Plan,
@@ -9,7 +9,7 @@
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
-use types::{DomainName, UpstreamName, fnv1a};
+use types::{DomainName, UpstreamName};
 
 /// Instances that have left and are still remembered, so that a late heartbeat can't bring one back.
 pub const GONE_MAX: usize = 2_048;
@@ -36,7 +36,7 @@
 #[serde(rename_all = "snake_case")]
 struct InForce {
     plan: Plan,
-    document: String,
+    document: Document,
     revision: u64,
     history: RouteHistory,
 }
@@ -70,10 +70,16 @@
         self.in_force.as_ref().map_or(0, |it| it.plan.version)
     }
 
+    /// The plan in force.
+    #[must_use]
+    pub fn plan(&self) -> Option<&Plan> {
+        self.in_force.as_ref().map(|it| &it.plan)
+    }
+
     /// The document of the plan in force.
     #[must_use]
-    pub fn document(&self) -> Option<&str> {
-        self.in_force.as_ref().map(|it| it.document.as_str())
+    pub fn document(&self) -> Option<&Document> {
+        self.in_force.as_ref().map(|it| &it.document)
     }
 
     /// The evacuated failure domains.
@@ -93,12 +99,6 @@
         self.instances.get(id)
     }
 
-    /// Whether this document was accepted before.
-    #[must_use]
-    pub fn is_accepted(&self, version: u64, document: &str) -> bool {
-        self.accepted.get(&version) == Some(&fnv1a(document.bytes()))
-    }
-
     /// How a registration stands to what is known, at a time of the log's clock.
     #[must_use]
     pub fn judge(&self, registration: &Registration, at_ms: u64) -> Verdict {
@@ -174,7 +174,8 @@
             based_on,
         } = declaration;
         let version = plan.version;
-        if self.is_accepted(version, document) {
+        let digest = document.digest(plan)?;
+        if self.accepted.get(&version) == Some(&digest) {
             return Ok(Applied::Declared { version });
         }
         let current = self.version();
@@ -185,7 +186,7 @@
         if version <= current {
             return Err(InvalidPlan::OldVersion { version, current }.into());
         }
-        self.accepted.insert(version, fnv1a(document.bytes()));
+        self.accepted.insert(version, digest);
         if self.accepted.len() > ACCEPTED_MAX {
             self.accepted.pop_first();
         }
--- a/crates/plan/src/validate.rs
+++ b/crates/plan/src/validate.rs
@@ -49,6 +49,9 @@
         /// The route.
         route: String,
     },
+    /// The plan has no JSON form.
+    #[error("the plan can't be written as JSON")]
+    Form,
     /// The version is not above the one in force.
     #[error("version {version} is not above the current version {current}")]
     OldVersion {
--- a/crates/plan/tests/changes.rs
+++ b/crates/plan/tests/changes.rs
@@ -1,7 +1,7 @@
 //! Following a plan by its changes.
 
 use plan::{
-    Change, Limits, Part, Plan, PlanChanges, PlanDeclaration, Repeat, Route, RouteTable,
+    Change, Document, Limits, Part, Plan, PlanChanges, PlanDeclaration, Repeat, Route, RouteTable,
     ServiceTerms, Steering,
 };
 use proptest::prelude::*;
@@ -47,7 +47,7 @@
 fn declare(steering: &mut Steering, index: u64, plan: Plan) {
     let declaration = PlanDeclaration {
         based_on: steering.version(),
-        document: format!("document {}", plan.version),
+        document: Document::Own,
         plan,
     };
     let change = Change::Declare(Box::new(declaration));
