--- a/crates/plan/src/change.rs
+++ b/crates/plan/src/change.rs
@@ -25,7 +25,7 @@
         match self {
             Self::Own => {
                 let json = serde_json::to_vec(plan).map_err(|_| InvalidPlan::Form)?;
-                Ok(fnv1a(json.into_iter()))
+                Ok(fnv1a(json))
             }
             Self::Foreign(text) => Ok(fnv1a(text.bytes())),
         }
