Refuse heads and bodies that are larger than the plan allows

Cause: the plan's limits on heads and bodies were read and not kept to. A larger head is answered 431, a larger body 413, a body that does not come 408; nothing of them reaches an upstream.

Test: what_is_larger_than_the_plan_allows_is_refused, over the real programs (failed before: 200). How long a head may take to come is still the idle time, which bounds both in the HTTP library.

--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -9,6 +9,7 @@
     message::{Context, Message},
 };
 use link::Event;
+use plan::Limits;
 use slog::{Logger, info, warn};
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 use tokio::sync::watch;
@@ -30,6 +31,8 @@
     pub metrics: Arc<GatewayMetrics>,
     /// Told how long clients' connections may stay idle.
     pub idle_timeout: watch::Sender<Duration>,
+    /// Told what clients may send, once a plan says so.
+    pub limits: watch::Sender<Option<Limits>>,
     /// The log.
     pub log: Logger,
 }
@@ -210,9 +213,10 @@
                 "version" => core.plan_version(), "revision" => core.revision());
             let version = i64::try_from(core.plan_version()).unwrap_or(i64::MAX);
             self.args.metrics.plan_version.set(version);
-            if let Some(idle_ms) = core.idle_timeout_ms() {
-                let idle_timeout = Duration::from_millis(idle_ms);
+            if let Some(limits) = core.limits() {
+                let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
                 self.args.idle_timeout.send_replace(idle_timeout);
+                self.args.limits.send_replace(Some(limits));
             }
         }
     }
--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -14,8 +14,10 @@
     Request, Response, StatusCode, Uri,
     body::Incoming,
     header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER},
+    http::request::Parts,
 };
 use kameo::actor::ActorRef;
+use plan::Limits;
 use platform::request_terms;
 use prometheus_client::registry::Registry;
 use serde_json::json;
@@ -27,7 +29,7 @@
 use tokio::sync::watch;
 use types::{ApiError, TimeUs};
 
-/// The largest body of a client's request.
+/// The largest body of a client's request, whatever the plan says.
 const REQUEST_MAX_BYTES: usize = 64 * 1024 * 1024;
 
 /// When a client of a gateway whose core has ended may come back, in milliseconds.
@@ -44,6 +46,8 @@
     pub clock: Clock,
     /// The counters.
     pub metrics: Arc<GatewayMetrics>,
+    /// What clients may send; unknown before the first plan.
+    pub limits: watch::Receiver<Option<Limits>>,
     /// The number of the next request.
     pub next_request: Arc<AtomicU64>,
     /// Whether the gateway stops, so that connections are not kept.
@@ -109,10 +113,17 @@
 
     async fn serve(&self, request: Request<Incoming>, came_us: TimeUs) -> Response<Body> {
         let (mut head, body) = request.into_parts();
-        let body = match read_body(body, REQUEST_MAX_BYTES).await {
+        let limits = *self.limits.borrow();
+        if limits.is_some_and(|limits| head_bytes(&head) > limits.header_max_bytes) {
+            return status(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+        }
+        let body_max_bytes = limits
+            .and_then(|limits| usize::try_from(limits.body_max_bytes).ok())
+            .map_or(REQUEST_MAX_BYTES, |limit| limit.min(REQUEST_MAX_BYTES));
+        let body = match read_body(body, body_max_bytes).await {
             Ok(body) => body,
             Err(ApiError::BodyTooLarge { .. }) => return status(StatusCode::PAYLOAD_TOO_LARGE),
-            Err(_) => return status(StatusCode::BAD_REQUEST),
+            Err(_) => return status(StatusCode::REQUEST_TIMEOUT),
         };
         let mut in_flight = InFlight {
             actor: self.actor.clone(),
@@ -267,6 +278,17 @@
     }
 }
 
+/// The size of a request's head as it crossed the wire, without white space that may be left out.
+fn head_bytes(head: &Parts) -> u64 {
+    const LINE_EXTRA: usize = "HTTP/1.1\r\n  ".len();
+    const FIELD_EXTRA: usize = ": \r\n".len();
+    let fields = head.headers.iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_EXTRA);
+    let target = head.uri.path_and_query().map_or(0, |it| it.as_str().len());
+    let line = head.method.as_str().len() + target + LINE_EXTRA;
+    (line + fields.sum::<usize>()) as u64
+}
+
 fn request_name(headers: &hyper::HeaderMap) -> String {
     let attempt = request_terms(headers).attempt;
     let name = attempt.and_then(|name| name.to_str().ok());
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -92,6 +92,7 @@
     let mut registry = Registry::with_prefix("oleanderwell_gateway");
     let metrics = Arc::new(GatewayMetrics::new(&mut registry));
     let (idle_timeout, head_timeout) = watch::channel(HEAD_TIMEOUT);
+    let (limits, client_limits) = watch::channel(None);
     let actor = GatewayActor::spawn_with_mailbox(
         GatewayArgs {
             core: Gate::new(config(settings, own, &bounds)?, clock.now_us()),
@@ -99,6 +100,7 @@
             links: ReplicaLinks::new(settings, identity, inbox),
             metrics: Arc::clone(&metrics),
             idle_timeout,
+            limits,
             log: log.clone(),
         },
         mailbox::unbounded(),
@@ -115,6 +117,7 @@
         },
         clock,
         metrics,
+        limits: client_limits,
         next_request: Arc::default(),
         stopping: is_stopping,
         log: log.clone(),
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -5,7 +5,7 @@
     service::Service, split::Split, times::RunTimes, upstream::Upstream,
 };
 use control::{Follow, FollowAnswer, GatewayReport};
-use plan::{Instance, PlanChanges, RouteTable, ServiceTerms};
+use plan::{Instance, Limits, PlanChanges, RouteTable, ServiceTerms};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use types::{DomainName, RegionName, ServiceName, TimeUs, UpstreamName};
 
@@ -22,7 +22,7 @@
     followed: Followed,
     revision: u64,
     plan_version: u64,
-    idle_timeout_ms: Option<u64>,
+    limits: Option<Limits>,
     pub(crate) table: Option<RouteTable>,
     pub(crate) splits: HashMap<String, Split>,
     pub(crate) times: HashMap<String, RunTimes>,
@@ -46,7 +46,7 @@
             config,
             revision: 0,
             plan_version: 0,
-            idle_timeout_ms: None,
+            limits: None,
             table: None,
             splits: HashMap::new(),
             times: HashMap::new(),
@@ -79,10 +79,10 @@
         self.plan_version
     }
 
-    /// How long clients' connections may stay idle, by the plan.
+    /// What clients may send, by the plan.
     #[must_use]
-    pub const fn idle_timeout_ms(&self) -> Option<u64> {
-        self.idle_timeout_ms
+    pub const fn limits(&self) -> Option<Limits> {
+        self.limits
     }
 
     /// The index of the log up to which it knows the changes.
@@ -246,7 +246,7 @@
 
     fn take_plan(&mut self, plan: &PlanChanges) {
         self.plan_version = plan.version;
-        self.idle_timeout_ms = Some(plan.limits.idle_timeout_ms);
+        self.limits = Some(plan.limits);
         let table = self.table.get_or_insert_default();
         table.apply(plan);
         self.splits.retain(|name, _| table.contains(name));
