Let what lasts in the shares of regions move no requests

Credits now fade within the span over which changes of region count, and the slack follows all requests of a gateway, from its first span on.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     api::Belief, config::GateConfig, follow::Followed, regions::Scope, requests::Flight,
-    service::Service, split::Split, times::RunTimes, upstream::Upstream,
+    service::Service, slack::Slack, split::Split, times::RunTimes, upstream::Upstream,
 };
 use control::{Follow, FollowAnswer, GatewayReport};
 use plan::{Instance, Limits, PlanChanges, RouteTable, ServiceTerms};
@@ -32,6 +32,7 @@
     pub(crate) gateways: usize,
     pub(crate) flights: HashMap<u64, Flight>,
     regions_us: TimeUs,
+    pub(crate) slack: Slack,
     pub(crate) beliefs: Vec<Belief>,
     /// Set while the gateway stops: it takes new requests until then.
     pub(crate) takes_until_us: Option<TimeUs>,
@@ -56,6 +57,7 @@
             gateways: 1,
             flights: HashMap::new(),
             regions_us: now_us,
+            slack: Slack::new(now_us),
             beliefs: Vec::new(),
             takes_until_us: None,
         }
@@ -269,9 +271,11 @@
 
     fn follow_regions(&mut self, now_us: TimeUs) {
         let regions: BTreeSet<&RegionName> = self.config.regions.values().collect();
+        let gateways_of_region = self.gateways as f64 / regions.len().max(1) as f64;
+        let services = self.services.len();
         let scope = Scope {
             regions: regions.len(),
-            gateways: self.gateways,
+            slack: self.slack.look(gateways_of_region, services, now_us),
             shift_max: self.config.bounds.region_shift_max,
         };
         for service in self.services.values_mut() {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -12,6 +12,7 @@
 mod regions;
 mod requests;
 mod service;
+mod slack;
 mod split;
 mod times;
 mod upstream;
--- a/crates/gate/src/regions.rs
+++ b/crates/gate/src/regions.rs
@@ -3,7 +3,7 @@
 //! Each gateway keeps a share for each region and moves it slowly towards the region that is least
 //! pressed, so that a change of traffic never moves many requests to other regions at once.
 
-use crate::rank::rank;
+use crate::{rank::rank, slack::SHIFT_WINDOW_S};
 use std::collections::BTreeMap;
 use types::{RegionName, TimeUs};
 
@@ -19,9 +19,6 @@
 /// The part of the allowed change that a gateway uses, so that chance stays within the rest.
 const SHIFT_USED: f64 = 0.5;
 
-/// The span over which the allowed change counts, in seconds.
-const SHIFT_WINDOW_S: f64 = 2.0;
-
 /// How fast shares move after upstreams came or went, in shares a second.
 const FAST_PER_S: f64 = 0.5;
 
@@ -37,13 +34,6 @@
 /// By how many slacks a region's requests may run ahead of its share, or stay behind.
 const CREDIT_SLACKS: f64 = 3.0;
 
-/// The smallest slack, in requests: by so much the usual region of an object goes before others.
-const SLACK_MIN: f64 = 1.0;
-
-/// The slack of a region's gateways together, as a part of their requests in the span over which a
-/// change of region counts; a fifth of the change that is allowed.
-const SLACK_PART: f64 = 0.03;
-
 /// What a region's usable upstreams have to do.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Pressure {
@@ -64,8 +54,8 @@
 pub(crate) struct Scope {
     /// All regions.
     pub(crate) regions: usize,
-    /// All gateways.
-    pub(crate) gateways: usize,
+    /// By how many requests the usual region of an object goes before others.
+    pub(crate) slack: f64,
     /// The largest share of a region's requests that may change region within two seconds.
     pub(crate) shift_max: f64,
 }
@@ -86,8 +76,6 @@
     fast_until_us: TimeUs,
     /// Requests since the shares moved last.
     requests: u32,
-    /// Requests within a span over which the allowed change counts, as an average that fades.
-    usual_requests: f64,
     /// By how many requests the usual region of an object goes before others.
     slack: f64,
     /// Until when the service counts as used.
@@ -102,8 +90,7 @@
             moved_us: now_us,
             fast_until_us: now_us,
             requests: 0,
-            usual_requests: 0.0,
-            slack: SLACK_MIN,
+            slack: 1.0,
             used_until_us: now_us,
         }
     }
@@ -124,9 +111,12 @@
         if requests > 0 {
             self.used_until_us = now_us.after_ms(USED_MS);
         }
+        self.slack = scope.slack;
+        // A lasting deviation is no change of region, so what lies further back doesn't count.
         let kept = (-elapsed_s / SHIFT_WINDOW_S).exp();
-        self.usual_requests = self.usual_requests * kept + f64::from(requests);
-        self.slack = self.slack(scope);
+        for share in self.shares.values_mut() {
+            share.credit *= kept;
+        }
         let is_idle = self.used_until_us.reached(now_us);
         if is_idle || self.shares.values().all(|share| share.share <= 0.0) {
             return self.begin(pressures, regions);
@@ -140,14 +130,6 @@
         self.step(pressures, per_s * elapsed_s);
     }
 
-    /// What one gateway's requests may run beside their shares. Deviations of gateways are
-    /// independent of each other, so their sum grows with the root of their number only.
-    fn slack(&self, scope: Scope) -> f64 {
-        let gateways = scope.gateways as f64 / scope.regions.max(1) as f64;
-        let slack = SLACK_PART * self.usual_requests * gateways.max(1.0).sqrt();
-        slack.max(SLACK_MIN)
-    }
-
     /// The region of the next request among those that `is_allowed`. Requests for one object
     /// mostly go to one region, as far as the shares stay as they are.
     pub(crate) fn next(
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -154,6 +154,7 @@
         let Some(service) = self.services.get_mut(&flight.service) else {
             return refuse(Refusal::NoUpstream, RETRY_AFTER_MAX_MS);
         };
+        self.slack.note();
         service.note_first(&self.config.bounds, self.gateways);
         let wish = flight.wish(&self.config.failure_domain, times, now_us);
         let Some(choice) = service.choose(wish, self.gateways, now_us) else {
--- a/crates/gate/tests/choice.rs
+++ b/crates/gate/tests/choice.rs
@@ -160,8 +160,9 @@
     (0..1_500_u64).map(|n| (n * 20, n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 58))
 }
 
-#[test]
-fn where_many_requests_come_an_object_keeps_to_one_region() {
+/// How many of the requests for so many objects go to their object's first region, and how many
+/// there are.
+fn kept_to_one_region(objects_count: u64) -> (u32, u32) {
     let mut gate = two_regions(27);
     // The home region is so much busier that nothing speaks for moving its share.
     let load = Load {
@@ -171,6 +172,7 @@
     };
     let mut counts: BTreeMap<(u64, String), u32> = BTreeMap::new();
     for (ms, object) in objects() {
+        let object = object % objects_count;
         if ms % 100 == 0 {
             gate.tick(at_ms(ms));
         }
@@ -183,7 +185,21 @@
         let most = most.entry(*object).or_default();
         *most = (*count).max(*most);
     }
-    let kept: u32 = most.values().sum();
+    (most.values().sum(), total)
+}
+
+#[test]
+fn where_many_requests_come_an_object_keeps_to_one_region() {
+    let (kept, total) = kept_to_one_region(64);
+    assert!(
+        20 * (total - kept) <= total,
+        "{kept} of {total} kept to one"
+    );
+}
+
+#[test]
+fn objects_that_are_spread_unevenly_for_good_move_no_more() {
+    let (kept, total) = kept_to_one_region(16);
     assert!(
         20 * (total - kept) <= total,
         "{kept} of {total} kept to one"
