Tell in the log what a choice rested on, and time answers by route and service

A failed attempt's line now names the wait and the run that were expected; answered_seconds has the labels route and service. A reader of standard output that closes its end no longer ends the writer's thread with a panic.

--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -189,7 +189,7 @@
         };
         let taken_us = self.clock.now_us().since_us(came_us);
         if response.status().is_success() {
-            self.metrics.answered_s.observe(taken_us as f64 / 1e6);
+            self.metrics.note_answered(&target, taken_us);
         }
         if failed {
             info!(self.log, "request ended";
@@ -226,6 +226,8 @@
             "address" => %target.address,
             "attempt" => target.attempt,
             "idempotent" => target.idempotent,
+            "expected_wait_ms" => target.expected_wait_ms,
+            "expected_run_ms" => target.expected_run_ms,
             "elapsed_ms" => self.clock.now_us().since_us(came_us) / 1_000);
     }
 }
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -1,6 +1,6 @@
 //! The counters of a gateway.
 
-use gate::{Ending, Refusal};
+use gate::{Ending, Refusal, Target};
 use prometheus_client::{
     encoding::EncodeLabelSet,
     metrics::{
@@ -27,13 +27,20 @@
     cause: &'static str,
 }
 
+/// The labels of a latency: the route of the request and the service that ran it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Answered {
+    route: String,
+    service: String,
+}
+
 /// The counters of a gateway.
 #[derive(Debug)]
 pub struct GatewayMetrics {
     /// Requests of clients.
     pub requests: Counter,
     /// Answers of upstreams that were passed on, by their time in seconds.
-    pub answered_s: Histogram,
+    answered_s: Family<Answered, Histogram, fn() -> Histogram>,
     /// Attempts beyond the first of a request.
     pub repeats: Counter,
     /// Connections that were opened to upstreams.
@@ -47,10 +54,9 @@
 impl GatewayMetrics {
     /// Counters that start at zero, registered in `registry`.
     pub fn new(registry: &mut Registry) -> Self {
-        let buckets = exponential_buckets(LATENCY_FIRST_S, LATENCY_FACTOR, LATENCY_BUCKETS);
         let metrics = Self {
             requests: Counter::default(),
-            answered_s: Histogram::new(buckets),
+            answered_s: Family::new_with_constructor(latencies),
             repeats: Counter::default(),
             connections: Counter::default(),
             plan_version: Gauge::default(),
@@ -78,6 +84,16 @@
         metrics
     }
 
+    /// Notes an answer that is passed on.
+    pub fn note_answered(&self, target: &Target, taken_us: u64) {
+        let labels = Answered {
+            route: target.route.clone(),
+            service: target.service.to_string(),
+        };
+        let histogram = self.answered_s.get_or_create(&labels);
+        histogram.observe(taken_us as f64 / 1e6);
+    }
+
     /// Counts a request that is not forwarded.
     pub fn count_refused(&self, refusal: Refusal) {
         let cause = refusal.as_str();
@@ -90,3 +106,11 @@
         self.ended.get_or_create(&Cause { cause }).inc();
     }
 }
+
+fn latencies() -> Histogram {
+    Histogram::new(exponential_buckets(
+        LATENCY_FIRST_S,
+        LATENCY_FACTOR,
+        LATENCY_BUCKETS,
+    ))
+}
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -27,14 +27,16 @@
     let drain = slog_term::FullFormat::new(decorator)
         .use_utc_timestamp()
         .build();
-    background(drain.filter_level(level).fuse())
+    background(drain.filter_level(level).ignore_res())
 }
 
 fn json(level: Level) -> Fuse<Bounded> {
     let drain = slog_json::Json::default(io::stdout());
-    background(std::sync::Mutex::new(drain).filter_level(level).fuse())
+    background(Mutex::new(drain).filter_level(level).ignore_res())
 }
 
+/// Hands lines to a thread that writes them. A line that can't be written, since its reader is gone,
+/// has nowhere else to go.
 fn background<D>(drain: D) -> Fuse<Bounded>
 where
     D: Drain<Err = Never, Ok = ()> + Send + 'static,
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -2,7 +2,7 @@
 
 use plan::InstanceState;
 use std::net::SocketAddr;
-use types::{DomainName, TimeUs, UpstreamName};
+use types::{DomainName, ServiceName, TimeUs, UpstreamName};
 
 /// A client's request, as far as decisions need it.
 #[derive(Clone, Copy, Debug)]
@@ -52,6 +52,10 @@
 pub struct Target {
     /// The request, as its [`Arrival`] names it.
     pub request: u64,
+    /// The name of its route.
+    pub route: String,
+    /// The service that runs it.
+    pub service: ServiceName,
     /// The instance that must run it.
     pub upstream: UpstreamName,
     /// Its address.
@@ -62,6 +66,10 @@
     pub attempt: u32,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// How long it was expected to wait there when it was chosen.
+    pub expected_wait_ms: u64,
+    /// How long it was expected to run there when it was chosen.
+    pub expected_run_ms: u64,
 }
 
 /// Why a request is not forwarded; no upstream runs it.
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -211,11 +211,15 @@
         flight.is_familiar = choice.is_familiar;
         let target = Target {
             request,
+            route: flight.route.clone(),
+            service: flight.service.clone(),
             upstream: instance.id.clone(),
             address: instance.address,
             deadline_us: flight.deadline_us,
             attempt: u32::try_from(flight.tried.len()).unwrap_or(u32::MAX),
             idempotent: flight.idempotent,
+            expected_wait_ms: (choice.wait_us / 1e3) as u64,
+            expected_run_ms: (choice.run_us / 1e3) as u64,
         };
         self.flights.insert(request, flight);
         target
