Dial again when a connection does not open soon

Cause: the opening packet to a machine that has no power yet is lost and sent again after a second; the dialer waited that second.

The first attempt gives up after 250 ms, each further one after twice as long up to the second, then it starts over, so that slow links are reached too.

Test: a_machine_that_answers_nothing_is_dialed_again_within_a_second, in simulated time (before: no attempt had ended after 0.9 s).

--- a/crates/link/src/dialer.rs
+++ b/crates/link/src/dialer.rs
@@ -6,7 +6,7 @@
     error::{LinkError, SendError},
     event::{Event, Replies},
     identity::Identity,
-    limits::{BACKOFF_MAX, BACKOFF_MIN, HANDSHAKE_TIMEOUT},
+    limits::{BACKOFF_MAX, BACKOFF_MIN, CONNECT_TIMEOUT_MIN, HANDSHAKE_TIMEOUT},
 };
 use rand::Rng;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -103,22 +103,28 @@
 impl Dialer {
     async fn run(self) {
         let mut backoff = BACKOFF_MIN;
+        let mut connect_timeout = CONNECT_TIMEOUT_MIN;
         while !self.inbox.is_closed() {
-            match self.connect().await {
+            match self.connect(connect_timeout).await {
                 Some(connection) => {
                     backoff = BACKOFF_MIN;
+                    connect_timeout = CONNECT_TIMEOUT_MIN;
                     self.carry(connection).await;
                 }
-                None => self.counters.count_refused(),
+                None => {
+                    self.counters.count_refused();
+                    connect_timeout = longer(connect_timeout);
+                }
             }
             time::sleep(jitter(backoff)).await;
             backoff = (backoff * 2).min(BACKOFF_MAX);
         }
     }
 
-    async fn connect(&self) -> Option<Connection> {
+    async fn connect(&self, connect_timeout: Duration) -> Option<Connection> {
         let connect = async {
-            let stream = TcpStream::connect(self.address).await.ok()?;
+            let stream = time::timeout(connect_timeout, TcpStream::connect(self.address));
+            let stream = stream.await.ok()?.ok()?;
             // Small frames go out at once; a socket that refuses the option still carries them.
             let _ = stream.set_nodelay(true);
             Connection::dial(stream, &self.identity, self.expected.as_deref())
@@ -140,6 +146,14 @@
     }
 }
 
+/// The next attempt's time for opening the connection.
+fn longer(connect_timeout: Duration) -> Duration {
+    match connect_timeout < HANDSHAKE_TIMEOUT {
+        true => (2 * connect_timeout).min(HANDSHAKE_TIMEOUT),
+        false => CONNECT_TIMEOUT_MIN,
+    }
+}
+
 /// A wait between half of `backoff` and all of it.
 fn jitter(backoff: Duration) -> Duration {
     backoff.mul_f64(rand::rng().random_range(0.5..=1.0))
--- a/crates/link/src/limits.rs
+++ b/crates/link/src/limits.rs
@@ -6,6 +6,11 @@
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The largest frame before the peer is authenticated.
 pub const HANDSHAKE_FRAME_MAX_BYTES: usize = 1024;
+/// The first of a dialer's attempts gives up after this time if the connection does not open: the
+/// opening packet to a machine that has no power yet is lost, and the system sends it again only
+/// after a second. Each further one waits twice as long, up to [`HANDSHAKE_TIMEOUT`], for links that
+/// are slow, and then it starts over.
+pub const CONNECT_TIMEOUT_MIN: Duration = Duration::from_millis(250);
 /// Handshakes that one listener runs at once.
 pub const HANDSHAKES_MAX: usize = 256;
 /// Handshakes that one listener runs at once with one IP address.
--- /dev/null
+++ b/crates/link/tests/silent.rs
@@ -0,0 +1,39 @@
+//! Peers whose machines answer nothing.
+
+mod support;
+
+use crate::support::{OLD_KEY, any_port, identity};
+use link::dial;
+use std::time::Duration;
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    sync::mpsc,
+    time,
+};
+
+/// Simulated time: it passes only while nothing else happens.
+#[tokio::test(start_paused = true)]
+async fn a_machine_that_answers_nothing_is_dialed_again_within_a_second() {
+    // A listener whose queue is full loses the packets that open further connections.
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(any_port()).expect("a port is free");
+    let listener = socket.listen(1).expect("it listens");
+    let address = listener.local_addr().expect("it is bound");
+    let mut waiting = Vec::new();
+    for _ in 0..8 {
+        let opened = time::timeout(Duration::from_millis(100), TcpStream::connect(address));
+        if let Ok(Ok(stream)) = opened.await {
+            waiting.push(stream);
+        }
+    }
+    assert!(waiting.len() < 8, "the queue is full");
+
+    let (inbox, _events) = mpsc::channel(8);
+    let outbound = dial(address, None, identity("dialer", &[OLD_KEY]), inbox);
+    let outbound = outbound.expect("it has a key");
+    time::sleep(Duration::from_millis(900)).await;
+    assert!(outbound.counters().refused() >= 1);
+    time::sleep(Duration::from_secs(9)).await;
+    let dialed = outbound.counters().refused();
+    assert!((8..=20).contains(&dialed), "{dialed} times in 10 s");
+}
