--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -65,9 +65,9 @@
             file: Some(file),
             based_on,
         } => steering::declare(&mut caller, file, *based_on, args.json, out).await?,
-        Command::Evacuate { domain } => steering::evacuate(&mut caller, domain, out).await?,
+        Command::Evacuate { domain } => steering::evacuate(&mut caller, domain, true, out).await?,
         Command::EndEvacuation { domain } => {
-            steering::end_evacuation(&mut caller, domain, out).await?;
+            steering::evacuate(&mut caller, domain, false, out).await?;
         }
         Command::Replicas => replicas::show(&caller, args.json, out).await?,
         Command::Admit { name } => {
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -2,7 +2,6 @@
 
 use crate::{
     args::ArgsError, client::ClientError, declarations::DeclarationsError, explain::NoSuchRequest,
-    steering::PlanFileError,
 };
 use std::{io, path::PathBuf};
 use thiserror::Error;
@@ -36,9 +35,6 @@
     /// The declarations can't be read.
     #[error(transparent)]
     Declarations(#[from] DeclarationsError),
-    /// A plan's file can't be read.
-    #[error(transparent)]
-    PlanFile(#[from] PlanFileError),
     /// A name breaks the rules of names.
     #[error(transparent)]
     Name(#[from] InvalidName),
@@ -118,7 +114,6 @@
         match self {
             Self::Args(_)
             | Self::Declarations(_)
-            | Self::PlanFile(_)
             | Self::Name(_)
             | Self::TokenFile { .. }
             | Self::Log { .. } => ExitCode::Usage,
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -24,7 +24,6 @@
     error::{CtlError, ExitCode},
     explain::{NoSuchRequest, Record, Story, explain, tell},
     help::HELP,
-    steering::PlanFileError,
     table::Table,
     watch::{Progress, progress},
 };
--- a/crates/ctl/src/steering.rs
+++ b/crates/ctl/src/steering.rs
@@ -1,42 +1,16 @@
 //! The plan that gateways follow, and the failure domains that they leave.
 
-use crate::{call::Caller, error::CtlError, table::Table};
+use crate::{call::Caller, declarations::DeclarationsError, error::CtlError, table::Table};
 use api::PlanBody;
 use bytes::Bytes;
 use control::PlanInForce;
 use hyper::Method;
 use plan::{Applied, Part, Plan, Route};
-use std::{
-    fs, io,
-    io::Write,
-    path::{Path, PathBuf},
-};
-use thiserror::Error;
+use std::{fs, io::Write, path::Path};
 use types::DomainName;
 
 const PATH: &str = "/v1/plan";
 
-/// A file that holds no plan.
-#[derive(Debug, Error)]
-pub enum PlanFileError {
-    /// It can't be read.
-    #[error("{}: {error}", path.display())]
-    Read {
-        /// The file.
-        path: PathBuf,
-        /// What went wrong.
-        error: io::Error,
-    },
-    /// It is no TOML, or its tables are no plan.
-    #[error("{}: {error}", path.display())]
-    Toml {
-        /// The file.
-        path: PathBuf,
-        /// What the parser said.
-        error: Box<toml::de::Error>,
-    },
-}
-
 /// Prints the plan in force and the evacuated failure domains.
 ///
 /// # Errors
@@ -97,7 +71,7 @@
     Ok(())
 }
 
-/// Starts an evacuation.
+/// Starts an evacuation, or ends it.
 ///
 /// # Errors
 ///
@@ -105,31 +79,16 @@
 pub async fn evacuate(
     caller: &mut Caller,
     domain: &DomainName,
+    starts: bool,
     out: &mut dyn Write,
 ) -> Result<(), CtlError> {
-    change(caller, Method::PUT, domain).await?;
-    writeln!(out, "{domain} is evacuated")?;
-    Ok(())
-}
-
-/// Ends an evacuation.
-///
-/// # Errors
-///
-/// [`CtlError`] when no replica accepts it.
-pub async fn end_evacuation(
-    caller: &mut Caller,
-    domain: &DomainName,
-    out: &mut dyn Write,
-) -> Result<(), CtlError> {
-    change(caller, Method::DELETE, domain).await?;
-    writeln!(out, "{domain} takes work again")?;
-    Ok(())
-}
-
-async fn change(caller: &mut Caller, method: Method, domain: &DomainName) -> Result<(), CtlError> {
+    let (method, told) = match starts {
+        true => (Method::PUT, "is evacuated"),
+        false => (Method::DELETE, "takes work again"),
+    };
     let path = format!("/v1/evacuations/{domain}");
     let _: Applied = caller.call(method, &path, Bytes::new()).await?;
+    writeln!(out, "{domain} {told}")?;
     Ok(())
 }
 
@@ -137,12 +96,12 @@
     caller.call(Method::GET, PATH, Bytes::new()).await
 }
 
-fn read_file(path: &Path) -> Result<Plan, PlanFileError> {
-    let text = fs::read_to_string(path).map_err(|error| PlanFileError::Read {
+fn read_file(path: &Path) -> Result<Plan, DeclarationsError> {
+    let text = fs::read_to_string(path).map_err(|error| DeclarationsError::Read {
         path: path.to_owned(),
         error,
     })?;
-    toml::from_str(&text).map_err(|error| PlanFileError::Toml {
+    toml::from_str(&text).map_err(|error| DeclarationsError::Toml {
         path: path.to_owned(),
         error: Box::new(error),
     })
--- a/crates/gate/tests/choice.rs
+++ b/crates/gate/tests/choice.rs
@@ -3,21 +3,22 @@
 mod support;
 
 use gate::{Arrival, Decision, Ending, Gate, Load};
-use plan::Repeat;
+use plan::{Repeat, Route};
 use std::collections::{BTreeMap, BTreeSet};
 use support::{
     REPLICA, answer, arrival, at_ms, forwarded, gate, gate_among, gate_in, instance, plan, route,
 };
 
+fn sticky_route() -> Route {
+    let parts = [("catalogue", 1_000)];
+    let mut browse = route("browse", "/browse/", Repeat::Idempotent, &parts);
+    browse.sticky = true;
+    browse
+}
+
 /// Two upstreams in each failure domain of the east, and a sticky route with a target.
 fn sticky(mut gate: Gate, target_ms: u64) -> Gate {
-    let mut browse = route(
-        "browse",
-        "/browse/",
-        Repeat::Idempotent,
-        &[("catalogue", 1_000)],
-    );
-    browse.sticky = true;
+    let mut browse = sticky_route();
     browse.target_ms = target_ms;
     let upstreams = [
         ("w-1", "east-a"),
@@ -136,13 +137,7 @@
 /// One upstream in each region, as the region's only one.
 fn two_regions(gateways: usize) -> Gate {
     let mut gate = gate();
-    let mut browse = route(
-        "browse",
-        "/browse/",
-        Repeat::Idempotent,
-        &[("catalogue", 1_000)],
-    );
-    browse.sticky = true;
+    let browse = sticky_route();
     let mut instances = vec![
         instance("w-1", "catalogue", "east-a", 1),
         instance("w-22", "catalogue", "west-a", 2),
@@ -210,13 +205,7 @@
 fn small_region() -> Gate {
     let domains = [("east-a", "east"), ("south-a", "south"), ("west-a", "west")];
     let mut gate = gate_among(&domains, "east-a");
-    let mut browse = route(
-        "browse",
-        "/browse/",
-        Repeat::Idempotent,
-        &[("catalogue", 1_000)],
-    );
-    browse.sticky = true;
+    let browse = sticky_route();
     let mut instances = vec![
         instance("w-1", "catalogue", "east-a", 1),
         instance("w-22", "catalogue", "south-a", 2),
