Name the gateways of a failure domain in turn

Cause: an answer to a look-up names 16 gateways at most, and always the first ones by address. With 300 machines a failure domain has about 50 gateways; two thirds of them got no client (median 11 connections, busiest 90).

Answers take turns within each rank.

Test: clients_are_spread_over_all_gateways_of_their_failure_domain (before: 16 of 40 named).

--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -51,6 +51,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Gateways {
     heard: BTreeMap<EntryName, Heard>,
+    /// How many answers named gateways so far; each begins after the one before.
+    answers: usize,
 }
 
 impl Gateways {
@@ -74,8 +76,8 @@
     }
 
     /// The gateways for a client: those of its failure domain first, then those of its region;
-    /// any, where its region has none.
-    pub(crate) fn locate(&self, region: &str, domain: &str) -> Vec<SocketAddr> {
+    /// any, where its region has none. Where an answer can't name them all, answers take turns.
+    pub(crate) fn locate(&mut self, region: &str, domain: &str) -> Vec<SocketAddr> {
         let usable = self.heard.values().map(|heard| &heard.report);
         let usable = usable.filter(|report| report.takes_clients);
         let mut named: Vec<(u8, SocketAddr)> = usable
@@ -90,7 +92,17 @@
             .collect();
         named.sort_unstable();
         let nearest = named.first().map_or(0, |(rank, _)| *rank).max(1);
-        let near = named.into_iter().filter(|(rank, _)| *rank <= nearest);
-        near.take(NAMED_MAX).map(|(_, address)| address).collect()
+        let first = self.answers.wrapping_mul(NAMED_MAX);
+        self.answers = self.answers.wrapping_add(1);
+        let same_rank = named.chunk_by(|(one, _), (other, _)| one == other);
+        let near = same_rank.filter(|group| group[0].0 <= nearest);
+        let in_turn = near.flat_map(|group| {
+            let (before, after) = group.split_at(first % group.len());
+            after.iter().chain(before)
+        });
+        in_turn
+            .take(NAMED_MAX)
+            .map(|(_, address)| *address)
+            .collect()
     }
 }
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -11,7 +11,10 @@
 };
 use share::Want;
 use state::{Command, Declaration, Item, Operation};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    net::SocketAddr,
+};
 use types::{ApiError, Key, ResourceName, Spec, TimeUs};
 
 const TICK_US: u64 = 10_000;
@@ -312,10 +315,12 @@
     pub fn follow(&mut self, replica: &ReplicaId, gateway: &str, revision: u64) -> FollowAnswer {
         self.next_request += 1;
         let follow = self.next_request;
+        let number = gateway.rsplit('-').next().and_then(|it| it.parse().ok());
+        let number: u8 = number.expect("a gateway's name ends with its number");
         let body = Follow {
             gateway: gateway.parse().expect("a valid name"),
             report: GatewayReport {
-                address: "10.1.0.15:8080".parse().expect("a valid address"),
+                address: SocketAddr::from(([10, 1, 0, 14 + number], 8_080)),
                 region: "east".parse().expect("a valid name"),
                 failure_domain: "east-a".parse().expect("a valid name"),
                 takes_clients: true,
--- a/crates/control/tests/steering.rs
+++ b/crates/control/tests/steering.rs
@@ -8,6 +8,7 @@
     Applied, Change, Document, InstanceState, Limits, Part, Plan, PlanDeclaration, Registration,
     Repeat, Route, ServiceTerms,
 };
+use std::{collections::BTreeMap, net::SocketAddr};
 use types::ApiError;
 
 fn plan(version: u64, service: &str) -> Plan {
@@ -278,6 +279,33 @@
     assert_eq!(named, Ok(Answer::Gateways(Vec::new())));
 }
 
+#[test]
+fn clients_are_spread_over_all_gateways_of_their_failure_domain() {
+    const GATEWAYS: usize = 40;
+    let mut cluster = Cluster::new(3);
+    let leader = cluster.wait_for_leader();
+    for number in 1..=GATEWAYS {
+        cluster.follow(&leader, &format!("gateway-{number}"), 0);
+    }
+    let locate = Request::Locate {
+        region: "east".to_owned(),
+        failure_domain: "east-a".to_owned(),
+    };
+    let mut named: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for _ in 0..GATEWAYS {
+        let Ok(Answer::Gateways(gateways)) = cluster.answer_of(&leader, locate.clone()) else {
+            panic!("not answered");
+        };
+        assert!(!gateways.is_empty());
+        for gateway in gateways {
+            *named.entry(gateway).or_default() += 1;
+        }
+    }
+    assert_eq!(named.len(), GATEWAYS);
+    let (least, most) = (named.values().min(), named.values().max());
+    assert_eq!(least, most, "{named:?}");
+}
+
 #[test]
 fn a_plan_in_its_own_form_is_read_back_and_its_resend_is_accepted() {
     let mut cluster = Cluster::new(3);
