Heed what upstreams ask for in answers, and bound answers without end

Causes, each shown by a test that failed before: - An upstream that says in its answers that it is leaving, or that wants no requests for a while (503 with Retry-After), went on getting them; neither header was decoded.

--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -2,13 +2,12 @@
 
 use crate::{
     clock::Clock,
-    http::{Connection, Pool, Put, Take, connect, strip_hop_by_hop_headers},
+    http::{AnswerBody, Connection, Pool, Put, Take, connect, strip_hop_by_hop_headers},
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri,
-    body::Incoming,
     header::{self, HeaderName, HeaderValue},
 };
 use kameo::actor::ActorRef;
@@ -56,7 +55,7 @@
     /// The head of an answer arrived.
     Answer {
         /// The answer; its body has not been read.
-        response: Response<Incoming>,
+        response: Response<AnswerBody>,
         /// The connection, which may return to the pool after the whole body.
         connection: Connection,
     },
@@ -105,7 +104,7 @@
     let Some(request) = build_request(call, target, clock) else {
         return Attempt::Failed(Ending::NotSent);
     };
-    match timeout_at(deadline, connection.try_send_request(request)).await {
+    match timeout_at(deadline, connection.send(request)).await {
         Ok(Ok(response)) if is_refusal(&response) => {
             finish_refusal(pool, target.address, response, connection, deadline).await;
             Attempt::Failed(Ending::Refused)
@@ -140,7 +139,7 @@
     Some(request)
 }
 
-fn is_refusal(response: &Response<Incoming>) -> bool {
+fn is_refusal(response: &Response<AnswerBody>) -> bool {
     response.status() == StatusCode::SERVICE_UNAVAILABLE
         && response
             .headers()
@@ -152,7 +151,7 @@
 async fn finish_refusal(
     pool: &ActorRef<Pool>,
     address: SocketAddr,
-    response: Response<Incoming>,
+    response: Response<AnswerBody>,
     connection: Connection,
     deadline: Instant,
 ) {
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -14,8 +14,8 @@
         relay::{RelayContext, RelayedBody, RequestGuard},
     },
     http::{
-        Body, Connection, Pool, bearer_token, error, json, metrics, read_body, same_token,
-        strip_hop_by_hop_headers,
+        AnswerBody, Body, Connection, Pool, bearer_token, error, json, metrics, read_body,
+        same_token, strip_hop_by_hop_headers,
     },
 };
 use claim::ClaimKey;
@@ -328,7 +328,7 @@
 #[derive(Debug)]
 struct UpstreamAnswer {
     keeps_answer: bool,
-    response: Response<Incoming>,
+    response: Response<AnswerBody>,
     connection: Connection,
     upstream: UpstreamName,
     target: Target,
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -5,9 +5,9 @@
     forward::IDLE_TIMEOUT,
     kept::KeptAnswer,
 };
-use crate::http::{Connection, Pool, Put};
+use crate::http::{AnswerBody, Connection, Pool, Put};
 use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 use kameo::actor::ActorRef;
 use route::{Ending, RequestId};
 use std::{
@@ -74,7 +74,7 @@
 /// take it for complete.
 #[derive(Debug)]
 pub struct RelayedBody {
-    incoming: Incoming,
+    incoming: AnswerBody,
     status: u16,
     guard: RequestGuard,
     pool: ActorRef<Pool>,
@@ -105,7 +105,7 @@
 
 impl RelayedBody {
     /// Starts to relay `incoming`.
-    pub fn new(incoming: Incoming, relay: RelayContext) -> Self {
+    pub fn new(incoming: AnswerBody, relay: RelayContext) -> Self {
         let RelayContext {
             status,
             guard,
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -2,7 +2,7 @@
 //! attempt; the actor polls the control replicas over links and publishes the limits of the plan.
 
 use crate::{clock::Clock, gateway::metrics::GatewayMetrics, replicas::ReplicaLinks};
-use gate::{Arrival, Decision, Ending, Gate, Load, NextStep, StateChange};
+use gate::{Arrival, Decision, Ending, Gate, Load, NextStep, Notices, StateChange};
 use kameo::{
     Actor, Reply,
     actor::ActorRef,
@@ -105,6 +105,27 @@
     pub load: Option<Load>,
 }
 
+/// The upstream of a request's current attempt asked for something in its answer. Sent before
+/// [`AttemptEnded`].
+#[derive(Clone, Copy, Debug)]
+pub struct NoticesReceived {
+    /// ID of the request.
+    pub request: u64,
+    /// What the upstream asked for.
+    pub notices: Notices,
+}
+
+/// The delivery of an answer, whose beginning has gone to the client, ended.
+#[derive(Debug)]
+pub struct DeliveryEnded {
+    /// ID of the request.
+    pub request: u64,
+    /// How the answer ended.
+    pub ending: Ending,
+    /// Load that the upstream reported with its answer, if any.
+    pub load: Option<Load>,
+}
+
 /// The client of a request closed its connection. The core may have forwarded, refused or not yet
 /// seen the request.
 #[derive(Clone, Copy, Debug)]
@@ -190,6 +211,14 @@
                     "revision" => revision),
                 StateChange::Paused { upstream, ending } => info!(self.args.log, "upstream paused";
                     "upstream" => upstream.as_str(), "ending" => ending.as_str()),
+                StateChange::Leaving { upstream } => {
+                    info!(self.args.log, "upstream is leaving"; "upstream" => upstream.as_str());
+                }
+                StateChange::BackedOff {
+                    upstream,
+                    backoff_ms,
+                } => info!(self.args.log, "upstream asked for a backoff";
+                    "upstream" => upstream.as_str(), "backoff_ms" => backoff_ms),
                 StateChange::Evacuated { domains } => {
                     let domains: Vec<&str> = domains.iter().map(|it| it.as_str()).collect();
                     info!(self.args.log, "evacuations changed";
@@ -301,6 +330,29 @@
     }
 }
 
+impl Message<NoticesReceived> for GatewayActor {
+    type Reply = ();
+
+    async fn handle(&mut self, received: NoticesReceived, _: &mut Context<Self, Self::Reply>) {
+        let NoticesReceived { request, notices } = received;
+        let now_us = self.args.clock.now_us();
+        self.args.core.record_notices(request, notices, now_us);
+        self.log_state_changes();
+    }
+}
+
+impl Message<DeliveryEnded> for GatewayActor {
+    type Reply = ();
+
+    async fn handle(&mut self, ended: DeliveryEnded, _: &mut Context<Self, Self::Reply>) {
+        self.args.metrics.count_attempt_end(ended.ending);
+        let now_us = self.args.clock.now_us();
+        let core = &mut self.args.core;
+        core.delivery_ended(ended.request, ended.ending, ended.load, now_us);
+        self.log_state_changes();
+    }
+}
+
 impl Message<ClientLeft> for GatewayActor {
     type Reply = ();
 
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -2,13 +2,13 @@
 
 use crate::{
     clock::Clock,
-    gateway::{metrics::GatewayMetrics, stream::PrefixedBody},
-    http::{Body, Connection, Pool, Put, Take, connect, strip_hop_by_hop_headers},
+    gateway::{metrics::GatewayMetrics, stream::StreamedBody},
+    http::{AnswerBody, Body, Connection, Pool, Put, Take, connect, strip_hop_by_hop_headers},
 };
 use bytes::{Bytes, BytesMut};
-use gate::{Ending, Load, Target};
+use gate::{Ending, Load, Notices, Target};
 use http_body_util::{BodyExt, Full};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use kameo::actor::ActorRef;
 use platform::{
     AnswerHeaders, NotRun, decode_answer_headers, decode_request_headers, set_attempt_headers,
@@ -51,8 +51,19 @@
     pub ending: Ending,
     /// Load that the upstream reported, if any.
     pub load: Option<Load>,
+    /// What the upstream asked for.
+    pub notices: Notices,
     /// The upstream's answer, when a usable one came.
-    pub response: Option<Response<Body>>,
+    pub response: Option<UpstreamAnswer>,
+}
+
+/// An upstream's answer.
+#[derive(Debug)]
+pub enum UpstreamAnswer {
+    /// The whole answer.
+    Whole(Response<Body>),
+    /// The beginning of an answer that is too large to be buffered; its rest has yet to come.
+    Streamed(Box<Response<StreamedBody>>),
 }
 
 impl Outcome {
@@ -60,6 +71,10 @@
         Self {
             ending,
             load: None,
+            notices: Notices {
+                is_leaving: false,
+                backoff_ms: None,
+            },
             response: None,
         }
     }
@@ -87,7 +102,7 @@
         let Some(request) = self.build_request(call, target) else {
             return Outcome::without_answer(Ending::NotSent);
         };
-        let sent = timeout_at(deadline, connection.try_send_request(request)).await;
+        let sent = timeout_at(deadline, connection.send(request)).await;
         let response = match sent {
             Ok(Ok(response)) => response,
             Ok(Err(mut error)) => {
@@ -106,18 +121,33 @@
         if is_mismatched {
             return Outcome::without_answer(Ending::Broken);
         }
-        let read = timeout_at(deadline, read_response(response)).await;
-        let (response, is_whole) = match read {
-            Ok(Some(read)) => read,
-            Ok(None) => return Outcome::without_answer(Ending::Broken),
-            Err(_) => return Outcome::without_answer(Ending::TimedOut),
+        let status = response.status();
+        let read = timeout_at(deadline, read_response(response, deadline)).await;
+        let notices = answer.notices;
+        let without_body = |ending| Outcome {
+            notices,
+            ..Outcome::without_answer(ending)
+        };
+        let response = match read {
+            Ok(Some(response)) => response,
+            Ok(None) => return without_body(Ending::Broken),
+            Err(_) => return without_body(Ending::TimedOut),
+        };
+        let response = match response {
+            UpstreamAnswer::Whole(_) => {
+                if !answer.closes_connection {
+                    self.return_connection(target, connection, &answer).await;
+                }
+                response
+            }
+            UpstreamAnswer::Streamed(response) => UpstreamAnswer::Streamed(Box::new(
+                response.map(|body| body.with_connection(connection)),
+            )),
         };
-        if is_whole && !answer.closes_connection {
-            self.return_connection(target, connection, &answer).await;
-        }
         Outcome {
-            ending: ending(response.status(), &answer),
+            ending: ending(status, &answer),
             load: answer.load,
+            notices,
             response: Some(response),
         }
     }
@@ -171,9 +201,12 @@
     }
 }
 
-/// Reads the answer up to [`BUFFER_MAX_BYTES`]. Returns it and whether the whole body was read; the
-/// rest of a larger one is streamed. `None` when the body broke off.
-async fn read_response(response: Response<Incoming>) -> Option<(Response<Body>, bool)> {
+/// Reads the answer up to [`BUFFER_MAX_BYTES`]; the rest of a larger one is streamed until the
+/// deadline. `None` when the body broke off.
+async fn read_response(
+    response: Response<AnswerBody>,
+    deadline: Instant,
+) -> Option<UpstreamAnswer> {
     let (mut head, mut body) = response.into_parts();
     strip_hop_by_hop_headers(&mut head.headers);
     let mut buffered = BytesMut::new();
@@ -182,10 +215,12 @@
             buffered.extend_from_slice(&data);
         }
         if buffered.len() > BUFFER_MAX_BYTES {
-            let rest = PrefixedBody::new(buffered.freeze(), body).boxed();
-            return Some((Response::from_parts(head, rest), false));
+            let streamed = StreamedBody::new(buffered.freeze(), body, deadline);
+            let response = Response::from_parts(head, streamed);
+            return Some(UpstreamAnswer::Streamed(Box::new(response)));
         }
     }
     let whole = Full::new(buffered.freeze()).map_err(|never| match never {});
-    Some((Response::from_parts(head, whole.boxed()), true))
+    let response = Response::from_parts(head, whole.boxed());
+    Some(UpstreamAnswer::Whole(response))
 }
--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -4,16 +4,16 @@
 use crate::{
     clock::Clock,
     gateway::{
-        actor::{
-            AttemptEnded, ClientLeft, DecisionReply, GatewayActor, NextReply, QueryStatus,
-            RequestArrived,
-        },
-        attempt::{AttemptRunner, Call},
+        actor::{GatewayActor, QueryStatus, RequestArrived},
+        attempt::{AttemptRunner, Call, UpstreamAnswer},
+        guard::RequestGuard,
         metrics::GatewayMetrics,
+        stream::{Delivery, StreamedBody},
     },
     http::{Body, json, metrics, read_body, strip_hop_by_hop_headers, with_body},
 };
 use gate::{BusyUpstream, Decision, Ending, Failure, Load, NextStep, Refusal, Target};
+use http_body_util::BodyExt;
 use hyper::{
     Request, Response, StatusCode, Uri,
     body::Incoming,
@@ -60,48 +60,6 @@
     pub log: Logger,
 }
 
-/// A client's request that the core may hold as in flight. Dropping it, as when the client closes
-/// its connection, sends [`ClientLeft`] unless the request has ended.
-struct RequestGuard {
-    actor: ActorRef<GatewayActor>,
-    request: u64,
-    is_open: bool,
-}
-
-impl RequestGuard {
-    /// Submits the request to the core and returns its decision; `None` when the actor has ended.
-    async fn admit(&mut self, arrival: RequestArrived) -> Option<Decision> {
-        let DecisionReply(decision) = self.actor.ask(arrival).await.ok()?;
-        self.is_open = matches!(decision, Decision::Forward(_));
-        Some(decision)
-    }
-
-    /// Reports the end of an attempt to the core and returns what to do next.
-    async fn end_attempt(&mut self, ending: Ending, load: Option<Load>) -> NextStep {
-        let ended = AttemptEnded {
-            request: self.request,
-            ending,
-            load,
-        };
-        let next = match self.actor.ask(ended).await {
-            Ok(NextReply(next)) => next,
-            Err(_) => NextStep::GiveUp(Failure::Unknown),
-        };
-        self.is_open = matches!(next, NextStep::Retry(_));
-        next
-    }
-}
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        if self.is_open {
-            let request = self.request;
-            // Fails only when the actor, and with it the request's state, is gone.
-            let _ = self.actor.tell(ClientLeft { request }).try_send();
-        }
-    }
-}
-
 impl GatewayHttp {
     /// Answers a client's request. Never fails: errors become responses without a body.
     pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
@@ -129,12 +87,9 @@
             Err(ApiError::BodyTooLarge { .. }) => return empty(StatusCode::PAYLOAD_TOO_LARGE),
             Err(_) => return empty(StatusCode::REQUEST_TIMEOUT),
         };
-        let mut guard = RequestGuard {
-            actor: self.actor.clone(),
-            request: self.next_request.fetch_add(1, Ordering::Relaxed),
-            is_open: true,
-        };
-        let arrival = arrival(guard.request, &head.headers, &head.uri);
+        let request = self.next_request.fetch_add(1, Ordering::Relaxed);
+        let mut guard = RequestGuard::new(self.actor.clone(), request);
+        let arrival = arrival(guard.request(), &head.headers, &head.uri);
         let Some(decision) = guard.admit(arrival).await else {
             return not_run_response(STOPPED_RETRY_MS);
         };
@@ -171,12 +126,22 @@
         let mut failed = false;
         let response = loop {
             let outcome = self.attempt_runner.run(call, &target).await;
+            guard.report_notices(outcome.notices).await;
+            let response = match (outcome.ending, outcome.response) {
+                (Ending::Answered, Some(UpstreamAnswer::Streamed(response))) => {
+                    let delivery = self.delivery(call, target, guard, outcome.load, arrived_us);
+                    return stream(*response, Some(delivery));
+                }
+                (_, Some(UpstreamAnswer::Streamed(response))) => Some(stream(*response, None)),
+                (_, Some(UpstreamAnswer::Whole(response))) => Some(response),
+                (_, None) => None,
+            };
             let next = guard.end_attempt(outcome.ending, outcome.load).await;
             if outcome.ending != Ending::Answered {
                 failed = true;
                 self.log_failed_attempt(call, &target, outcome.ending, arrived_us);
             }
-            match (next, outcome.response) {
+            match (next, response) {
                 (NextStep::Deliver, Some(response)) => break response,
                 (NextStep::Retry(retry), _) => {
                     self.metrics.retries.inc();
@@ -207,6 +172,27 @@
         response
     }
 
+    /// What is reported at the end of an answer that is streamed to the client.
+    fn delivery(
+        &self,
+        call: &Call,
+        target: Target,
+        guard: RequestGuard,
+        load: Option<Load>,
+        arrived_us: TimeUs,
+    ) -> Delivery {
+        Delivery {
+            guard,
+            load,
+            target,
+            attempt_id: attempt_id(&call.headers),
+            arrived_us,
+            clock: self.clock,
+            metrics: Arc::clone(&self.metrics),
+            log: self.log.clone(),
+        }
+    }
+
     fn log_refusal(
         &self,
         headers: &hyper::HeaderMap,
@@ -308,6 +294,13 @@
     id.unwrap_or_default().to_owned()
 }
 
+fn stream(response: Response<StreamedBody>, delivery: Option<Delivery>) -> Response<Body> {
+    response.map(|body| match delivery {
+        Some(delivery) => body.with_delivery(delivery).boxed(),
+        None => body.boxed(),
+    })
+}
+
 fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned();
     path.map_or_else(Uri::default, Uri::from)
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 
 mod actor;
 mod attempt;
+mod guard;
 mod http;
 mod metrics;
 mod start;
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -2,6 +2,7 @@
 //! share.
 
 mod body;
+mod connection;
 mod headers;
 mod pool;
 mod reply;
@@ -10,8 +11,9 @@
 
 pub use self::{
     body::read_body,
+    connection::{AnswerBody, Connection, connect},
     headers::strip_hop_by_hop_headers,
-    pool::{Connection, Pool, Put, Take, connect},
+    pool::{Pool, Put, Take},
     reply::{Body, error, json, metrics, with_body},
     server::{HEAD_TIMEOUT, Server, ServerLimits, serve},
     token::{bearer_token, same_token},
--- a/crates/daemon/src/http/pool.rs
+++ b/crates/daemon/src/http/pool.rs
@@ -1,9 +1,6 @@
-//! A pool of idle HTTP/1 connections to upstreams, owned by one actor, and opening of new ones.
+//! A pool of idle HTTP/1 connections to upstreams, owned by one actor.
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
+use crate::http::Connection;
 use kameo::{
     Actor,
     message::{Context, Message},
@@ -12,32 +9,11 @@
     collections::{HashMap, VecDeque},
     net::SocketAddr,
 };
-use thiserror::Error;
-use tokio::{
-    net::TcpStream,
-    time::{Instant, timeout_at},
-};
+use tokio::time::Instant;
 
 /// Largest number of idle connections kept per upstream; beyond it, the oldest is closed.
 const IDLE_PER_UPSTREAM_MAX: usize = 32;
 
-/// The sending half of an HTTP/1 connection to an upstream.
-pub type Connection = SendRequest<Full<Bytes>>;
-
-/// Why a connection could not be opened.
-#[derive(Debug, Error)]
-pub enum ConnectError {
-    /// TCP failed: the upstream refused or could not be reached.
-    #[error("connecting failed: {0}")]
-    Connect(#[from] std::io::Error),
-    /// TCP did not connect before the deadline.
-    #[error("the connection did not open before the deadline")]
-    Timeout,
-    /// The HTTP handshake failed.
-    #[error("HTTP handshake failed: {0}")]
-    Http(#[from] hyper::Error),
-}
-
 /// An idle connection and the time until which it may be reused.
 #[derive(Debug)]
 struct Idle {
@@ -115,18 +91,3 @@
         });
     }
 }
-
-/// Opens a connection and spawns the task that owns its socket. `deadline` bounds the TCP connect.
-///
-/// # Errors
-///
-/// [`ConnectError`]; no byte of a request was sent.
-pub async fn connect(address: SocketAddr, deadline: Instant) -> Result<Connection, ConnectError> {
-    let stream = timeout_at(deadline, TcpStream::connect(address))
-        .await
-        .map_err(|_| ConnectError::Timeout)??;
-    stream.set_nodelay(true)?;
-    let (connection, driver) = http1::handshake(TokioIo::new(stream)).await?;
-    tokio::spawn(driver);
-    Ok(connection)
-}
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -43,6 +43,18 @@
         /// How the attempt ended that caused the pause.
         ending: Ending,
     },
+    /// An upstream said in an answer that it is leaving; this run of it gets no new requests.
+    Leaving {
+        /// The name of the upstream.
+        upstream: UpstreamName,
+    },
+    /// An upstream asked in an answer for no requests for a while.
+    BackedOff {
+        /// The name of the upstream.
+        upstream: UpstreamName,
+        /// For how many milliseconds it gets none; less than asked for when that is out of range.
+        backoff_ms: u64,
+    },
     /// The evacuated failure domains changed.
     Evacuated {
         /// All failure domains that are evacuated now.
@@ -144,6 +156,15 @@
     pub slots: u32,
 }
 
+/// What an upstream asks for in its answer to an attempt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notices {
+    /// Whether it is leaving, so that it gets no new requests.
+    pub is_leaving: bool,
+    /// For how many milliseconds it wants no further requests from this gateway, when it says so.
+    pub backoff_ms: Option<u64>,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -5,7 +5,7 @@
 use crate::{
     api::StateChange, config::GateConfig, poll_schedule::PollSchedule, regions::RebalanceParams,
     requests::PendingRequest, service::Service, slack::Slack, split::Split, times::RunTimes,
-    upstream::Upstream,
+    upstream::Upstream, withheld::WithheldRuns,
 };
 use control::{GatewayPoll, GatewayPollAnswer, GatewayReport};
 use plan::{Instance, Limits, PlanChanges, RouteTable, ServiceTerms};
@@ -37,6 +37,7 @@
     /// Requests per second that all gateways together may send to one cold upstream of a service.
     cold_per_s: HashMap<ServiceName, f64>,
     evacuated: BTreeSet<DomainName>,
+    pub(crate) withheld_runs: WithheldRuns,
     /// Gateways of the whole deployment, as the control replicas count them; at least 1.
     pub(crate) gateway_count: usize,
     /// By [`Arrival::request`](crate::Arrival::request).
@@ -65,6 +66,7 @@
             services: BTreeMap::new(),
             cold_per_s: HashMap::new(),
             evacuated: BTreeSet::new(),
+            withheld_runs: WithheldRuns::default(),
             gateway_count: 1,
             pending: HashMap::new(),
             next_rebalance_us: now_us,
@@ -232,6 +234,7 @@
         if !instance.is_present() {
             return self.remove_upstream(&instance.id);
         }
+        let withheld = self.withheld_runs.get(&instance.id, instance.born_ms);
         let service = self.service_mut(&instance.service, now_us);
         match service.position(&instance.id) {
             Some(index) => {
@@ -241,7 +244,8 @@
                 upstream.cold_until_us = cold_until_us;
             }
             None => {
-                let upstream = Upstream::new(instance, region, cold_until_us, now_us);
+                let mut upstream = Upstream::new(instance, region, cold_until_us, now_us);
+                upstream.withheld = withheld;
                 service.upstreams.push(upstream);
             }
         }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -18,11 +18,12 @@
 mod split;
 mod times;
 mod upstream;
+mod withheld;
 
 pub use crate::{
     api::{
-        Arrival, BusyUpstream, Decision, Ending, Failure, Load, NextStep, Refusal, StateChange,
-        Target,
+        Arrival, BusyUpstream, Decision, Ending, Failure, Load, NextStep, Notices, Refusal,
+        StateChange, Target,
     },
     config::{GateBounds, GateConfig},
     gate::Gate,
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     api::{
-        Arrival, BusyUpstream, Decision, Ending, Failure, Load, NextStep, Refusal, StateChange,
-        Target,
+        Arrival, BusyUpstream, Decision, Ending, Failure, Load, NextStep, Notices, Refusal,
+        StateChange, Target,
     },
     gate::Gate,
     service::{Choice, Criteria},
@@ -37,6 +37,8 @@
     target_us: u64,
     /// The upstream of each attempt, the current one last.
     tried: Vec<UpstreamName>,
+    /// When the run of the current attempt's upstream started, in Unix milliseconds.
+    born_ms: u64,
     /// When the current attempt was sent.
     sent_us: TimeUs,
     /// Whether the upstream of the current attempt was assumed to have affinity.
@@ -66,6 +68,7 @@
             deadline_us: now_us.after_ms(timeout_ms),
             target_us: route.target_ms.min(timeout_ms) * 1_000,
             tried: Vec::new(),
+            born_ms: 0,
             sent_us: now_us,
             has_affinity: false,
             had_free_slot: false,
@@ -125,6 +128,56 @@
         true
     }
 
+    /// Handles what the upstream of a request's current attempt asks for in its answer. To be called
+    /// before [`Self::attempt_ended`], so that a retry heeds it too.
+    pub fn record_notices(&mut self, request: u64, notices: Notices, now_us: TimeUs) {
+        if notices == Notices::default() {
+            return;
+        }
+        let Some(pending) = self.pending.get(&request) else {
+            return;
+        };
+        let Some(id) = pending.tried.last().cloned() else {
+            return;
+        };
+        let before = self.withheld_runs.get(&id, pending.born_ms);
+        let withheld = self
+            .withheld_runs
+            .record(&id, pending.born_ms, notices, now_us);
+        if withheld.is_leaving && !before.is_leaving {
+            let upstream = id.clone();
+            self.state_changes.push(StateChange::Leaving { upstream });
+        }
+        if withheld.backoff_until_us > before.backoff_until_us {
+            self.state_changes.push(StateChange::BackedOff {
+                upstream: id.clone(),
+                backoff_ms: withheld.backoff_until_us.since_us(now_us) / 1_000,
+            });
+        }
+        let service = self.services.get_mut(&pending.service);
+        let upstream = service.and_then(|service| {
+            let index = service.position(&id)?;
+            Some(&mut service.upstreams[index])
+        });
+        if let Some(upstream) = upstream.filter(|it| it.instance.born_ms == pending.born_ms) {
+            upstream.withheld = withheld;
+        }
+    }
+
+    /// Handles the end of an answer whose beginning has gone to the client already, so that no
+    /// retry is possible any more.
+    pub fn delivery_ended(
+        &mut self,
+        request: u64,
+        ending: Ending,
+        load: Option<Load>,
+        now_us: TimeUs,
+    ) {
+        if let Some(pending) = self.pending.remove(&request) {
+            self.record_ending(&pending, ending, load, now_us);
+        }
+    }
+
     /// Handles the end of an attempt, and decides whether the request is retried, answered or given
     /// up. A request that is not in flight is given up with [`Failure::Unknown`].
     pub fn attempt_ended(
@@ -174,7 +227,10 @@
         service.record_request(&self.config.bounds, self.gateway_count);
         let criteria = pending.criteria(&self.config.failure_domain, times, now_us);
         let Some(choice) = service.choose(criteria, self.gateway_count, now_us) else {
-            return refuse(Refusal::NoUpstream, RETRY_AFTER_MAX_MS);
+            let backoff_end_us = service.backoff_end_us(now_us);
+            let backoff_ms = backoff_end_us.map(|end_us| end_us.since_us(now_us) / 1_000);
+            let retry_after_ms = backoff_ms.unwrap_or(RETRY_AFTER_MAX_MS);
+            return refuse(Refusal::NoUpstream, retry_after_ms.max(RETRY_AFTER_MIN_MS));
         };
         // After a longer wait the request misses its target however fast it runs, so the slot is of
         // more use to another request.
@@ -232,6 +288,7 @@
         service.record_sent(choice.index, pending.object, now_us);
         let instance = &service.upstreams[choice.index].instance;
         pending.tried.push(instance.id.clone());
+        pending.born_ms = instance.born_ms;
         pending.sent_us = now_us;
         pending.has_affinity = choice.has_affinity;
         let target = Target {
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -122,7 +122,7 @@
         let mut loads: BTreeMap<RegionName, RegionLoad> = BTreeMap::new();
         for upstream in &self.upstreams {
             let region = loads.entry(upstream.region.clone()).or_default();
-            if upstream.accepts_requests()
+            if upstream.accepts_requests(now_us)
                 && !upstream.is_paused(now_us)
                 && !upstream.is_cold(now_us)
             {
@@ -224,6 +224,13 @@
         load + 1.0 <= f64::from(upstream.instance.slots)
     }
 
+    /// The earliest end of a backoff that an upstream asked for, if there is one.
+    pub(crate) fn backoff_end_us(&self, now_us: TimeUs) -> Option<TimeUs> {
+        let withheld = self.upstreams.iter().map(|upstream| upstream.withheld);
+        let backing_off = withheld.filter(|it| !it.is_leaving && it.is_withheld(now_us));
+        backing_off.map(|it| it.backoff_until_us).min()
+    }
+
     fn refill_cold(&mut self, gateway_count: usize, now_us: TimeUs) {
         let per_s = self.cold_per_s / gateway_count.max(1) as f64;
         for upstream in &mut self.upstreams {
@@ -241,7 +248,7 @@
                 || criteria.home_regions.contains(&upstream.region);
             let cold_rate_allows = !upstream.is_cold(now_us) || upstream.cold_bucket.has_one();
             let was_tried = criteria.tried.contains(&upstream.instance.id);
-            upstream.accepts_requests() && in_home_region && cold_rate_allows && !was_tried
+            upstream.accepts_requests(now_us) && in_home_region && cold_rate_allows && !was_tried
         };
         let all: Vec<usize> = (0..self.upstreams.len()).filter(allowed).collect();
         let not_paused = |index: &usize| !self.upstreams[*index].is_paused(now_us);
--- a/crates/gate/src/upstream.rs
+++ b/crates/gate/src/upstream.rs
@@ -3,6 +3,7 @@
 use crate::{
     api::{Ending, Load},
     bucket::TokenBucket,
+    withheld::Withheld,
 };
 use plan::{Instance, InstanceState};
 use std::collections::VecDeque;
@@ -43,6 +44,8 @@
     pub(crate) instance: Instance,
     pub(crate) region: RegionName,
     pub(crate) is_evacuated: bool,
+    /// What this run of it asked for in its answers.
+    pub(crate) withheld: Withheld,
     /// When it stops being cold. An instance says at registration how long it is cold; until then
     /// it gets at most the plan's rate of requests for cold upstreams.
     pub(crate) cold_until_us: TimeUs,
@@ -79,6 +82,7 @@
             instance,
             region,
             is_evacuated: false,
+            withheld: Withheld::default(),
             cold_until_us,
             own_requests: 0,
             other_requests: 0.0,
@@ -94,9 +98,12 @@
         }
     }
 
-    /// Whether it accepts new requests: neither draining nor in an evacuated failure domain.
-    pub(crate) fn accepts_requests(&self) -> bool {
-        self.instance.state == InstanceState::Ready && !self.is_evacuated
+    /// Whether it accepts new requests: neither draining, nor leaving, nor in an evacuated failure
+    /// domain, nor within a backoff that it asked for.
+    pub(crate) fn accepts_requests(&self, now_us: TimeUs) -> bool {
+        self.instance.state == InstanceState::Ready
+            && !self.is_evacuated
+            && !self.withheld.is_withheld(now_us)
     }
 
     /// Whether failures keep requests away now; it gets them only when no other upstream is usable.
