Let what overflows from an object's upstream go to its next two only

Cause: all upstreams of a region stood in for an object's first one, whichever was least loaded by an estimate that one gateway can hardly have. Each such run was without affinity, three times as long, and made that upstream forget another object. Change: rendezvous hashing ranks three upstreams of each group for an object; the first run at the second or third is not counted as wasted, since what overflows later finds affinity there.

--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod api;
 mod bucket;
+mod candidates;
 mod config;
 mod gate;
 mod poll_schedule;
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     bucket::TokenBucket,
+    candidates::{Grouping, Standing, candidates},
     config::GateBounds,
-    rank::rank,
     regions::{RebalanceParams, RegionLoad, RegionShares},
     times::RunTimes,
     upstream::Upstream,
@@ -21,8 +21,7 @@
 /// The run time of a service's requests before the first sample, in microseconds.
 const INITIAL_TIME_US: f64 = 200_000.0;
 
-/// The cost of each microsecond that a run takes longer because the upstream has no affinity or is
-/// cold, in addition to the time itself: the request occupies a slot that others could use.
+/// The cost of each microsecond that a run takes longer because the upstream is cold, in addition to the time itself: the request occupies a slot that others could use.
 const EXTRA_RUN_COST: f64 = 1.0;
 
 /// The safety margin on the expected run time when it is compared with the deadline, as a factor.
@@ -151,12 +150,17 @@
             Some(region) => self.upstreams[*index].region == *region,
             None => true,
         };
-        let candidates: Vec<usize> = usable.iter().copied().filter(in_region).collect();
-        let preferred = self.preferred_upstreams(&candidates, criteria);
-        let cost = |index: usize| self.estimate_cost(index, criteria, &preferred, now_us);
+        let in_region: Vec<usize> = usable.iter().copied().filter(in_region).collect();
+        // When a run without affinity misses the target, fewer upstreams learn each object.
+        let is_tight = criteria.run_times.run_us(false) > criteria.target_us;
+        let grouping = match is_tight {
+            true => Grouping::Region,
+            false => Grouping::FailureDomain,
+        };
+        let candidates = candidates(&self.upstreams, &in_region, criteria.object, grouping);
         candidates
             .iter()
-            .map(|index| cost(*index))
+            .map(|(index, standing)| self.estimate_cost(*index, *standing, criteria, now_us))
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
             .map(|(_, choice)| choice)
     }
@@ -259,51 +263,32 @@
         }
     }
 
-    /// The upstreams that are preferred for an object by rendezvous hashing, so that every gateway
-    /// prefers the same ones: one in each failure domain, or only one in each region when a run
-    /// without affinity takes longer than the target.
-    fn preferred_upstreams(&self, candidates: &[usize], criteria: Criteria<'_>) -> Vec<usize> {
-        let Some(object) = criteria.object else {
-            return Vec::new();
-        };
-        let is_tight = criteria.run_times.run_us(false) > criteria.target_us;
-        let mut preferred: BTreeMap<&str, (u64, usize)> = BTreeMap::new();
-        for index in candidates {
-            let upstream = &self.upstreams[*index];
-            let ranked = (rank(upstream.instance.id.as_str(), object), *index);
-            let group = match is_tight {
-                true => upstream.region.as_str(),
-                false => upstream.instance.failure_domain.as_str(),
-            };
-            let first = preferred.entry(group).or_insert(ranked);
-            *first = ranked.max(*first);
-        }
-        preferred.into_values().map(|(_, index)| index).collect()
-    }
-
     /// The cost of sending the request to an upstream, and the estimates behind it.
     fn estimate_cost(
         &self,
         index: usize,
+        standing: Standing,
         criteria: Criteria<'_>,
-        preferred: &[usize],
         now_us: TimeUs,
     ) -> (f64, Choice) {
         let upstream = &self.upstreams[index];
         let slots = f64::from(upstream.instance.slots.max(1));
         let load = upstream.load(self.mean_other_requests, now_us);
         let slowness = upstream.slowness(now_us);
-        let has_affinity = match criteria.object {
-            Some(object) => upstream.recently_sent(object) || preferred.contains(&index),
-            None => true,
+        let knows_object = |object| upstream.recently_sent(object);
+        let has_affinity = match standing {
+            Standing::Any | Standing::First => true,
+            Standing::Next => criteria.object.is_some_and(knows_object),
         };
         let mut run_us = criteria.run_times.run_us(has_affinity) * slowness;
+        // The first slow run at a next upstream is not wasted: what overflows later finds affinity.
+        let usual_us = run_us;
         let queue = (load + 1.0 - slots).max(0.0);
         let wait_us = queue * self.mean_time_us * slowness / slots;
         if upstream.is_cold(now_us) {
             run_us *= COLD_RATIO;
         }
-        let extra_us = run_us - criteria.run_times.run_us(true) * slowness;
+        let extra_us = run_us - usual_us;
         let mut cost = wait_us
             + run_us
             + EXTRA_RUN_COST * extra_us
--- /dev/null
+++ b/crates/gate/tests/overflow.rs
@@ -0,0 +1,107 @@
+//! The pattern of load in which one object gets more requests than its upstream has slots for,
+//! while most upstreams of the region are free.
+
+mod support;
+
+use gate::{Arrival, Decision, Ending, Gate};
+use plan::{InstanceState, RetrySafety};
+use std::collections::BTreeSet;
+use support::{REPLICA, answer, arrival, at_ms, gate_in, instance, plan, route};
+
+const UPSTREAMS: u64 = 24;
+
+/// A gateway with a sticky route and many upstreams in both failure domains of its region.
+fn serving(domain: &str) -> Gate {
+    let mut gate = gate_in(domain);
+    let parts = [("catalogue", 1_000)];
+    let mut browse = route("browse", "/browse/", RetrySafety::Idempotent, &parts);
+    browse.sticky = true;
+    let upstreams = (0..UPSTREAMS).map(|n| {
+        let domain = if n % 2 == 0 { "east-a" } else { "east-b" };
+        instance(&format!("w-{n:02}"), "catalogue", domain, n + 1)
+    });
+    let upstreams = upstreams.collect();
+    gate.handle_poll_answer(
+        REPLICA,
+        answer(90, Some(plan(1, vec![browse])), upstreams),
+        at_ms(0),
+    );
+    gate
+}
+
+/// Sends `count` requests for an object at once; returns the upstreams that get them and how many
+/// are refused.
+fn burst(gate: &mut Gate, object: u64, count: u64) -> (BTreeSet<String>, u64) {
+    let mut used = BTreeSet::new();
+    let mut refused = 0;
+    for n in 0..count {
+        let arrival = Arrival {
+            object: Some(object),
+            ..arrival("/browse/1")
+        };
+        match gate.handle_arrival(&arrival, at_ms(n)) {
+            Decision::Forward(target) => {
+                used.insert(target.upstream.to_string());
+            }
+            Decision::Refuse { .. } => refused += 1,
+            Decision::NoRoute => panic!("no route matches"),
+        }
+    }
+    (used, refused)
+}
+
+#[test]
+fn what_one_upstream_has_no_room_for_goes_to_few_others() {
+    for object in 0..20 {
+        let (used, refused) = burst(&mut serving("east-a"), object, 18);
+        assert!((2..=3).contains(&used.len()), "{used:?}");
+        assert_eq!(refused, 0, "three upstreams have room for 18 requests");
+    }
+}
+
+#[test]
+fn gateways_of_a_region_let_an_object_overflow_to_the_same_upstreams() {
+    for object in 0..20 {
+        let (one, _) = burst(&mut serving("east-a"), object, 24);
+        let (other, _) = burst(&mut serving("east-b"), object, 24);
+        let all: BTreeSet<&String> = one.union(&other).collect();
+        assert!(all.len() <= 3, "{one:?} and {other:?}");
+    }
+}
+
+#[test]
+fn an_object_whose_upstream_is_not_overloaded_keeps_to_it() {
+    let mut gate = serving("east-a");
+    for object in 0..20 {
+        let mut used = BTreeSet::new();
+        for n in 0..10 {
+            let arrival = Arrival {
+                object: Some(object),
+                ..arrival("/browse/1")
+            };
+            let now = at_ms(1_000 * object + 100 * n);
+            let Decision::Forward(target) = gate.handle_arrival(&arrival, now) else {
+                panic!("refused without load");
+            };
+            gate.attempt_ended(target.request, Ending::Answered, None, now);
+            used.insert(target.upstream.to_string());
+        }
+        assert_eq!(used.len(), 1, "{used:?}");
+    }
+}
+
+#[test]
+fn when_the_first_upstreams_leave_the_next_ones_take_over() {
+    let mut gate = serving("east-a");
+    let (used, _) = burst(&mut gate, 7, 18);
+    let leaving = used.iter().zip(100..).map(|(id, revision)| {
+        let mut instance = instance(id, "catalogue", "east-a", revision);
+        instance.state = InstanceState::Gone;
+        instance
+    });
+    let leaving = leaving.collect();
+    gate.handle_poll_answer(REPLICA, answer(110, None, leaving), at_ms(50));
+    let (others, refused) = burst(&mut gate, 7, 18);
+    assert!(used.is_disjoint(&others));
+    assert_eq!((others.len(), refused), (3, 0));
+}
