Index registered instances by address and by their latest change

Cause: each heartbeat walked all instances to look for a later one at its address, each poll walked them for changes, and each ended instance sorted all ended ones.

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -8,6 +8,7 @@
 mod change;
 mod changes;
 mod instance;
+mod instances;
 mod model;
 mod steering;
 mod table;
--- a/crates/plan/src/steering.rs
+++ b/crates/plan/src/steering.rs
@@ -5,12 +5,13 @@
     change::{Change, ChangeResult, DeclarationError, Document, PlanDeclaration},
     changes::{PlanChanges, RouteHistory},
     instance::{Instance, InstanceState, Registration, RegistrationStatus},
+    instances::Instances,
     model::Plan,
     validate::{InvalidPlan, validate},
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
-use types::{DomainName, UpstreamName};
+use types::DomainName;
 
 /// The most expired or gone instances that are remembered. A late heartbeat of the same run can't
 /// bring back an instance while it is remembered as gone.
@@ -56,7 +57,7 @@
     /// The log index at which `evacuated` changed last.
     evacuated_revision: u64,
     /// Expired and gone instances included, at most `INACTIVE_MAX` of them.
-    instances: BTreeMap<UpstreamName, Instance>,
+    instances: Instances,
     /// The log index of the latest change.
     revision: u64,
     /// Instances that expired or left up to this log index may be forgotten.
@@ -96,7 +97,7 @@
 
     /// Every recorded instance, expired and gone ones included.
     pub fn instances(&self) -> impl Iterator<Item = &Instance> {
-        self.instances.values()
+        self.instances.iter()
     }
 
     /// The recorded instance of this name, also when expired or gone.
@@ -112,7 +113,7 @@
         if self.has_newer_at_address(registration) {
             return RegistrationStatus::Stale;
         }
-        match self.instances.get(&registration.id) {
+        match self.instances.get(registration.id.as_str()) {
             Some(known) => known.compare(registration, at_ms),
             None => RegistrationStatus::Changed,
         }
@@ -125,11 +126,15 @@
             return SteeringChanges::default();
         }
         let complete = index < self.forgotten_revision || index == 0;
-        let instances = self.instances.values();
-        let instances = instances.filter(|instance| match complete {
-            true => instance.is_present(),
-            false => instance.revision > index,
-        });
+        let instances: Vec<Instance> = match complete {
+            true => self
+                .instances
+                .iter()
+                .filter(|it| it.is_present())
+                .cloned()
+                .collect(),
+            false => self.instances.changed_since(index).cloned().collect(),
+        };
         let in_force = self.in_force.as_ref();
         SteeringChanges {
             complete,
@@ -141,7 +146,7 @@
                 }),
             evacuated: (complete || self.evacuated_revision > index)
                 .then(|| self.evacuated.clone()),
-            instances: instances.cloned().collect(),
+            instances,
         }
     }
 
@@ -234,15 +239,18 @@
             return;
         }
         let address = registration.address;
-        let displaced = self.instances.values_mut().filter(|other| {
-            other.address == address && other.id != registration.id && other.is_present()
-        });
-        for other in displaced {
+        let others = self.instances.present_at(address);
+        let displaced: Vec<Instance> = others
+            .filter(|other| other.id != registration.id)
+            .cloned()
+            .collect();
+        for mut other in displaced {
             other.state = InstanceState::Gone;
             other.revision = index;
+            self.instances.insert(other);
         }
         let instance = Instance::new(registration.clone(), at_ms, index);
-        self.instances.insert(instance.id.clone(), instance);
+        self.instances.insert(instance);
         self.revision = index;
         self.forget_oldest_inactive();
     }
@@ -250,41 +258,32 @@
     /// Sets the state of an instance that expired or left. Without effect when a later run than
     /// `born_ms` is recorded, or the instance is gone already.
     fn end_instance(&mut self, index: u64, id: &str, born_ms: Option<u64>, state: InstanceState) {
-        let Some(instance) = self.instances.get_mut(id) else {
+        let Some(instance) = self.instances.get(id) else {
             return;
         };
         let not_superseded = born_ms.is_none_or(|born_ms| born_ms >= instance.born_ms);
         if !not_superseded || instance.state == InstanceState::Gone {
             return;
         }
+        let mut instance = instance.clone();
         instance.state = state;
         instance.revision = index;
+        self.instances.insert(instance);
         self.revision = index;
         self.forget_oldest_inactive();
     }
 
     /// Drops the instances that expired or left first, beyond `INACTIVE_MAX`.
     fn forget_oldest_inactive(&mut self) {
-        let gone = self.instances.values().filter(|it| !it.is_present());
-        let mut revisions: Vec<u64> = gone.map(|it| it.revision).collect();
-        if revisions.len() <= INACTIVE_MAX {
-            return;
+        if let Some(horizon) = self.instances.forget_inactive(INACTIVE_MAX) {
+            self.forgotten_revision = self.forgotten_revision.max(horizon);
         }
-        revisions.sort_unstable();
-        let horizon = revisions[revisions.len() - INACTIVE_MAX - 1];
-        self.instances
-            .retain(|_, it| it.is_present() || it.revision > horizon);
-        self.forgotten_revision = self.forgotten_revision.max(horizon);
     }
 
     /// Whether another instance that started later, and is ready or draining, has the
     /// registration's address.
     fn has_newer_at_address(&self, registration: &Registration) -> bool {
-        self.instances.values().any(|other| {
-            other.address == registration.address
-                && other.id != registration.id
-                && other.is_present()
-                && other.born_ms > registration.born_ms
-        })
+        let mut others = self.instances.present_at(registration.address);
+        others.any(|other| other.id != registration.id && other.born_ms > registration.born_ms)
     }
 }
