--- a/crates/gate/src/candidates.rs
+++ b/crates/gate/src/candidates.rs
@@ -1,7 +1,7 @@
 //! Which upstreams a request may go to, and how each stands for the request's object.
 //!
 //! Rendezvous hashing ranks the upstreams of a group equally at every gateway. The first of each
-//! group serves the object; the next ones take what the first has no room for. The others are left
+//! group serves the object; the next one takes what the first has no room for. The others are left
 //! out: each upstream remembers only some objects, and an upstream that runs a request for one more
 //! object forgets another, whose next run is slow again.
 
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 
 /// How many upstreams of a group a request for an object may go to.
-const RANKED_MAX: usize = 3;
+const RANKED_MAX: usize = 2;
 
 /// The groups of upstreams in each of which one is the first for an object.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
