Bound how long a request may queue by its deadline and by more urgent routes

Cause: a route's priority was stored and used by no decision. Under overload the less urgent route was refused less often whenever its target was longer, since all waiting happens in the upstreams' queues and each route filled them up to its own target. A queue that outlasts the client's deadline did not count either. And the bound of one target refused requests that were still served: the estimate of a queue is rough.

--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -19,6 +19,7 @@
 mod split;
 mod times;
 mod upstream;
+mod urgency;
 mod withheld;
 
 pub use crate::{
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -9,6 +9,7 @@
     service::{Choice, Criteria},
     split::Split,
     times::RunTimes,
+    urgency::queue_max_us,
 };
 use plan::{RetrySafety, Route};
 use types::{DomainName, RegionName, ServiceName, TimeUs, UpstreamName};
@@ -33,8 +34,12 @@
     home_regions: Vec<RegionName>,
     attempts_max: u32,
     idempotent: bool,
+    /// The route's priority; 0 is the most urgent.
+    priority: u32,
     deadline_us: TimeUs,
     target_us: u64,
+    /// The route's target; longer than `target_us` when the client waits for less.
+    route_target_us: u64,
     /// The upstream of each attempt, the current one last.
     tried: Vec<UpstreamName>,
     /// When the run of the current attempt's upstream started, in Unix milliseconds.
@@ -65,8 +70,10 @@
             home_regions: route.home_regions.clone(),
             attempts_max: route.attempts_max,
             idempotent: route.repeat == RetrySafety::Idempotent,
+            priority: route.priority,
             deadline_us: now_us.after_ms(timeout_ms),
             target_us: route.target_ms.min(timeout_ms) * 1_000,
+            route_target_us: route.target_ms * 1_000,
             tried: Vec::new(),
             born_ms: 0,
             sent_us: now_us,
@@ -217,7 +224,7 @@
     }
 
     /// Chooses the upstream of a request's first attempt; refuses the request when it would queue
-    /// longer than its target there.
+    /// longer there than its target and other routes allow.
     fn admit(&mut self, request: u64, pending: PendingRequest, now_us: TimeUs) -> Decision {
         let times = self.route_times(&pending.route);
         let Some(service) = self.services.get_mut(&pending.service) else {
@@ -232,9 +239,16 @@
             let retry_after_ms = backoff_ms.unwrap_or(RETRY_AFTER_MAX_MS);
             return refuse(Refusal::NoUpstream, retry_after_ms.max(RETRY_AFTER_MIN_MS));
         };
-        // After a longer wait the request misses its target however fast it runs, so the slot is of
-        // more use to another request.
-        let wait_max_us = pending.target_us as f64;
+        let route_max_us = service.active_routes.wait_max_us(
+            &pending.route,
+            pending.priority,
+            pending.route_target_us,
+            now_us,
+        );
+        let remaining_us = pending.deadline_us.since_us(now_us) as f64;
+        let wait_max_us = route_max_us
+            .min(queue_max_us(pending.target_us))
+            .min(remaining_us);
         if choice.wait_us > wait_max_us {
             let over_ms = ((choice.wait_us - wait_max_us) / 1e3) as u64;
             let retry_after_ms = over_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -11,6 +11,7 @@
     regions::{RebalanceParams, RegionLoad, RegionShares},
     times::RunTimes,
     upstream::Upstream,
+    urgency::ActiveRoutes,
 };
 use std::collections::BTreeMap;
 use types::{DomainName, RegionName, TimeUs, UpstreamName};
@@ -90,6 +91,7 @@
     pub(crate) regions: RegionShares,
     /// Requests per second that all gateways together may send to one cold upstream.
     pub(crate) cold_per_s: f64,
+    pub(crate) active_routes: ActiveRoutes,
     /// Retries that this gateway may still send.
     retry_budget: TokenBucket,
     /// The moving average of the run time, over all routes and upstreams.
@@ -104,6 +106,7 @@
             upstreams: Vec::new(),
             regions: RegionShares::new(own_region, now_us),
             cold_per_s,
+            active_routes: ActiveRoutes::default(),
             retry_budget: TokenBucket::new(1.0, now_us),
             mean_time_us: INITIAL_TIME_US,
             mean_other_requests: 0.0,
--- a/crates/gate/tests/requests.rs
+++ b/crates/gate/tests/requests.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use gate::{Decision, Ending, Failure, Load, NextStep, Refusal};
+use gate::{Arrival, Decision, Ending, Failure, Load, NextStep, Refusal};
 use plan::{InstanceState, RetrySafety};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -291,12 +291,14 @@
     assert!((1..=3).contains(&sent), "{sent}");
 }
 
+/// The target is 0.6 s, and a run lasts 0.2 s without samples: 24 waiting requests take 1.6 s at
+/// three slots, which is more than one and a half targets.
 #[test]
 fn a_request_that_would_be_late_everywhere_is_refused_at_once() {
     let mut gate = serving(RetrySafety::Idempotent);
     let busy = Load {
         running: 3,
-        waiting: 9,
+        waiting: 24,
         slots: 3,
     };
     let mut refused = None;
@@ -322,6 +324,30 @@
     assert_eq!(refused, Some(Refusal::Overloaded));
 }
 
+/// Nine waiting requests take 0.7 s: too long for a client that waits 0.5 s, and not for one that
+/// waits 3 s.
+#[test]
+fn a_request_whose_deadline_passes_in_every_queue_is_refused_at_once() {
+    let mut gate = serving(RetrySafety::Idempotent);
+    let busy = Load {
+        running: 3,
+        waiting: 9,
+        slots: 3,
+    };
+    for n in 0..8 {
+        if let Decision::Forward(target) = gate.handle_arrival(&arrival("/browse/1"), at_ms(n)) {
+            gate.attempt_ended(target.request, Ending::Left, Some(busy), at_ms(n));
+        }
+    }
+    let hurried = Arrival {
+        timeout_ms: Some(500),
+        ..arrival("/browse/1")
+    };
+    let decision = gate.handle_arrival(&hurried, at_ms(10));
+    assert_eq!(refusal(&decision), Some(Refusal::Overloaded));
+    forwarded(gate.handle_arrival(&arrival("/browse/1"), at_ms(10)));
+}
+
 #[test]
 fn a_stopping_gateway_takes_requests_for_a_while_and_is_not_ready() {
     let mut gate = serving(RetrySafety::Idempotent);
--- a/crates/plan/src/model.rs
+++ b/crates/plan/src/model.rs
@@ -42,10 +42,10 @@
     /// The longest time until the client gets an answer, all attempts included, in milliseconds.
     pub timeout_ms: u64,
     /// The time within which answers should come, in milliseconds. A request that would queue for
-    /// longer is refused.
+    /// more than one and a half times as long is refused.
     pub target_ms: u64,
-    /// The operator's rank of the route's importance under overload; 0 is the highest. It is stored
-    /// with the plan and returned with it; no decision uses it.
+    /// The rank of the route's importance under overload; 0 is the highest. Among the routes that use
+    /// a service at the same time, requests of a less important one may queue for less long.
     pub priority: u32,
     /// The services that run the requests.
     pub parts: Vec<WeightedService>,
