Use 0.85 of the retries that a service's requests allow

Cause: when many upstreams turn away a part of their requests, retries are what serves them, and 0.6 of the allowed ratio was used although each gateway earns it with its own requests, whatever it knows of the others. The slack, which depends on their number, stays at 0.6.

--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -45,9 +45,13 @@
 /// The cost of an upstream that fails often, in microseconds.
 const FAILING_COST_US: f64 = 2_000_000.0;
 
-/// The fraction of the allowed retries that gateways use, so that their sum stays below the bound
-/// while some of them don't know of each other yet.
-const RETRIES_USED: f64 = 0.6;
+/// The fraction of `retry_slack` that gateways use, so that their sum stays below the bound while
+/// some of them don't know of each other yet.
+const SLACK_USED: f64 = 0.6;
+
+/// The fraction of `retry_ratio` that gateways use. Each earns it with its own requests, however many
+/// gateways there are; the rest allows for retries that are sent in the window after the requests.
+const RATIO_USED: f64 = 0.85;
 
 /// The factor by which requests run longer at a cold upstream.
 const COLD_RATIO: f64 = 2.0;
@@ -169,11 +173,11 @@
     }
 
     /// Counts a request, refused ones included, which adds this gateway's part of `retry_ratio` to
-    /// the retry budget: `retry_ratio * RETRIES_USED`.
+    /// the retry budget: `retry_ratio * RATIO_USED`.
     pub(crate) fn record_request(&mut self, bounds: &GateBounds, gateway_count: usize) {
         let burst_max = retry_burst_max(bounds, gateway_count);
         self.retry_budget
-            .add(bounds.retry_ratio * RETRIES_USED, burst_max);
+            .add(bounds.retry_ratio * RATIO_USED, burst_max);
     }
 
     /// Takes one retry from the budget; returns false when it is used up.
@@ -317,5 +321,5 @@
 /// The most retries that one gateway may save up: half of its part of `retry_slack`, since a full
 /// bucket can be used up and refilled within one window.
 fn retry_burst_max(bounds: &GateBounds, gateway_count: usize) -> f64 {
-    (bounds.retry_slack * RETRIES_USED / 2.0 / gateway_count.max(1) as f64).max(1.0)
+    (bounds.retry_slack * SLACK_USED / 2.0 / gateway_count.max(1) as f64).max(1.0)
 }
