Remove dead voters also where their number is odd

The plan could not be read and no request was served.

Cause: a replica that joins before a loss is noticed (2.5 s) is admitted as a further voter, and silent voters were removed only while the number of voters was even. Seven voters, two of them dead, stayed seven; the loss of two of the five live ones left no majority. Checked before the change: the test of two replacements within a second showed seven voters with control-4 and control-5 among them after 6 s.

While there are more, the voter that is silent for longest is removed. Below that an odd number keeps its silent voters, since they may return with their disks.

Ruled out: removing any silent voter (two of five may come back after the others lost their disks; a test holds that), and counting the largest number of live voters (planned replacements reach seven).

Related, each with a test that failed before: a replica without its old disk took the place of another silent voter instead of its own; learners that died stayed members. The order of removal among silent voters is by silence now.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -35,10 +35,20 @@
     /// Whether replicas that the settings don't list may join, and silent voters are replaced or
     /// removed.
     pub open_membership: bool,
+    /// How many replicas may lose their disks at the same time.
+    pub replica_losses: usize,
     /// An instance that sends no heartbeat for this long expires.
     pub instance_timeout_us: u64,
 }
 
+impl ControlConfig {
+    /// How many voters tolerate the loss of `replica_losses` disks.
+    #[must_use]
+    pub const fn voters_needed(&self) -> usize {
+        2 * self.replica_losses + 1
+    }
+}
+
 /// A request to a control replica, from an operator, a client or an instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Request {
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -43,7 +43,7 @@
     pub(crate) shares: Shares,
     pub(crate) gateways: Gateways,
     pub(crate) heartbeats: Heartbeats,
-    pub(crate) next_voter_check_us: TimeUs,
+    pub(crate) next_member_check_us: TimeUs,
     /// The names of members that other replicas reported when this one asked for admission.
     pub(crate) reported_members: BTreeSet<String>,
     clock: LogClock,
@@ -67,7 +67,7 @@
             shares: Shares::new(config.raft.election_timeout_min_us),
             gateways: Gateways::default(),
             heartbeats: Heartbeats::new(config.instance_timeout_us, now_us),
-            next_voter_check_us: now_us,
+            next_member_check_us: now_us,
             reported_members: BTreeSet::new(),
             clock: LogClock::new(now_us),
             config,
@@ -147,7 +147,8 @@
             self.step_raft(raft::Input::Read { request }, outputs);
         }
         self.propose_due_layout(outputs);
-        self.check_liveness(outputs);
+        self.expire_instances(outputs);
+        self.check_members(outputs);
     }
 
     /// As the leader, proposes an empty change when a replaced entry set has expired, so that the
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,6 +13,7 @@
 mod entries;
 mod gateways;
 mod heartbeats;
+mod membership;
 mod pending;
 mod shares;
 mod steer;
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -165,6 +165,7 @@
             request_timeout_us: REQUEST_TIMEOUT_US,
             http_port: None,
             open_membership: self.open_membership,
+            replica_losses: 2,
             instance_timeout_us: 10_000_000,
         };
         let control = Control::new(config, restored, TimeUs(self.now_us));
--- a/crates/ctl/tests/replica/mod.rs
+++ b/crates/ctl/tests/replica/mod.rs
@@ -130,6 +130,7 @@
         request_timeout_us: 1_000_000,
         http_port: None,
         open_membership: false,
+        replica_losses: 2,
         instance_timeout_us: 10_000_000,
     };
     let restored = Restored {
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -234,7 +234,9 @@
         info!(self.args.log, "replica changed";
             "role" => ?status.role,
             "term" => status.term,
-            "leader" => status.leader.as_ref().map(ToString::to_string));
+            "leader" => status.leader.as_ref().map(ToString::to_string),
+            "voters" => names(&status.membership.voters),
+            "learners" => names(&status.membership.learners));
     }
 
     fn handle_frame(&mut self, peer: &Peer, frame: Frame, sender: FrameSender) {
@@ -384,3 +386,9 @@
         }
     }
 }
+
+/// The names of members for the log, separated by commas.
+fn names(members: &BTreeSet<ReplicaId>) -> String {
+    let names: Vec<&str> = members.iter().map(|id| id.name.as_str()).collect();
+    names.join(",")
+}
--- a/crates/daemon/src/control/metrics.rs
+++ b/crates/daemon/src/control/metrics.rs
@@ -20,6 +20,7 @@
     leads: Gauge,
     term: Gauge,
     commit_index: Gauge,
+    voters: Gauge,
 }
 
 impl ControlMetrics {
@@ -47,6 +48,7 @@
         registry.register("term", "Term of the replicated log", metrics.term.clone());
         let commit = metrics.commit_index.clone();
         registry.register("commit_index", "Last index known to be committed", commit);
+        registry.register("voters", "Voters of the group", metrics.voters.clone());
         metrics
     }
 
@@ -57,5 +59,7 @@
             .set(i64::try_from(status.term).unwrap_or(i64::MAX));
         self.commit_index
             .set(i64::try_from(status.commit_index).unwrap_or(i64::MAX));
+        self.voters
+            .set(i64::try_from(status.membership.voters.len()).unwrap_or(i64::MAX));
     }
 }
--- a/crates/daemon/src/control/start.rs
+++ b/crates/daemon/src/control/start.rs
@@ -222,6 +222,10 @@
         },
         http_port: settings.discovery.as_ref().and(own_port),
         open_membership: settings.discovery.is_some(),
+        replica_losses: settings
+            .discovery
+            .as_ref()
+            .map_or(0, |it| usize::from(it.replica_losses)),
         instance_timeout_us: settings.bounds.map_or(INSTANCE_SILENCE_US, |it| {
             SILENT_HEARTBEATS * it.heartbeat_ms * 1_000
         }),
--- a/crates/daemon/src/options.rs
+++ b/crates/daemon/src/options.rs
@@ -1,6 +1,7 @@
 //! Parses the command line of `oleanderwelld`.
 
-use lexopt::{Arg, Parser};
+use lexopt::{Arg, Parser, ValueExt};
+use settings::{Override, Settings, SettingsError};
 use std::path::PathBuf;
 use thiserror::Error;
 
@@ -8,18 +9,39 @@
 pub const HELP: &str = "\
 oleanderwelld: runs an entry, a control replica, both, or a gateway
 
-Usage: oleanderwelld --settings FILE [--check | --found]
+Usage: oleanderwelld --settings FILE [--set SECTION.KEY=VALUE]... [--check | --found]
 
 Options:
-  --settings FILE  the settings (docs/SETTINGS.md)
-  --check          check the settings and exit
-  --found          create the data folder of an initial replica of a new deployment and exit
-  --help           print this and exit
-  --version        print the version and exit
+  --settings FILE          the settings (docs/SETTINGS.md)
+  --set SECTION.KEY=VALUE  use this value in place of the one in the settings
+  --check                  check the settings and exit
+  --found                  create the data folder of an initial replica of a new deployment and exit
+  --help                   print this and exit
+  --version                print the version and exit
 
 Exit codes: 0 success or stopped by a signal, 1 failed, 2 invalid usage or settings
 ";
 
+/// Where the settings come from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsSource {
+    /// The settings file.
+    pub path: PathBuf,
+    /// The keys that the command line sets; a later one counts.
+    pub overrides: Vec<Override>,
+}
+
+impl SettingsSource {
+    /// Reads and checks the settings.
+    ///
+    /// # Errors
+    ///
+    /// The first [`SettingsError`] found.
+    pub fn read(&self) -> Result<Settings, SettingsError> {
+        Settings::read_with(&self.path, &self.overrides)
+    }
+}
+
 /// The action that the command line asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -29,18 +51,18 @@
     Version,
     /// Read and check the settings without opening a socket, and exit.
     Check {
-        /// Path of the settings file.
-        settings: PathBuf,
+        /// The settings.
+        settings: SettingsSource,
     },
     /// Create the data folder of an initial control replica, and exit.
     Found {
-        /// Path of the settings file.
-        settings: PathBuf,
+        /// The settings.
+        settings: SettingsSource,
     },
     /// Run the roles that the settings declare until a signal.
     Run {
-        /// Path of the settings file.
-        settings: PathBuf,
+        /// The settings.
+        settings: SettingsSource,
     },
 }
 
@@ -65,10 +87,11 @@
 ///
 /// [`OptionsError`] when an argument is invalid or a required one is missing.
 pub fn parse(mut parser: Parser) -> Result<Action, OptionsError> {
-    let (mut settings, mut check, mut found) = (None, false, false);
+    let (mut path, mut overrides, mut check, mut found) = (None, Vec::new(), false, false);
     while let Some(argument) = parser.next()? {
         match argument {
-            Arg::Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
+            Arg::Long("settings") => path = Some(PathBuf::from(parser.value()?)),
+            Arg::Long("set") => overrides.push(parser.value()?.parse()?),
             Arg::Long("check") => check = true,
             Arg::Long("found") => found = true,
             Arg::Short('h') | Arg::Long("help") => return Ok(Action::Help),
@@ -77,7 +100,8 @@
             other => return Err(other.unexpected().into()),
         }
     }
-    let settings = settings.ok_or(OptionsError::SettingsMissing)?;
+    let path = path.ok_or(OptionsError::SettingsMissing)?;
+    let settings = SettingsSource { path, overrides };
     match (check, found) {
         (true, true) => Err(OptionsError::CheckAndFound),
         (true, false) => Ok(Action::Check { settings }),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -9,11 +9,10 @@
 };
 use lexopt::Parser;
 use link::Identity;
-use options::Action;
+use options::{Action, SettingsSource};
 use settings::Settings;
 use slog::{Logger, info, warn};
 use std::{
-    path::Path,
     process::ExitCode,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -47,15 +46,18 @@
         Action::Version => println!("oleanderwelld {}", env!("CARGO_PKG_VERSION")),
         Action::Check { settings } => return with_settings(&settings, |_| Ok(())),
         Action::Found { settings } => return with_settings(&settings, create_data_folder),
-        Action::Run { settings: path } => {
-            return with_settings(&path, |settings| run(settings, &path));
+        Action::Run { settings: source } => {
+            return with_settings(&source, |settings| run(settings, &source));
         }
     }
     ExitCode::SUCCESS
 }
 
-fn with_settings(path: &Path, run_action: impl Fn(&Settings) -> anyhow::Result<()>) -> ExitCode {
-    let settings = match Settings::read(path) {
+fn with_settings(
+    source: &SettingsSource,
+    run_action: impl Fn(&Settings) -> anyhow::Result<()>,
+) -> ExitCode {
+    let settings = match source.read() {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("oleanderwelld: {error}");
@@ -75,16 +77,16 @@
     control::create_data_folder(settings, &log::logger(&settings.log, &settings.node.name))
 }
 
-fn run(settings: &Settings, path: &Path) -> anyhow::Result<()> {
+fn run(settings: &Settings, source: &SettingsSource) -> anyhow::Result<()> {
     let mut builder = match settings.node.single_threaded {
         true => Builder::new_current_thread(),
         false => Builder::new_multi_thread(),
     };
     let runtime = builder.enable_all().build()?;
-    runtime.block_on(serve(settings, path))
+    runtime.block_on(serve(settings, source))
 }
 
-async fn serve(settings: &Settings, path: &Path) -> anyhow::Result<()> {
+async fn serve(settings: &Settings, source: &SettingsSource) -> anyhow::Result<()> {
     let log = log::logger(&settings.log, &settings.node.name);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -110,7 +112,7 @@
     let stopped_by_request = tokio::select! {
         _ = terminate.recv() => true,
         _ = interrupt.recv() => true,
-        () = watch_settings(path, settings, gateway.as_ref(), &log) => true,
+        () = watch_settings(source, settings, gateway.as_ref(), &log) => true,
         () = replica_stopped => false,
     };
     info!(log, "stopping");
@@ -165,7 +167,7 @@
 /// change without a signal. Only the section `[discovery]` takes effect without a restart: a
 /// changed list of seeds goes to the gateway. Never returns.
 async fn watch_settings(
-    path: &Path,
+    source: &SettingsSource,
     started_with: &Settings,
     gateway: Option<&gateway::Gateway>,
     log: &Logger,
@@ -185,7 +187,7 @@
             _ = hangup.recv() => true,
             _ = polls.tick() => false,
         };
-        match Settings::read(path) {
+        match source.read() {
             Ok(settings) if settings.discovery != discovery => {
                 info!(log, "settings read again"; "told" => by_signal);
                 discovery = settings.discovery;
--- a/crates/raft/src/replica.rs
+++ b/crates/raft/src/replica.rs
@@ -17,6 +17,7 @@
     message::{HardState, Message, ReplicaId},
     random::Random,
 };
+use std::collections::BTreeSet;
 
 /// The role of this replica with the data that only that role needs.
 #[derive(Debug)]
@@ -153,21 +154,33 @@
         self.commit_index
     }
 
-    /// On the leader, the other voters that have not answered for at least `silence_us`; empty on
-    /// any other replica.
+    /// On the leader, the other voters that have not answered for at least `silence_us`, the one
+    /// that is silent for longest first; empty on any other replica.
     #[must_use]
     pub fn silent_voters(&self, silence_us: u64) -> Vec<ReplicaId> {
+        self.silent(&self.log.membership().voters, silence_us)
+    }
+
+    /// As [`Self::silent_voters`], of the learners.
+    #[must_use]
+    pub fn silent_learners(&self, silence_us: u64) -> Vec<ReplicaId> {
+        self.silent(&self.log.membership().learners, silence_us)
+    }
+
+    fn silent(&self, members: &BTreeSet<ReplicaId>, silence_us: u64) -> Vec<ReplicaId> {
         let State::Leader(leader) = &self.state else {
             return Vec::new();
         };
-        let voters = self.log.membership().voters.iter();
-        let silent = voters.filter(|id| {
-            leader.peers.get(*id).is_some_and(|progress| {
-                progress.last_heard_us(self.config.election_timeout_min_us) + silence_us
-                    <= self.now_us
-            })
+        let election_timeout_min_us = self.config.election_timeout_min_us;
+        let last_heard = members.iter().filter_map(|id| {
+            let progress = leader.peers.get(id)?;
+            Some((progress.last_heard_us(election_timeout_min_us), id))
         });
-        silent.cloned().collect()
+        let mut silent: Vec<_> = last_heard
+            .filter(|(heard_us, _)| heard_us + silence_us <= self.now_us)
+            .collect();
+        silent.sort_unstable();
+        silent.into_iter().map(|(_, id)| id.clone()).collect()
     }
 
     /// When the next timer is due, at which the shell must pass [`Input::Tick`]; `None` after a
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -12,7 +12,15 @@
 pub(crate) const GATEWAY_KEYS: [&str; 3] = ["listen", "status_listen", "descriptors_max"];
 
 /// The keys of `[discovery]`.
-pub(crate) const DISCOVERY_KEYS: [&str; 3] = ["seeds", "peer_port", "founds"];
+pub(crate) const DISCOVERY_KEYS: [&str; 4] = ["seeds", "peer_port", "founds", REPLICA_LOSSES];
+
+const REPLICA_LOSSES: &str = "replica_losses";
+
+/// The tolerated losses of replicas without a key: those of both of today's deployments.
+const REPLICA_LOSSES_DEFAULT: u8 = 2;
+
+/// The most tolerated losses of replicas: 19 voters, beyond which each change waits long.
+const REPLICA_LOSSES_MAX: u8 = 9;
 
 /// The keys of `[bounds]` with their defaults in thousandths. A default is the value that both of
 /// today's deployments use, or the stricter one where they differ.
@@ -66,9 +74,19 @@
         is_first_start: section
             .optional("founds", Expected::Flag)?
             .unwrap_or_default(),
+        replica_losses: parse_replica_losses(section)?,
     })
 }
 
+fn parse_replica_losses(section: &Section<'_>) -> Result<u8, SettingsError> {
+    let given: Option<u8> = section.optional(REPLICA_LOSSES, Expected::Count)?;
+    let losses = given.unwrap_or(REPLICA_LOSSES_DEFAULT);
+    match (1..=REPLICA_LOSSES_MAX).contains(&losses) {
+        true => Ok(losses),
+        false => Err(section.invalid(REPLICA_LOSSES, &losses.to_string(), Expected::Count)),
+    }
+}
+
 pub(crate) fn parse_bounds(section: &Section<'_>) -> Result<BoundSettings, SettingsError> {
     Ok(BoundSettings {
         heartbeat_ms: parse_milli(section, "heartbeat_s")?,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,6 +3,7 @@
 mod error;
 mod gateway;
 mod model;
+mod overrides;
 mod parse;
 mod read;
 mod section;
@@ -14,5 +15,6 @@
         EntrySettings, GatewaySettings, Interface, LogFormat, LogLevel, LogSettings, NodeSettings,
         ReplicaSettings, Role, Settings,
     },
+    overrides::{Override, OverrideError},
     read::KEY_MIN_BYTES,
 };
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -170,6 +170,8 @@
     /// Whether the deployment starts for the first time, so that the seeds form the group's initial
     /// membership.
     pub is_first_start: bool,
+    /// How many control replicas may lose their disks at the same time, from 1 to 9, by default 2.
+    pub replica_losses: u8,
 }
 
 /// `[bounds]`: limits for gateways and their control replicas.
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -7,6 +7,7 @@
         ControlSettings, DeploymentSettings, EntrySettings, GatewaySettings, LogFormat, LogLevel,
         LogSettings, NodeSettings, ReplicaSettings, Role, Settings,
     },
+    overrides::Override,
     section::Section,
 };
 use ini::{Ini, ParseOption};
@@ -40,17 +41,34 @@
     ///
     /// The first [`SettingsError`] found, which names the settings as `file`.
     pub fn parse(text: &str, file: &str) -> Result<Self, SettingsError> {
+        Self::parse_with(text, file, &[])
+    }
+
+    /// As [`Self::parse`], with keys that are set in place of those of the text.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::parse`].
+    pub fn parse_with(
+        text: &str,
+        file: &str,
+        overrides: &[Override],
+    ) -> Result<Self, SettingsError> {
         let options = ParseOption {
             enabled_quote: false,
             enabled_escape: false,
             ..ParseOption::default()
         };
-        let ini = Ini::load_from_str_opt(text, options).map_err(|error| SettingsError::Syntax {
-            file: file.to_owned(),
-            line: error.line,
-            column: error.col,
-            reason: error.msg.into_owned(),
-        })?;
+        let mut ini =
+            Ini::load_from_str_opt(text, options).map_err(|error| SettingsError::Syntax {
+                file: file.to_owned(),
+                line: error.line,
+                column: error.col,
+                reason: error.msg.into_owned(),
+            })?;
+        for entry in overrides {
+            entry.apply(&mut ini);
+        }
         let document = Document { file, ini: &ini };
         document.check_sections()?;
         document.settings()
--- a/crates/settings/src/read.rs
+++ b/crates/settings/src/read.rs
@@ -3,6 +3,7 @@
 use crate::{
     error::{Problem, SettingsError},
     model::{AnnounceToken, Settings},
+    overrides::Override,
 };
 use locate::{ClientBlocks, ClientBlocksBuilder};
 use std::{
@@ -23,12 +24,21 @@
     ///
     /// The first [`SettingsError`] found.
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        Self::read_with(path, &[])
+    }
+
+    /// As [`Self::read`], with keys that are set in place of those of the file.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::read`].
+    pub fn read_with(path: &Path, overrides: &[Override]) -> Result<Self, SettingsError> {
         let file = path.display().to_string();
         let text = match fs::read_to_string(path) {
             Ok(text) => text,
             Err(source) => return Err(SettingsError::Unreadable { file, source }),
         };
-        let mut settings = Self::parse(&text, &file)?;
+        let mut settings = Self::parse_with(&text, &file, overrides)?;
         settings.read_keys(&file)?;
         settings.read_entry_files(&file)?;
         settings.read_control_files(&file)?;
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -1,6 +1,6 @@
 //! Parses settings of gateways and of deployments that find their control replicas by seeds.
 
-use settings::{Interface, Settings};
+use settings::{Interface, Override, Settings};
 
 const GATEWAY: &str = "
 [node]
@@ -60,6 +60,40 @@
     );
 }
 
+#[test]
+fn the_command_line_overrides_a_key_and_is_checked_like_the_file() {
+    let with = |text: &str| {
+        let overrides = [text.parse().expect("SECTION.KEY=VALUE")];
+        Settings::parse_with(GATEWAY, "test.ini", &overrides).map_err(|error| error.to_string())
+    };
+    let losses = |settings: Settings| settings.discovery.map(|it| it.replica_losses);
+    assert_eq!(parse(GATEWAY).map(losses), Ok(Some(2)));
+    assert_eq!(with("discovery.replica_losses=1").map(losses), Ok(Some(1)));
+    let grace = with("bounds.grace_s=4").map(|it| it.bounds.map(|it| it.grace_ms));
+    assert_eq!(grace, Ok(Some(4_000)));
+    for (text, location) in [
+        (
+            "discovery.replica_losses=many",
+            "[discovery] replica_losses",
+        ),
+        ("discovery.replica_gains=1", "[discovery] replica_gains"),
+        ("discoveries.seeds=x", "[discoveries]"),
+    ] {
+        let error = with(text).expect_err(text);
+        assert!(error.contains(location), "{error}");
+    }
+    for malformed in [
+        "",
+        "=",
+        "seeds=x",
+        ".seeds=x",
+        "discovery.=x",
+        "discovery.seeds",
+    ] {
+        assert!(malformed.parse::<Override>().is_err(), "{malformed}");
+    }
+}
+
 #[test]
 fn an_error_names_the_invalid_bound_seed_or_region() {
     for (valid, invalid, location) in [
@@ -68,6 +102,11 @@
         ("grace_s = 2.5", "grace_s = NaN", "[bounds] grace_s"),
         ("10.2.0.43:8649", "10.2.0.43", "[discovery] seeds"),
         ("founds = true", "founds = perhaps", "[discovery] founds"),
+        (
+            "founds = true",
+            "replica_losses = 0",
+            "[discovery] replica_losses",
+        ),
         ("west-a = west", "north-a = north", "[regions] north-a"),
         ("descriptors_max = 4100", "", "[gateway] descriptors_max"),
     ] {
