--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -27,6 +27,9 @@
     pub http_addresses: BTreeMap<String, String>,
     /// A snapshot is taken after this many log entries were applied since the last one.
     pub snapshot_entries: u64,
+    /// A snapshot is also taken once the entries applied since the last one take this many bytes,
+    /// and as many as that snapshot.
+    pub snapshot_log_bytes: usize,
     /// A request that still waits for the log after this time is answered `unavailable`.
     pub request_timeout_us: u64,
     /// The HTTP port of every replica that has no entry in `http_addresses`, where replicas are
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -9,10 +9,11 @@
     heartbeats::Heartbeats,
     pending::{Pending, Wait},
     shares::{LEADERSHIP_READ, Shares},
+    snapshots::Snapshots,
     watches::{Watches, changes_after},
 };
 use claim::Layout;
-use raft::{Entry, Payload, ProposeError, Raft, Restored, Role, Snapshot, Status};
+use raft::{Entry, Payload, ProposeError, Raft, Restored, Role, Status};
 use share::HolderId;
 use state::{Command, Operation, State};
 use std::collections::BTreeSet;
@@ -46,8 +47,8 @@
     pub(crate) next_member_check_us: TimeUs,
     /// The names of members that other replicas reported when this one asked for admission.
     pub(crate) reported_members: BTreeSet<String>,
-    clock: LogClock,
-    pub(crate) snapshot_index: u64,
+    pub(crate) clock: LogClock,
+    pub(crate) snapshots: Snapshots,
     pub(crate) is_leader: bool,
     failed: bool,
     next_layout_check_us: TimeUs,
@@ -71,7 +72,7 @@
             reported_members: BTreeSet::new(),
             clock: LogClock::new(now_us),
             config,
-            snapshot_index: 0,
+            snapshots: Snapshots::default(),
             is_leader: false,
             failed: false,
             next_layout_check_us: now_us,
@@ -304,9 +305,7 @@
                 outputs.push(Output::Answer { request, answer });
             }
         }
-        if self.state.applied_index() >= self.snapshot_index + self.config.snapshot_entries {
-            self.take_snapshot(outputs);
-        }
+        self.take_due_snapshot(outputs);
     }
 
     fn handle_raft_output(&mut self, raft_output: raft::Output, outputs: &mut Vec<Output>) {
@@ -365,34 +364,6 @@
         declared.or_else(|| port.map(|port| format!("{name}:{port}")))
     }
 
-    fn take_snapshot(&mut self, outputs: &mut Vec<Output>) {
-        let index = self.state.applied_index();
-        match self.state.encode() {
-            Ok(data) => {
-                self.snapshot_index = index;
-                self.step_raft(raft::Input::SnapshotTaken { index, data }, outputs);
-            }
-            Err(error) => self.fail(ControlError::snapshot(index, &error), outputs),
-        }
-    }
-
-    fn restore(&mut self, snapshot: &Snapshot, outputs: &mut Vec<Output>) {
-        match State::decode(&snapshot.data) {
-            Ok(state) => self.state = state,
-            Err(error) => {
-                return self.fail(ControlError::snapshot(snapshot.index, &error), outputs);
-            }
-        }
-        self.state.skip(snapshot.index);
-        self.snapshot_index = snapshot.index;
-        self.clock.record_applied(self.now_us);
-        self.entries
-            .record_applied_revision(&self.state, self.now_us);
-        for (request, wait) in self.pending.take_applied(snapshot.index) {
-            self.answer_from_state(request, wait, outputs);
-        }
-    }
-
     fn apply(&mut self, entry: &Entry, outputs: &mut Vec<Output>) {
         let revision = self.state.revision();
         let applied = match &entry.payload {
@@ -400,12 +371,15 @@
                 self.state.skip(entry.index);
                 None
             }
-            Payload::Command(data) => match Command::decode(data) {
-                Ok(command) => Some(self.state.apply(entry.index, &command)),
-                Err(error) => {
-                    return self.fail(ControlError::command(entry.index, &error), outputs);
+            Payload::Command(data) => {
+                self.snapshots.record_applied(data);
+                match Command::decode(data) {
+                    Ok(command) => Some(self.state.apply(entry.index, &command)),
+                    Err(error) => {
+                        return self.fail(ControlError::command(entry.index, &error), outputs);
+                    }
                 }
-            },
+            }
         };
         self.clock.record_applied(self.now_us);
         if self.state.revision() != revision {
@@ -417,7 +391,7 @@
         }
     }
 
-    fn fail(&mut self, error: ControlError, outputs: &mut Vec<Output>) {
+    pub(crate) fn fail(&mut self, error: ControlError, outputs: &mut Vec<Output>) {
         self.failed = true;
         outputs.push(Output::Failed(error));
     }
--- a/crates/control/src/dump.rs
+++ b/crates/control/src/dump.rs
@@ -1,6 +1,6 @@
 //! The diagnostic dump of a control replica.
 
-use crate::{core::Control, entries::EntryDump};
+use crate::{core::Control, entries::EntryDump, snapshots::LogSizes};
 use raft::Status;
 use serde::Serialize;
 use share::PoolRow;
@@ -21,6 +21,8 @@
     pub clock_ms: u64,
     /// The index of the last log entry in the latest snapshot; 0 before the first.
     pub snapshot_index: u64,
+    /// The sizes of that snapshot and of the log after it.
+    pub sizes: LogSizes,
     /// The number of answers retained for resent requests.
     pub retained_answers: usize,
     /// The number of requests that wait for the log.
@@ -51,7 +53,8 @@
             applied_index: self.state.applied_index(),
             revision: self.state.revision(),
             clock_ms: self.state.clock_ms(),
-            snapshot_index: self.snapshot_index,
+            snapshot_index: self.snapshots.index,
+            sizes: self.log_sizes(),
             retained_answers: self.state.retained_answers(),
             pending_requests: self.pending.len(),
             waiting_watches: self.watches.len(),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,6 +16,7 @@
 mod membership;
 mod pending;
 mod shares;
+mod snapshots;
 mod steer;
 mod watches;
 
@@ -28,4 +29,5 @@
     dump::ControlDump,
     entries::{CONFIG_LEASE_MARGIN_MS, EntryDump},
     gateways::{GatewayReport, gateway_poll_interval_ms},
+    snapshots::LogSizes,
 };
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -21,6 +21,9 @@
 const TICK_US: u64 = 10_000;
 const MESSAGE_DELAY_US: u64 = 1_000;
 pub const SNAPSHOT_ENTRIES: u64 = 100;
+
+/// Replicas take a snapshot after this many bytes of applied entries.
+pub const SNAPSHOT_LOG_BYTES: usize = 1024 * 1024;
 pub const REQUEST_TIMEOUT_US: u64 = 2_000_000;
 
 /// A replica's disk: what was synced survives [`Cluster::kill`].
@@ -162,6 +165,7 @@
                 .map(|it| (it.name.clone(), format!("http-of-{}", it.name)))
                 .collect(),
             snapshot_entries: SNAPSHOT_ENTRIES,
+            snapshot_log_bytes: SNAPSHOT_LOG_BYTES,
             request_timeout_us: REQUEST_TIMEOUT_US,
             http_port: None,
             open_membership: self.open_membership,
--- a/crates/ctl/tests/replica/mod.rs
+++ b/crates/ctl/tests/replica/mod.rs
@@ -127,6 +127,7 @@
         raft,
         http_addresses: BTreeMap::new(),
         snapshot_entries: 1_000,
+        snapshot_log_bytes: 4 * 1024 * 1024,
         request_timeout_us: 1_000_000,
         http_port: None,
         open_membership: false,
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -310,7 +310,10 @@
     async fn handle(&mut self, _: Tick, _: &mut Context<Self, Self::Reply>) {
         self.step(Input::Tick);
         self.request_join();
-        self.args.metrics.record_status(&self.args.core.status());
+        let core = &self.args.core;
+        self.args
+            .metrics
+            .record_status(&core.status(), core.log_sizes());
     }
 }
 
--- a/crates/daemon/src/control/metrics.rs
+++ b/crates/daemon/src/control/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of a control replica.
 
+use control::LogSizes;
 use prometheus_client::{
     metrics::{counter::Counter, gauge::Gauge},
     registry::Registry,
@@ -21,6 +22,8 @@
     term: Gauge,
     commit_index: Gauge,
     voters: Gauge,
+    snapshot_bytes: Gauge,
+    log_bytes: Gauge,
 }
 
 impl ControlMetrics {
@@ -49,17 +52,32 @@
         let commit = metrics.commit_index.clone();
         registry.register("commit_index", "Last index known to be committed", commit);
         registry.register("voters", "Voters of the group", metrics.voters.clone());
+        registry.register(
+            "snapshot_bytes",
+            "Size of the latest snapshot",
+            metrics.snapshot_bytes.clone(),
+        );
+        registry.register(
+            "log_bytes",
+            "Size of the commands applied since the latest snapshot",
+            metrics.log_bytes.clone(),
+        );
         metrics
     }
 
-    /// Sets the gauges from the replica's Raft status.
-    pub fn record_status(&self, status: &Status) {
+    /// Sets the gauges from the replica's state.
+    pub fn record_status(&self, status: &Status, sizes: LogSizes) {
         self.leads.set(i64::from(status.role == Role::Leader));
         self.term
             .set(i64::try_from(status.term).unwrap_or(i64::MAX));
         self.commit_index
             .set(i64::try_from(status.commit_index).unwrap_or(i64::MAX));
-        self.voters
-            .set(i64::try_from(status.membership.voters.len()).unwrap_or(i64::MAX));
+        self.voters.set(gauge(status.membership.voters.len()));
+        self.snapshot_bytes.set(gauge(sizes.snapshot_bytes));
+        self.log_bytes.set(gauge(sizes.log_bytes));
     }
 }
+
+fn gauge(value: usize) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- a/crates/daemon/src/control/start.rs
+++ b/crates/daemon/src/control/start.rs
@@ -55,6 +55,10 @@
 /// Number of applied log entries after which a snapshot is taken.
 const SNAPSHOT_ENTRIES: u64 = 1_000;
 
+/// Size of applied log entries after which a snapshot is taken: as much as the largest declaration, and
+/// a few hundredths of a replica's memory.
+const SNAPSHOT_LOG_BYTES: usize = 4 * 1024 * 1024;
+
 /// Without discovery: time after which an unanswered request is answered `unavailable`.
 const REQUEST_TIMEOUT_US: u64 = 5_000_000;
 
@@ -216,6 +220,7 @@
         },
         http_addresses: http_addresses.collect(),
         snapshot_entries: SNAPSHOT_ENTRIES,
+        snapshot_log_bytes: SNAPSHOT_LOG_BYTES,
         request_timeout_us: match settings.discovery {
             Some(_) => CALL_TIMEOUT_US,
             None => REQUEST_TIMEOUT_US,
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -94,10 +94,7 @@
         move |source| Self::SyncFailed { file, source }
     }
 
-    pub(crate) fn corrupt(file: &'static str, offset_bytes: usize) -> Self {
-        Self::Corrupt {
-            file,
-            offset_bytes: offset_bytes as u64,
-        }
+    pub(crate) fn corrupt(file: &'static str, offset_bytes: u64) -> Self {
+        Self::Corrupt { file, offset_bytes }
     }
 }
--- a/crates/store/src/frame.rs
+++ b/crates/store/src/frame.rs
@@ -3,27 +3,26 @@
 //! A record is a header (length and checksum of the body, how much of the file was synced before
 //! the record was written, checksum of the header) and a body. All numbers are little-endian.
 
+use std::io::{self, Read};
+
 /// The size of a record's header; a record's body follows it.
 pub(crate) const HEADER_BYTES: usize = 20;
 
 /// The largest unit that a disk writes either whole or not at all.
 const SECTOR_BYTES: usize = 512;
 
-/// A record with valid checksums.
-pub(crate) struct Record<'a> {
-    pub(crate) body: &'a [u8],
-    /// The length of the file's synced part when the record was written.
-    pub(crate) synced_bytes: u64,
-    /// The offset after the body, at which the next record starts.
-    pub(crate) end: usize,
-}
-
 struct Header {
     body_bytes: usize,
     body_checksum: u32,
     synced_bytes: u64,
 }
 
+impl Header {
+    fn is_valid_body(&self, body: &[u8]) -> bool {
+        crc32c::crc32c(body) == self.body_checksum
+    }
+}
+
 /// What made a record invalid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Damage {
@@ -46,17 +45,37 @@
     target.extend_from_slice(body);
 }
 
-/// The record at offset `start`, if it is complete and its checksums are valid.
-pub(crate) fn decode(bytes: &[u8], start: usize) -> Option<Record<'_>> {
+/// How much of the file was synced when the record at offset `start` was written; `None` when there
+/// is no complete record with valid checksums.
+fn synced_before(bytes: &[u8], start: usize) -> Option<u64> {
     let header = decode_header(bytes, start)?;
     let body_start = start + HEADER_BYTES;
-    let end = body_start.checked_add(header.body_bytes)?;
-    let body = bytes.get(body_start..end)?;
-    (crc32c::crc32c(body) == header.body_checksum).then_some(Record {
-        body,
-        synced_bytes: header.synced_bytes,
-        end,
-    })
+    let body = bytes.get(body_start..body_start.checked_add(header.body_bytes)?)?;
+    header.is_valid_body(body).then_some(header.synced_bytes)
+}
+
+/// Reads the next record into `body`, which is cleared first. `left_bytes` is the length of the rest
+/// of the file. Returns false when the record is incomplete or its checksums are wrong.
+pub(crate) fn read(
+    source: &mut impl Read,
+    left_bytes: u64,
+    body: &mut Vec<u8>,
+) -> io::Result<bool> {
+    body.clear();
+    if left_bytes < HEADER_BYTES as u64 {
+        return Ok(false);
+    }
+    let mut header = [0; HEADER_BYTES];
+    source.read_exact(&mut header)?;
+    let Some(header) = decode_header(&header, 0) else {
+        return Ok(false);
+    };
+    if header.body_bytes as u64 > left_bytes - HEADER_BYTES as u64 {
+        return Ok(false);
+    }
+    body.resize(header.body_bytes, 0);
+    source.read_exact(body)?;
+    Ok(header.is_valid_body(body))
 }
 
 fn decode_header(bytes: &[u8], start: usize) -> Option<Header> {
@@ -90,8 +109,8 @@
 fn is_below_later_sync(bytes: &[u8], start: usize) -> bool {
     let later = start + 1..bytes.len().saturating_sub(HEADER_BYTES - 1);
     later
-        .filter_map(|at| decode(bytes, at))
-        .any(|record| record.synced_bytes > start as u64)
+        .filter_map(|at| synced_before(bytes, at))
+        .any(|synced_bytes| synced_bytes > start as u64)
 }
 
 fn ends_early(bytes: &[u8], start: usize) -> bool {
--- a/crates/store/src/log_file.rs
+++ b/crates/store/src/log_file.rs
@@ -3,6 +3,8 @@
 //! Entries are appended. The file is rewritten when a snapshot replaces the first entries, and
 //! truncated when a leader replaces the last ones. The header holds the index before the first
 //! entry, and how many bytes of the file were synced before it was renamed to its final name.
+//!
+//! Records are read one at a time, since a log may be as large as the memory that a replica has left.
 
 use crate::{
     atomic_file,
@@ -16,6 +18,7 @@
 use raft::Entry;
 use std::{
     fs::{self, File},
+    io::{BufReader, Read, Seek, SeekFrom},
     path::Path,
 };
 
@@ -64,7 +67,9 @@
     entries: Vec<Entry>,
     offsets: Vec<u64>,
     /// The offset after the last valid record.
-    end: usize,
+    end_bytes: u64,
+    /// The length of the file.
+    file_bytes: u64,
 }
 
 impl LogFile {
@@ -87,19 +92,18 @@
             return Err(StoreError::Missing { file: LOG_FILE });
         }
         let (sync_mark_file, sync_mark) = SyncMarkFile::open(folder)?;
-        let bytes = fs::read(&path).map_err(StoreError::io(LOG_FILE))?;
-        let scan = scan(&bytes, sync_mark)?;
+        let scan = scan(folder, sync_mark)?;
         let file = File::options().read(true).write(true).open(&path);
         let mut log = Self {
             file: file.map_err(StoreError::io(LOG_FILE))?,
             sync_mark: sync_mark_file,
             base_index: scan.base_index,
             offsets: scan.offsets,
-            end_bytes: scan.end as u64,
+            end_bytes: scan.end_bytes,
         };
-        let lost_bytes = (bytes.len() - scan.end) as u64;
+        let lost_bytes = scan.file_bytes - scan.end_bytes;
         let torn_tail = (lost_bytes > 0).then_some(TornTail {
-            offset_bytes: scan.end as u64,
+            offset_bytes: scan.end_bytes,
             lost_bytes,
         });
         log.truncate_file(disk)?;
@@ -170,20 +174,22 @@
         index: u64,
         truncate_from: Option<u64>,
     ) -> Result<(), StoreError> {
-        let old = fs::read(folder.join(LOG_FILE)).map_err(StoreError::io(LOG_FILE))?;
         let dropped = usize::try_from(index.saturating_sub(self.base_index)).unwrap_or(usize::MAX);
         let kept_end =
             truncate_from.map_or(u64::MAX, |from| from.saturating_sub(self.base_index + 1));
         let kept_end = usize::try_from(kept_end).unwrap_or(usize::MAX);
         let kept_end = kept_end.min(self.offsets.len());
         let kept = self.offsets.get(dropped..kept_end).unwrap_or(&[]);
+        let mut old = RecordReader::open(folder, kept.first().copied())?;
         let mut bytes = encode_header(index, 0);
         let mut offsets = Vec::with_capacity(kept.len());
-        for offset in kept {
-            let start = usize::try_from(*offset).unwrap_or(usize::MAX);
-            let record = frame::decode(&old, start).ok_or(StoreError::corrupt(LOG_FILE, start))?;
+        let mut body = Vec::new();
+        for _ in kept {
+            if !old.read(&mut body)? {
+                return Err(StoreError::corrupt(LOG_FILE, old.at_bytes));
+            }
             offsets.push(bytes.len() as u64);
-            frame::encode(record.body, 0, &mut bytes);
+            frame::encode(&body, 0, &mut bytes);
         }
         let end_bytes = bytes.len() as u64;
         bytes[..HEADER_BYTES].copy_from_slice(&encode_header(index, end_bytes));
@@ -224,14 +230,62 @@
     bytes
 }
 
-fn decode_header(bytes: &[u8]) -> Result<Scan, StoreError> {
-    let is_valid = bytes.len() >= HEADER_BYTES
+/// Reads the records of a log file in order.
+struct RecordReader {
+    file: BufReader<File>,
+    /// The offset of the next record.
+    at_bytes: u64,
+    /// The length of the file.
+    file_bytes: u64,
+}
+
+impl RecordReader {
+    /// Opens the log file at the record with this offset, else at the first one.
+    fn open(folder: &Path, offset_bytes: Option<u64>) -> Result<Self, StoreError> {
+        let file = File::open(folder.join(LOG_FILE)).map_err(StoreError::io(LOG_FILE))?;
+        let file_bytes = file.metadata().map_err(StoreError::io(LOG_FILE))?.len();
+        let at_bytes = offset_bytes.unwrap_or(HEADER_BYTES as u64);
+        let mut file = BufReader::new(file);
+        file.seek(SeekFrom::Start(at_bytes))
+            .map_err(StoreError::io(LOG_FILE))?;
+        Ok(Self {
+            file,
+            at_bytes,
+            file_bytes,
+        })
+    }
+
+    fn is_at_end(&self) -> bool {
+        self.at_bytes >= self.file_bytes
+    }
+
+    /// Reads the next record into `body`. Returns false when it is invalid; nothing can be read
+    /// after it.
+    fn read(&mut self, body: &mut Vec<u8>) -> Result<bool, StoreError> {
+        let left_bytes = self.file_bytes - self.at_bytes;
+        let is_valid = frame::read(&mut self.file, left_bytes, body);
+        let is_valid = is_valid.map_err(StoreError::io(LOG_FILE))?;
+        if is_valid {
+            self.at_bytes += (frame::HEADER_BYTES + body.len()) as u64;
+        }
+        Ok(is_valid)
+    }
+}
+
+fn read_header(path: &Path) -> Result<Scan, StoreError> {
+    let file = File::open(path).map_err(StoreError::io(LOG_FILE))?;
+    let file_bytes = file.metadata().map_err(StoreError::io(LOG_FILE))?.len();
+    let mut bytes = Vec::with_capacity(HEADER_BYTES);
+    file.take(HEADER_BYTES as u64)
+        .read_to_end(&mut bytes)
+        .map_err(StoreError::io(LOG_FILE))?;
+    let is_valid = bytes.len() == HEADER_BYTES
         && bytes[..4] == MAGIC
-        && frame::read_u32(bytes, 24) == crc32c::crc32c(&bytes[..24]);
+        && frame::read_u32(&bytes, 24) == crc32c::crc32c(&bytes[..24]);
     if !is_valid {
         return Err(StoreError::corrupt(LOG_FILE, 0));
     }
-    let version = frame::read_u32(bytes, 4);
+    let version = frame::read_u32(&bytes, 4);
     if version != VERSION {
         return Err(StoreError::UnknownVersion {
             file: LOG_FILE,
@@ -239,11 +293,12 @@
         });
     }
     Ok(Scan {
-        base_index: frame::read_u64(bytes, 8),
-        synced_bytes: frame::read_u64(bytes, 16),
+        base_index: frame::read_u64(&bytes, 8),
+        synced_bytes: frame::read_u64(&bytes, 16),
         entries: Vec::new(),
         offsets: Vec::new(),
-        end: HEADER_BYTES,
+        end_bytes: HEADER_BYTES as u64,
+        file_bytes,
     })
 }
 
@@ -252,29 +307,39 @@
 /// The synced length is that of the sync mark if it is about this file, since the file may have
 /// been truncated after its header was written. A mark about an older file means that the mark was
 /// not updated, or not durably, after the log was rewritten; then the header's length counts.
-fn scan(bytes: &[u8], sync_mark: SyncMark) -> Result<Scan, StoreError> {
-    let mut scan = decode_header(bytes)?;
+fn scan(folder: &Path, sync_mark: SyncMark) -> Result<Scan, StoreError> {
+    let mut scan = read_header(&folder.join(LOG_FILE))?;
     if sync_mark.base_index == scan.base_index {
         scan.synced_bytes = sync_mark.synced_bytes;
     }
-    while scan.end < bytes.len() {
-        let Some(record) = frame::decode(bytes, scan.end) else {
-            match frame::classify_damage(bytes, scan.end, scan.synced_bytes) {
-                Damage::Torn => return Ok(scan),
-                Damage::Corrupt => return Err(StoreError::corrupt(LOG_FILE, scan.end)),
-            }
-        };
-        let entry = EntryRecord::decode(record.body).map(Entry::from);
+    let mut reader = RecordReader::open(folder, None)?;
+    let mut body = Vec::new();
+    while !reader.is_at_end() {
+        if !reader.read(&mut body)? {
+            return match classify_damage(folder, &scan)? {
+                Damage::Torn => Ok(scan),
+                Damage::Corrupt => Err(StoreError::corrupt(LOG_FILE, scan.end_bytes)),
+            };
+        }
+        let entry = EntryRecord::decode(body.as_slice()).map(Entry::from);
         let index = scan.base_index + scan.entries.len() as u64 + 1;
         match entry {
             Ok(entry) if entry.index == index => scan.entries.push(entry),
-            _ => return Err(StoreError::corrupt(LOG_FILE, scan.end)),
+            _ => return Err(StoreError::corrupt(LOG_FILE, scan.end_bytes)),
         }
-        scan.offsets.push(scan.end as u64);
-        scan.end = record.end;
+        scan.offsets.push(scan.end_bytes);
+        scan.end_bytes = reader.at_bytes;
     }
-    if (scan.end as u64) < scan.synced_bytes {
-        return Err(StoreError::corrupt(LOG_FILE, scan.end));
+    if scan.end_bytes < scan.synced_bytes {
+        return Err(StoreError::corrupt(LOG_FILE, scan.end_bytes));
     }
     Ok(scan)
 }
+
+/// Tells why the record after those that were read is invalid. Reads the file whole, since records
+/// after it may tell.
+fn classify_damage(folder: &Path, scan: &Scan) -> Result<Damage, StoreError> {
+    let bytes = fs::read(folder.join(LOG_FILE)).map_err(StoreError::io(LOG_FILE))?;
+    let start = usize::try_from(scan.end_bytes).unwrap_or(usize::MAX);
+    Ok(frame::classify_damage(&bytes, start, scan.synced_bytes))
+}
