Bound what an upstream states as its load, and let the mean age

Cause: the mean load of a service took any stated number and stood in for each upstream whose own report is old. With it out of range every request is refused before it is sent; reports come with answers only, so the mean never changed again. Their sum could overflow besides.

Change: a stated load counts up to eight requests for each slot, and the mean decays once no report has come for a second, to that of idle upstreams within 5 s. Reports that go on to confirm an overload keep it refused.

--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -10,6 +10,7 @@
 mod candidates;
 mod config;
 mod gate;
+mod mean_load;
 mod poll_schedule;
 mod rank;
 mod regions;
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -8,6 +8,7 @@
     bucket::TokenBucket,
     candidates::{Grouping, Standing, candidates},
     config::GateBounds,
+    mean_load::MeanLoad,
     regions::{RebalanceParams, RegionLoad, RegionShares},
     times::RunTimes,
     upstream::Upstream,
@@ -32,10 +33,6 @@
 /// The cost of each microsecond past a request's deadline, in microseconds.
 const LATE_COST: f64 = 3.0;
 
-/// The weight of a new sample in the moving average of the requests that an upstream has from other
-/// gateways.
-const OTHER_REQUESTS_WEIGHT: f64 = 0.1;
-
 /// The cost of an upstream outside the gateway's own failure domain, in microseconds.
 const DOMAIN_COST_US: f64 = 80_000.0;
 
@@ -101,8 +98,8 @@
     retry_budget: TokenBucket,
     /// The moving average of the run time, over all routes and upstreams.
     mean_time_us: f64,
-    /// The moving average of the requests that an upstream has from other gateways.
-    mean_other_requests: f64,
+    /// The requests that an upstream has from other gateways, on average.
+    mean_load: MeanLoad,
 }
 
 impl Service {
@@ -114,7 +111,7 @@
             active_routes: ActiveRoutes::default(),
             retry_budget: TokenBucket::new(1.0, now_us),
             mean_time_us: INITIAL_TIME_US,
-            mean_other_requests: 0.0,
+            mean_load: MeanLoad::new(now_us),
         }
     }
 
@@ -126,6 +123,7 @@
 
     /// Rebalances the region shares by the load of the usable upstreams.
     pub(crate) fn rebalance_regions(&mut self, params: RebalanceParams, now_us: TimeUs) {
+        let mean_other_requests = self.mean_load.requests(now_us);
         let mut loads: BTreeMap<RegionName, RegionLoad> = BTreeMap::new();
         for upstream in &self.upstreams {
             let region = loads.entry(upstream.region.clone()).or_default();
@@ -134,7 +132,7 @@
                 && !upstream.is_cold(now_us)
             {
                 region.slots += f64::from(upstream.instance.slots);
-                region.requests += upstream.load(self.mean_other_requests, now_us);
+                region.requests += upstream.load(mean_other_requests, now_us);
             }
         }
         self.regions.rebalance(&loads, params, now_us);
@@ -225,14 +223,13 @@
     /// Records the load that an upstream reported.
     pub(crate) fn record_load(&mut self, index: usize, load: crate::Load, now_us: TimeUs) {
         let other_requests = self.upstreams[index].record_load(load, now_us);
-        self.mean_other_requests +=
-            OTHER_REQUESTS_WEIGHT * (other_requests - self.mean_other_requests);
+        self.mean_load.record(other_requests, now_us);
     }
 
     /// Whether an upstream is expected to run another request without queueing it.
     pub(crate) fn has_free_slot(&self, index: usize, now_us: TimeUs) -> bool {
         let upstream = &self.upstreams[index];
-        let load = upstream.load(self.mean_other_requests, now_us);
+        let load = upstream.load(self.mean_load.requests(now_us), now_us);
         load + 1.0 <= f64::from(upstream.instance.slots)
     }
 
@@ -281,7 +278,7 @@
     ) -> (f64, Choice) {
         let upstream = &self.upstreams[index];
         let slots = f64::from(upstream.instance.slots.max(1));
-        let load = upstream.load(self.mean_other_requests, now_us);
+        let load = upstream.load(self.mean_load.requests(now_us), now_us);
         let slowness = upstream.slowness(now_us);
         let knows_object = |object| upstream.recently_sent(object);
         let has_affinity = match standing {
--- a/crates/gate/src/upstream.rs
+++ b/crates/gate/src/upstream.rs
@@ -13,6 +13,10 @@
 /// mean of its service, in microseconds.
 const REPORT_DECAY_US: f64 = 800_000.0;
 
+/// The largest load that is counted, in requests for each slot. A request would queue there for seven
+/// runs, longer than any may; a larger number changes no decision, and would take longer to forget.
+const REQUESTS_PER_SLOT_MAX: f64 = 8.0;
+
 /// The weight of a new sample in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
 
@@ -139,12 +143,14 @@
         1.0 + (self.slowness - 1.0) * (-age_us / SLOWNESS_DECAY_US).exp()
     }
 
-    /// Records a load report; returns how many requests it has from other gateways.
+    /// Records a load report; returns how many requests it has from other gateways, as far as its
+    /// slots make that credible.
     pub(crate) fn record_load(&mut self, load: Load, now_us: TimeUs) -> f64 {
-        let reported = f64::from(load.running + load.waiting);
+        let reported = f64::from(load.running) + f64::from(load.waiting);
+        let credible_max = REQUESTS_PER_SLOT_MAX * f64::from(self.instance.slots.max(1));
         // The report may still count the request that it came with, which this gateway no longer
         // counts, so the estimate may be one too high.
-        let other_requests = (reported - f64::from(self.own_requests)).max(0.0);
+        let other_requests = (reported - f64::from(self.own_requests)).clamp(0.0, credible_max);
         self.other_requests = other_requests;
         self.reported_us = now_us;
         other_requests
