Ignore heartbeats of services that the plan doesn't name

Cause: a heartbeat of a later start at an address marks the instance there as gone, whatever service it names, and what is gone comes back with a later run only. The names of services were never compared with the plan's.

Change: with a plan in force, a heartbeat of a service that it doesn't name is acknowledged, counted and ignored, unless the instance is recorded with that service. Before the first plan an instance takes an address over from its own service only; a plan that comes into force settles who has an address.

Related, with a test that failed before: under the name of a sound instance and with a later start, a foreign heartbeat entered the leader's record of last heartbeats, so that the instance's own counted as old and it expired.

Ruled out: refusing such heartbeats (instances may start before the plan that names their service), and recording them without an effect on others (any number of names would be kept).

--- a/crates/control/src/dump.rs
+++ b/crates/control/src/dump.rs
@@ -29,6 +29,8 @@
     pub pending_requests: usize,
     /// The number of open watches.
     pub waiting_watches: usize,
+    /// The number of heartbeats ignored since the start because no plan names their service.
+    pub unknown_service_heartbeats: u64,
     /// The last poll that this replica received from each declared entry.
     pub entries: Vec<EntryDump>,
     /// The pools of capacities and links and their shares; empty unless this replica leads.
@@ -58,6 +60,7 @@
             retained_answers: self.state.retained_answers(),
             pending_requests: self.pending.len(),
             waiting_watches: self.watches.len(),
+            unknown_service_heartbeats: self.heartbeats.unknown_service(),
             entries: self.entries.dump(self.now_us),
             shares: self.shares.rows(),
             resources,
--- a/crates/control/src/heartbeats.rs
+++ b/crates/control/src/heartbeats.rs
@@ -26,6 +26,8 @@
     /// last [`Self::reset`] to send a heartbeat.
     grace_until_us: TimeUs,
     next_check_us: TimeUs,
+    /// Heartbeats that were ignored because no plan names their service.
+    unknown_service: u64,
 }
 
 impl Heartbeats {
@@ -36,9 +38,20 @@
             last_heartbeats: HashMap::new(),
             grace_until_us: now_us.after_us(instance_timeout_us),
             next_check_us: now_us,
+            unknown_service: 0,
         }
     }
 
+    /// Counts a heartbeat that is ignored because no plan names its service.
+    pub(crate) const fn count_unknown_service(&mut self) {
+        self.unknown_service += 1;
+    }
+
+    /// The number of heartbeats ignored because no plan names their service.
+    pub(crate) const fn unknown_service(&self) -> u64 {
+        self.unknown_service
+    }
+
     /// Forgets all heartbeats and starts a new grace period: another replica led, or this process
     /// was suspended, so that heartbeats may have been missed.
     pub(crate) fn reset(&mut self, now_us: TimeUs) {
--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -75,11 +75,15 @@
             });
             return;
         }
-        let is_later = self.heartbeats.record(&registration, self.now_us);
         let at_ms = self.log_clock_ms();
-        let status = self.state.steering().compare(&registration, at_ms);
-        if is_later && status == RegistrationStatus::Changed {
-            return self.steer(request, Change::Register(registration), outputs);
+        match self.state.steering().compare(&registration, at_ms) {
+            RegistrationStatus::UnknownService => self.heartbeats.count_unknown_service(),
+            status => {
+                let is_later = self.heartbeats.record(&registration, self.now_us);
+                if is_later && status == RegistrationStatus::Changed {
+                    return self.steer(request, Change::Register(registration), outputs);
+                }
+            }
         }
         outputs.push(Output::Answer {
             request,
--- a/crates/control/tests/steering.rs
+++ b/crates/control/tests/steering.rs
@@ -198,6 +198,37 @@
     assert_eq!(cluster.replicas[&leader].status().last_index, before);
 }
 
+// A foreign report under the name of a sound instance, with a later start, made the leader take the
+// heartbeats of that instance for old ones, so that it expired.
+#[test]
+fn a_foreign_report_does_not_let_an_instance_expire() {
+    let mut cluster = Cluster::new(3);
+    cluster
+        .request_leader(&declare(5, 0, "first"))
+        .expect("a valid plan");
+    cluster
+        .request_leader(&register(heartbeat("w-1", 10, 1)))
+        .expect("a heartbeat");
+    let foreign = Registration {
+        service: "node-agent".parse().expect("a valid name"),
+        ..heartbeat("w-1", 99, 1)
+    };
+    let leader = cluster.wait_for_leader();
+    let before = cluster.replicas[&leader].status().last_index;
+    assert_eq!(cluster.request_leader(&register(foreign)), ACCEPTED);
+    assert_eq!(cluster.replicas[&leader].status().last_index, before);
+    for sequence in 2..20 {
+        cluster.run_ms(1_000);
+        let sound = register(heartbeat("w-1", 10, sequence));
+        assert_eq!(cluster.request_leader(&sound), ACCEPTED);
+    }
+    let steering = cluster.replicas[&leader].state().steering();
+    let state = steering.instance("w-1").map(|it| it.state);
+    assert_eq!(state, Some(InstanceState::Ready));
+    let dump = cluster.replicas[&leader].dump();
+    assert_eq!(dump.unknown_service_heartbeats, 1);
+}
+
 #[test]
 fn a_silent_instance_expires_and_its_next_heartbeat_brings_it_back() {
     let mut cluster = Cluster::new(3);
--- a/crates/plan/src/instance.rs
+++ b/crates/plan/src/instance.rs
@@ -80,6 +80,9 @@
     /// It is older than what is recorded, its run of the instance has ended, or an instance that
     /// started later has its address.
     Stale,
+    /// No plan names its service, and nothing is recorded of it: it comes from another writer, or
+    /// from an instance whose service is yet to be declared.
+    UnknownService,
     /// It equals what is recorded.
     Unchanged,
     /// It is new or differs, so the record must change.
--- a/crates/plan/src/instances.rs
+++ b/crates/plan/src/instances.rs
@@ -63,6 +63,12 @@
         names.filter_map(|name| self.by_name.get(name))
     }
 
+    /// The ready and draining instances whose address others of them have too.
+    pub(crate) fn with_shared_addresses(&self) -> impl Iterator<Item = &Instance> {
+        let shared = self.by_address.values().filter(|names| names.len() > 1);
+        shared.flatten().filter_map(|name| self.by_name.get(name))
+    }
+
     /// The instances that changed after a log index.
     pub(crate) fn changed_since(&self, index: u64) -> impl Iterator<Item = &Instance> {
         let later = (Bound::Excluded(index), Bound::Unbounded);
--- a/crates/plan/src/steering.rs
+++ b/crates/plan/src/steering.rs
@@ -11,7 +11,7 @@
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
-use types::DomainName;
+use types::{DomainName, ServiceName};
 
 /// The most expired or gone instances that are remembered. A late heartbeat of the same run can't
 /// bring back an instance while it is remembered as gone.
@@ -110,10 +110,14 @@
     /// log's clock.
     #[must_use]
     pub fn compare(&self, registration: &Registration, at_ms: u64) -> RegistrationStatus {
+        let known = self.instances.get(registration.id.as_str());
+        if self.is_foreign(registration, known) {
+            return RegistrationStatus::UnknownService;
+        }
         if self.has_newer_at_address(registration) {
             return RegistrationStatus::Stale;
         }
-        match self.instances.get(registration.id.as_str()) {
+        match known {
             Some(known) => known.compare(registration, at_ms),
             None => RegistrationStatus::Changed,
         }
@@ -224,6 +228,7 @@
             history,
         });
         self.revision = index;
+        self.settle_addresses(index);
         Ok(ChangeResult::Declared { version })
     }
 
@@ -238,16 +243,12 @@
         if self.compare(registration, at_ms) != RegistrationStatus::Changed {
             return;
         }
-        let address = registration.address;
-        let others = self.instances.present_at(address);
-        let displaced: Vec<Instance> = others
-            .filter(|other| other.id != registration.id)
-            .cloned()
-            .collect();
-        for mut other in displaced {
-            other.state = InstanceState::Gone;
-            other.revision = index;
-            self.instances.insert(other);
+        let others = self.instances.present_at(registration.address);
+        let displaced = others.filter(|other| {
+            other.id != registration.id && self.takes_address(&registration.service, &other.service)
+        });
+        for other in displaced.cloned().collect::<Vec<_>>() {
+            self.mark_gone(index, other);
         }
         let instance = Instance::new(registration.clone(), at_ms, index);
         self.instances.insert(instance);
@@ -255,6 +256,49 @@
         self.forget_oldest_inactive();
     }
 
+    /// Marks instances as gone whose address is that of a later run, once the plan names the service
+    /// of that run.
+    fn settle_addresses(&mut self, index: u64) {
+        let shared = self.instances.with_shared_addresses();
+        let displaced = shared.filter(|instance| {
+            let others = self.instances.present_at(instance.address);
+            let later = |other: &&Instance| {
+                (other.born_ms, other.revision) > (instance.born_ms, instance.revision)
+            };
+            let mut later = others.filter(later);
+            later.any(|other| self.takes_address(&other.service, &instance.service))
+        });
+        for instance in displaced.cloned().collect::<Vec<_>>() {
+            self.mark_gone(index, instance);
+        }
+        self.forget_oldest_inactive();
+    }
+
+    fn mark_gone(&mut self, index: u64, mut instance: Instance) {
+        instance.state = InstanceState::Gone;
+        instance.revision = index;
+        self.instances.insert(instance);
+    }
+
+    /// Whether the plan in force names the service.
+    fn names(&self, service: &ServiceName) -> bool {
+        let plan = self.plan();
+        plan.is_some_and(|plan| plan.services.iter().any(|it| it.name == *service))
+    }
+
+    /// Whether a later run of `service` has the address of an earlier one of `other`. A service that
+    /// no plan names takes no address from others: its reports come from another writer.
+    fn takes_address(&self, service: &ServiceName, other: &ServiceName) -> bool {
+        service == other || self.names(service)
+    }
+
+    /// Whether a plan is in force that doesn't name the registration's service, unless the instance
+    /// is recorded with that service: then an earlier plan named it and a later one may again.
+    fn is_foreign(&self, registration: &Registration, known: Option<&Instance>) -> bool {
+        let is_recorded = known.is_some_and(|known| known.service == registration.service);
+        self.in_force.is_some() && !is_recorded && !self.names(&registration.service)
+    }
+
     /// Sets the state of an instance that expired or left. Without effect when a later run than
     /// `born_ms` is recorded, or the instance is gone already.
     fn end_instance(&mut self, index: u64, id: &str, born_ms: Option<u64>, state: InstanceState) {
@@ -280,10 +324,14 @@
         }
     }
 
-    /// Whether another instance that started later, and is ready or draining, has the
-    /// registration's address.
+    /// Whether the registration's address is that of another instance, ready or draining, that
+    /// started later.
     fn has_newer_at_address(&self, registration: &Registration) -> bool {
         let mut others = self.instances.present_at(registration.address);
-        others.any(|other| other.id != registration.id && other.born_ms > registration.born_ms)
+        others.any(|other| {
+            other.id != registration.id
+                && other.born_ms > registration.born_ms
+                && self.takes_address(&other.service, &registration.service)
+        })
     }
 }
