Trust an answer's promise only if it names the attempt

A report of other operators: a faulty worker wrote an earlier refusal once more on a kept connection, and clients were told that requests had not run which had.

Cause: an answer was set aside only if it named another attempt; one that named none was taken at its word.

Change: a success, or an answer that says by header or status that the request did not run, must name the attempt. Else the attempt counts as broken.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -31,6 +31,14 @@
 /// How long before the idle timeout that the upstream advertises a connection is no longer reused.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
+/// Statuses by which clients are told that a request did not run.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// A client's request in memory, so that it can be retried.
 #[derive(Debug)]
 pub struct Call {
@@ -92,8 +100,8 @@
 }
 
 impl AttemptRunner {
-    /// Sends the request to `target` and reads its answer, until the deadline of `target`. An
-    /// answer that names another attempt and a successful one without a signature count as broken.
+    /// Sends the request to `target` and reads its answer, until the deadline of `target`. An answer
+    /// that may not belong to the attempt counts as broken.
     pub async fn run(&self, call: &Call, target: &Target) -> Outcome {
         let deadline = self.clock.instant(target.deadline_us);
         let Some(mut connection) = self.connection(target, deadline).await else {
@@ -116,9 +124,7 @@
         };
         let attempt = decode_request_headers(&call.headers).attempt;
         let answer = decode_answer_headers(response.status(), response.headers(), attempt);
-        let is_mismatched =
-            answer.names_other_attempt || (response.status().is_success() && !answer.is_signed);
-        if is_mismatched {
+        if !is_trusted(response.status(), &answer) {
             return Outcome::without_answer(Ending::Broken);
         }
         let status = response.status();
@@ -192,6 +198,15 @@
     }
 }
 
+/// Whether an answer belongs to the attempt. What promises something to the client, a success or that
+/// the request did not run, must name the attempt, and a success must have a signature.
+fn is_trusted(status: StatusCode, answer: &AnswerHeaders) -> bool {
+    let says_not_run = answer.not_run.is_some() || NOT_RUN_STATUSES.contains(&status);
+    let is_promise = status.is_success() || says_not_run;
+    let is_signed = answer.is_signed || !status.is_success();
+    !answer.names_other_attempt && is_signed && (answer.names_attempt || !is_promise)
+}
+
 fn ending(status: StatusCode, answer: &AnswerHeaders) -> Ending {
     match answer.not_run {
         Some(NotRun::OtherInstance) => Ending::Misdirected,
