Take no request late in a stop that would be cut off

Cause: a stopping gateway took requests for 0.45 of its grace period, however long they run, and ended at 0.97 of it with whatever was in flight.

Change: while stopping, a gateway takes a request, or makes a retry, only if it ends in time: by its deadline, or by what nearly all latest requests of its route took with a quarter added. At 0.95 of the grace period what is in flight is answered: 504 if it was passed on, 503 as not run if it was still being read.

Ruled out: taking only requests whose deadline lies within the grace period (deadlines of 6 to 20 s would refuse everything), and the mean run time as the estimate (it learns 5% of a request; the order above was still taken).

--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -26,11 +26,17 @@
 use prometheus_client::registry::Registry;
 use serde_json::json;
 use slog::{Logger, info};
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    future::Future,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep_until},
 };
-use tokio::sync::watch;
 use types::{ApiError, TimeUs};
 
 /// Largest body of a client's request, also when the plan allows a larger one.
@@ -54,8 +60,9 @@
     pub limits: watch::Receiver<Option<Limits>>,
     /// ID of the next request.
     pub next_request: Arc<AtomicU64>,
-    /// Whether the gateway is stopping. Responses then carry `connection: close`.
-    pub stopping: watch::Receiver<bool>,
+    /// Set once the gateway is stopping: when every request must have its answer. Responses then
+    /// carry `connection: close`.
+    pub answers_until: watch::Receiver<Option<Instant>>,
     /// Logger of the process.
     pub log: Logger,
 }
@@ -66,7 +73,7 @@
         self.metrics.requests.inc();
         let arrived_us = self.clock.now_us();
         let mut response = self.serve(request, arrived_us).await;
-        if *self.stopping.borrow() {
+        if self.answers_until.borrow().is_some() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
@@ -82,10 +89,17 @@
         let body_max_bytes = limits
             .and_then(|limits| usize::try_from(limits.body_max_bytes).ok())
             .map_or(REQUEST_MAX_BYTES, |limit| limit.min(REQUEST_MAX_BYTES));
-        let body = match read_body(body, body_max_bytes).await {
-            Ok(body) => body,
-            Err(ApiError::BodyTooLarge { .. }) => return empty(StatusCode::PAYLOAD_TOO_LARGE),
-            Err(_) => return empty(StatusCode::REQUEST_TIMEOUT),
+        let read = self.until_stop_ends(read_body(body, body_max_bytes)).await;
+        let body = match read {
+            Some(Ok(body)) => body,
+            Some(Err(ApiError::BodyTooLarge { .. })) => {
+                return empty(StatusCode::PAYLOAD_TOO_LARGE);
+            }
+            Some(Err(_)) => return empty(StatusCode::REQUEST_TIMEOUT),
+            None => {
+                self.log_refusal(&head.headers, Refusal::Stopping, STOPPED_RETRY_MS, None);
+                return not_run_response(STOPPED_RETRY_MS);
+            }
         };
         let request = self.next_request.fetch_add(1, Ordering::Relaxed);
         let mut guard = RequestGuard::new(self.actor.clone(), request);
@@ -112,7 +126,36 @@
             headers: head.headers,
             body,
         };
-        self.run_attempts(&call, target, guard, arrived_us).await
+        let attempts = self.run_attempts(&call, target, guard, arrived_us);
+        match self.until_stop_ends(attempts).await {
+            Some(response) => response,
+            None => {
+                info!(self.log, "request ended";
+                    "request" => attempt_id(&call.headers),
+                    "status" => StatusCode::GATEWAY_TIMEOUT.as_u16(),
+                    "cause" => Refusal::Stopping.as_str(),
+                    "elapsed_ms" => self.clock.now_us().since_us(arrived_us) / 1_000);
+                empty(StatusCode::GATEWAY_TIMEOUT)
+            }
+        }
+    }
+
+    /// Waits for `work`, but no longer than a stopping gateway has for its answers: `None` then, and
+    /// the work is dropped, with its connection to an upstream.
+    async fn until_stop_ends<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        let mut answers_until = self.answers_until.clone();
+        let stop_ends = async {
+            match answers_until.wait_for(Option::is_some).await.map(|it| *it) {
+                Ok(Some(end)) => sleep_until(end).await,
+                // The sender is gone only with the gateway itself.
+                Ok(None) | Err(_) => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            done = work => Some(done),
+            () = stop_ends => None,
+        }
     }
 
     /// Makes attempts as the core decides, until it delivers an answer or gives up.
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -13,7 +13,7 @@
     http::{HEAD_TIMEOUT, Pool, Server, ServerLimits, serve},
     replicas::{ReplicaLinks, seed_names},
 };
-use gate::{Gate, GateBounds, GateConfig};
+use gate::{Gate, GateBounds, GateConfig, STOP_ANSWER_FRACTION};
 use kameo::{
     actor::{ActorRef, Spawn},
     mailbox,
@@ -43,7 +43,7 @@
 /// connections.
 const CLOSE_FRACTION: f64 = 0.5;
 
-/// Fraction of the grace period after which a stopping gateway ends, even with requests in flight.
+/// Fraction of the grace period after which a stopping gateway ends, even with connections open.
 const END_FRACTION: f64 = 0.97;
 
 /// A running gateway, ended by [`Self::stop`].
@@ -53,17 +53,18 @@
     server: Server,
     status_server: Server,
     timer: JoinHandle<()>,
-    stopping: watch::Sender<bool>,
+    stopping: watch::Sender<Option<Instant>>,
     grace_ms: u64,
 }
 
 impl Gateway {
-    /// Reports the gateway as not ready, lets the requests in flight finish, and ends within the
-    /// grace period.
+    /// Reports the gateway as not ready, lets the requests in flight finish, answers those that
+    /// don't, and ends within the grace period.
     pub async fn stop(self) {
         let grace = Duration::from_millis(self.grace_ms);
         let started = Instant::now();
-        self.stopping.send_replace(true);
+        let answers_until = started + grace.mul_f64(STOP_ANSWER_FRACTION);
+        self.stopping.send_replace(Some(answers_until));
         let _ = self.actor.tell(Stop).await;
         sleep(grace.mul_f64(CLOSE_FRACTION)).await;
         let end = started + grace.mul_f64(END_FRACTION);
@@ -110,7 +111,7 @@
     );
     tokio::spawn(forward_events(events, actor.clone(), LinkEvent));
     let timer = tokio::spawn(tick(actor.clone(), TICK, Tick));
-    let (stopping, is_stopping) = watch::channel(false);
+    let (stopping, answers_until) = watch::channel(None);
     let http = GatewayHttp {
         actor: actor.clone(),
         attempt_runner: AttemptRunner {
@@ -122,7 +123,7 @@
         metrics,
         limits: client_limits,
         next_request: Arc::default(),
-        stopping: is_stopping,
+        answers_until,
         log: log.clone(),
     };
     let limits = ServerLimits {
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     api::StateChange, config::GateConfig, poll_schedule::PollSchedule, regions::RebalanceParams,
-    requests::PendingRequest, service::Service, slack::Slack, split::Split, times::RunTimes,
-    upstream::Upstream, withheld::WithheldRuns,
+    requests::PendingRequest, service::Service, slack::Slack, split::Split, stopping::Stopping,
+    times::RunTimes, upstream::Upstream, withheld::WithheldRuns,
 };
 use control::{GatewayPoll, GatewayPollAnswer, GatewayReport};
 use plan::{Instance, Limits, PlanChanges, RouteTable, ServiceTerms};
@@ -15,9 +15,6 @@
 /// How often the region shares of every service are rebalanced, in milliseconds.
 const REBALANCE_INTERVAL_MS: u64 = 100;
 
-/// The fraction of the grace period during which a stopping gateway still accepts new requests.
-const STOP_ACCEPT_FRACTION: f64 = 0.45;
-
 /// The state of a gateway. Every call that depends on time is given the current time.
 #[derive(Debug)]
 pub struct Gate {
@@ -46,8 +43,8 @@
     pub(crate) slack: Slack,
     /// Changes for the log that [`Self::take_state_changes`] has not returned yet.
     pub(crate) state_changes: Vec<StateChange>,
-    /// Set once the gateway is stopping: it refuses requests that arrive after this time.
-    pub(crate) accepts_until_us: Option<TimeUs>,
+    /// Set once the gateway is stopping.
+    pub(crate) stopping: Option<Stopping>,
 }
 
 impl Gate {
@@ -72,7 +69,7 @@
             next_rebalance_us: now_us,
             slack: Slack::new(now_us),
             state_changes: Vec::new(),
-            accepts_until_us: None,
+            stopping: None,
         }
     }
 
@@ -80,7 +77,7 @@
     /// gateways only.
     #[must_use]
     pub const fn is_ready(&self) -> bool {
-        self.table.is_some() && self.accepts_until_us.is_none()
+        self.table.is_some() && self.stopping.is_none()
     }
 
     /// Counts the forwarded requests whose last attempt has not ended.
@@ -113,10 +110,10 @@
     }
 
     /// Begins to stop. The gateway is no longer ready, tells every replica so at once, and accepts
-    /// new requests only for the first part of the grace period.
+    /// new requests only for the first part of the grace period, and only those that are expected to
+    /// end within it.
     pub fn stop(&mut self, now_us: TimeUs) {
-        let accepts_ms = self.config.bounds.grace_ms as f64 * STOP_ACCEPT_FRACTION;
-        self.accepts_until_us = Some(now_us.after_ms(accepts_ms as u64));
+        self.stopping = Some(Stopping::new(self.config.bounds.grace_ms, now_us));
         self.polls.poll_all_now(now_us);
     }
 
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -18,6 +18,7 @@
 mod service;
 mod slack;
 mod split;
+mod stopping;
 mod times;
 mod upstream;
 mod urgency;
@@ -30,4 +31,5 @@
     },
     config::{GateBounds, GateConfig},
     gate::Gate,
+    stopping::STOP_ANSWER_FRACTION,
 };
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -8,6 +8,7 @@
     gate::Gate,
     service::{Choice, Criteria},
     split::Split,
+    stopping::Stopping,
     times::RunTimes,
     urgency::queue_max_us,
 };
@@ -110,8 +111,8 @@
         let Some(route) = table.find(arrival.host, arrival.path) else {
             return Decision::NoRoute;
         };
-        let accepts_until_us = self.accepts_until_us;
-        if accepts_until_us.is_some_and(|until_us| until_us.reached(now_us)) {
+        let stopping = self.stopping;
+        if stopping.is_some_and(|it| it.accepts_until_us.reached(now_us)) {
             return refuse(Refusal::Stopping, RETRY_AFTER_MIN_MS);
         }
         let timeout_ms = arrival.timeout_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
@@ -263,9 +264,21 @@
                 }),
             };
         }
+        if !self.ends_before_stop(&pending, &choice, now_us) {
+            return refuse(Refusal::Stopping, RETRY_AFTER_MIN_MS);
+        }
         Decision::Forward(self.start_attempt(request, pending, choice, now_us))
     }
 
+    /// Whether an attempt at the chosen upstream ends before this gateway, if it is stopping. The
+    /// latest long requests of the route count, since one that is cut off may have run.
+    fn ends_before_stop(&self, pending: &PendingRequest, choice: &Choice, now_us: TimeUs) -> bool {
+        let longest_us = self.route_times(&pending.route).longest_us();
+        let expected_us = longest_us.max(choice.wait_us + choice.run_us);
+        let leaves_time = |it: Stopping| it.leaves_time(pending.deadline_us, expected_us, now_us);
+        self.stopping.is_none_or(leaves_time)
+    }
+
     /// The run times of a route; a default when a new plan has removed the route.
     fn route_times(&self, route: &str) -> RunTimes {
         let times = self.run_times.get(route).copied();
@@ -284,7 +297,9 @@
         let criteria = pending.criteria(&self.config.failure_domain, times, now_us);
         let choice = service.choose(criteria, self.gateway_count, now_us)?;
         let remaining_us = pending.deadline_us.since_us(now_us) as f64;
-        let fits = choice.wait_us + choice.run_us < remaining_us;
+        let fits = choice.wait_us + choice.run_us < remaining_us
+            && self.ends_before_stop(pending, &choice, now_us);
+        let service = self.services.get_mut(&pending.service)?;
         let may_retry = fits && service.take_retry(&self.config.bounds, self.gateway_count, now_us);
         may_retry.then_some(choice)
     }
@@ -348,11 +363,15 @@
         if let Some(load) = load {
             service.record_load(index, load, now_us);
         }
-        if ending == Ending::Answered && pending.had_free_slot {
-            let taken_us = now_us.since_us(pending.sent_us) as f64;
-            let Some(times) = self.run_times.get_mut(&pending.route) else {
-                return;
-            };
+        if ending != Ending::Answered {
+            return;
+        }
+        let taken_us = now_us.since_us(pending.sent_us) as f64;
+        let Some(times) = self.run_times.get_mut(&pending.route) else {
+            return;
+        };
+        times.record_total(taken_us);
+        if pending.had_free_slot {
             let usual_us = times.run_us(pending.has_affinity);
             times.record(taken_us, pending.has_affinity);
             service.record_time(index, taken_us, usual_us, now_us);
--- a/crates/gate/src/times.rs
+++ b/crates/gate/src/times.rs
@@ -22,6 +22,9 @@
     affinity_us: f64,
     /// How many times longer a request without affinity runs, at least 1.
     no_affinity_ratio: f64,
+    /// The upper envelope of what requests take with their time in queues: a longer request raises it
+    /// at once, and each other one lowers it a little.
+    longest_us: f64,
 }
 
 impl RunTimes {
@@ -30,9 +33,21 @@
         Self {
             affinity_us: (target_ms as f64 * 1e3 * INITIAL_TARGET_FRACTION).max(1.0),
             no_affinity_ratio: INITIAL_NO_AFFINITY_RATIO,
+            longest_us: 0.0,
         }
     }
 
+    /// What nearly all latest requests took at most, with their time in queues; 0 before the first.
+    pub(crate) const fn longest_us(self) -> f64 {
+        self.longest_us
+    }
+
+    /// Records the time from sending a request to the end of its answer.
+    pub(crate) fn record_total(&mut self, taken_us: f64) {
+        let lowered_us = self.longest_us + SAMPLE_WEIGHT * (taken_us - self.longest_us);
+        self.longest_us = lowered_us.max(taken_us);
+    }
+
     /// The expected run time in microseconds.
     pub(crate) fn run_us(self, has_affinity: bool) -> f64 {
         match has_affinity {
