Reset the connection of a request that is given up

Seen by the review without a case: a gateway that timed out on a cut link closed its connection with the request unsent, and the system sent it on once the link was whole, seconds after the client had 504 and after the worker had left.

Change: a connection that is dropped between a request and the end of its answer is reset, so that what was not sent never arrives. One without a request is closed in order as before.

--- a/crates/daemon/src/http/connection.rs
+++ b/crates/daemon/src/http/connection.rs
@@ -3,7 +3,8 @@
 //! An upstream in trouble may send bytes without end that bring no answer nearer: interim answers,
 //! or a chunk size of ever more digits. The parser would read them for as long as they come, so the
 //! bytes read without progress are bounded below it. Dropping a connection closes its socket at
-//! once, also while bytes arrive.
+//! once, also while bytes arrive. If a request is given up that way, the socket is reset: the system
+//! would otherwise go on to send what is left of the request, seconds later when a link was cut.
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -22,7 +23,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll},
 };
@@ -61,19 +62,40 @@
 #[error("too many bytes without an answer among them")]
 struct NoProgress;
 
-/// The bytes that were read from a connection since its answers last made progress.
+/// How far the exchange on a connection is, shared by its user and the task that owns the socket.
 #[derive(Clone, Debug, Default)]
-struct Progress(Arc<AtomicU64>);
+struct Progress(Arc<Exchange>);
+
+#[derive(Debug, Default)]
+struct Exchange {
+    /// The bytes that were read since the answer last made progress.
+    idle_bytes: AtomicU64,
+    /// Whether a request was sent whose answer has not ended.
+    is_open: AtomicBool,
+}
 
 impl Progress {
     fn record(&self) {
-        self.0.store(0, Ordering::Relaxed);
+        self.0.idle_bytes.store(0, Ordering::Relaxed);
+    }
+
+    fn begin(&self) {
+        self.record();
+        self.0.is_open.store(true, Ordering::Relaxed);
+    }
+
+    fn end(&self) {
+        self.0.is_open.store(false, Ordering::Relaxed);
+    }
+
+    fn is_open(&self) -> bool {
+        self.0.is_open.load(Ordering::Relaxed)
     }
 
     /// Counts bytes that were read.
     fn count(&self, bytes: usize) -> Result<(), NoProgress> {
         let bytes = bytes as u64;
-        let total = self.0.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        let total = self.0.idle_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
         (total <= IDLE_BYTES_MAX).then_some(()).ok_or(NoProgress)
     }
 }
@@ -114,10 +136,13 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<AnswerBody>, TrySendError<Request<Full<Bytes>>>> {
-        self.progress.record();
+        self.progress.begin();
         let response = self.sender.try_send_request(request).await?;
         self.progress.record();
         let progress = self.progress.clone();
+        if response.body().is_end_stream() {
+            progress.end();
+        }
         Ok(response.map(|body| AnswerBody { body, progress }))
     }
 }
@@ -138,8 +163,13 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
         let frame = Pin::new(&mut self.body).poll_frame(cx);
-        if matches!(frame, Poll::Ready(Some(Ok(_)))) {
-            self.progress.record();
+        match &frame {
+            Poll::Ready(Some(Ok(_))) => self.progress.record(),
+            Poll::Ready(None) => self.progress.end(),
+            Poll::Ready(Some(Err(_))) | Poll::Pending => {}
+        }
+        if self.body.is_end_stream() {
+            self.progress.end();
         }
         frame
     }
@@ -153,12 +183,22 @@
     }
 }
 
-/// A socket whose reads fail once too many bytes have come without progress.
+/// A socket whose reads fail once too many bytes have come without progress, and which is reset when
+/// it is dropped during an exchange.
 struct CountedStream {
     stream: TcpStream,
     progress: Progress,
 }
 
+impl Drop for CountedStream {
+    fn drop(&mut self) {
+        if self.progress.is_open() {
+            // Fails only on a socket that is closed already.
+            let _ = self.stream.set_zero_linger();
+        }
+    }
+}
+
 impl AsyncRead for CountedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
