Handle signals before the roles start, and end without a reader of the log

Seen by the review without a case: SIGHUP during a start ended the process, and a stop hung while nobody read the log.

Cause: the handler of SIGHUP was set where the settings are watched, after all roles had started; and the end of the process joined the thread that writes the log.

Change: all handlers are set first, and the end waits half a second at most for the last lines of the log.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -18,7 +18,7 @@
 };
 use tokio::{
     runtime::Builder,
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     time::{MissedTickBehavior, interval, sleep},
 };
 
@@ -31,6 +31,9 @@
 /// Period at which the settings file is read again without a signal.
 const SETTINGS_POLL_PERIOD: Duration = Duration::from_secs(3);
 
+/// How long the end of the process waits for the last lines of the log to be written.
+const LOG_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Parses the command line, runs the action, and returns the process's exit code.
 #[must_use]
 pub fn main() -> ExitCode {
@@ -74,7 +77,10 @@
 }
 
 fn create_data_folder(settings: &Settings) -> anyhow::Result<()> {
-    control::create_data_folder(settings, &log::logger(&settings.log, &settings.node.name))
+    let (log, writer) = log::logger(&settings.log, &settings.node.name);
+    let created = control::create_data_folder(settings, &log);
+    writer.finish(LOG_TIMEOUT);
+    created
 }
 
 fn run(settings: &Settings, source: &SettingsSource) -> anyhow::Result<()> {
@@ -83,36 +89,41 @@
         false => Builder::new_multi_thread(),
     };
     let runtime = builder.enable_all().build()?;
-    runtime.block_on(serve(settings, source))
+    let (log, writer) = log::logger(&settings.log, &settings.node.name);
+    let served = runtime.block_on(serve(settings, source, &log));
+    drop(runtime);
+    writer.finish(LOG_TIMEOUT);
+    served
 }
 
-async fn serve(settings: &Settings, source: &SettingsSource) -> anyhow::Result<()> {
-    let log = log::logger(&settings.log, &settings.node.name);
+async fn serve(settings: &Settings, source: &SettingsSource, log: &Logger) -> anyhow::Result<()> {
+    // Before the roles start, which may take long: a signal then waits until they have.
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     let entry = match &settings.entry {
         Some(role_settings) => {
-            Some(entry::start(settings, role_settings, identity(settings)?, &log).await?)
+            Some(entry::start(settings, role_settings, identity(settings)?, log).await?)
         }
         None => None,
     };
     let mut replica = match &settings.control {
         Some(role_settings) => {
-            Some(control::start(settings, role_settings, identity(settings)?, &log).await?)
+            Some(control::start(settings, role_settings, identity(settings)?, log).await?)
         }
         None => None,
     };
     let gateway = match &settings.gateway {
         Some(role_settings) => {
-            Some(gateway::start(settings, role_settings, identity(settings)?, &log).await?)
+            Some(gateway::start(settings, role_settings, identity(settings)?, log).await?)
         }
         None => None,
     };
-    let replica_stopped = supervise_replica(settings, &mut replica, &log);
+    let replica_stopped = supervise_replica(settings, &mut replica, log);
     let stopped_by_request = tokio::select! {
         _ = terminate.recv() => true,
         _ = interrupt.recv() => true,
-        () = watch_settings(source, settings, gateway.as_ref(), &log) => true,
+        () = watch_settings(&mut hangup, source, settings, gateway.as_ref(), log) => true,
         () = replica_stopped => false,
     };
     info!(log, "stopping");
@@ -167,18 +178,12 @@
 /// change without a signal. Only the section `[discovery]` takes effect without a restart: a
 /// changed list of seeds goes to the gateway. Never returns.
 async fn watch_settings(
+    hangup: &mut Signal,
     source: &SettingsSource,
     started_with: &Settings,
     gateway: Option<&gateway::Gateway>,
     log: &Logger,
 ) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        warn!(
-            log,
-            "the signal to read the settings again can't be received"
-        );
-        return std::future::pending().await;
-    };
     let mut polls = interval(SETTINGS_POLL_PERIOD);
     polls.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut discovery = started_with.discovery.clone();
