Bound the memory for the bodies of all requests of a gateway

Cause: each body was read whole and kept until the answer; nothing bounded the bytes of all together, and the process didn't know its memory.

An eighth is for bodies up to 64 KiB, half for larger ones. Room is reserved before a body is read, so a client's own sending waits for it: for a second and a third of its time at most, then the request is refused as not run, with Retry-After. Gauges and a cause of refusals tell of it.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock::Clock,
-    gateway::{metrics::GatewayMetrics, stream::StreamedBody},
+    gateway::{bodies::StoredBody, metrics::GatewayMetrics, stream::StreamedBody},
     http::{AnswerBody, Body, Connection, Pool, Put, Take, connect, strip_hop_by_hop_headers},
 };
 use bytes::{Bytes, BytesMut};
@@ -49,7 +49,7 @@
     /// The client's headers without the hop-by-hop ones.
     pub headers: HeaderMap,
     /// The whole body.
-    pub body: Bytes,
+    pub body: StoredBody,
 }
 
 /// The result of an attempt.
@@ -170,7 +170,7 @@
     }
 
     fn build_request(&self, call: &Call, target: &Target) -> Option<Request<Full<Bytes>>> {
-        let mut request = Request::new(Full::new(call.body.clone()));
+        let mut request = Request::new(Full::new(call.body.bytes.clone()));
         *request.method_mut() = call.method.clone();
         *request.uri_mut() = call.uri.clone();
         *request.headers_mut() = call.headers.clone();
--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -6,11 +6,12 @@
     gateway::{
         actor::{GatewayActor, QueryStatus, RequestArrived},
         attempt::{AttemptRunner, Call, UpstreamAnswer},
+        bodies::{Bodies, ReadError},
         guard::RequestGuard,
         metrics::GatewayMetrics,
         stream::{Delivery, StreamedBody},
     },
-    http::{Body, json, metrics, read_body, strip_hop_by_hop_headers, with_body},
+    http::{Body, json, metrics, strip_hop_by_hop_headers, with_body},
 };
 use gate::{BusyUpstream, Decision, Ending, Failure, Load, NextStep, Refusal, Target};
 use http_body_util::BodyExt;
@@ -32,6 +33,7 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 use tokio::{
     sync::watch,
@@ -45,6 +47,10 @@
 /// `retry-after` for clients of a gateway whose actor has ended, in milliseconds.
 const STOPPED_RETRY_MS: u64 = 100;
 
+/// `retry-after` for clients whose request's body found no room, in milliseconds: about the time that
+/// large bodies take to be sent on and answered.
+const NO_ROOM_RETRY_MS: u64 = 1_000;
+
 /// Handles clients' requests; cloned for each request.
 #[derive(Clone, Debug)]
 pub struct GatewayHttp {
@@ -52,6 +58,8 @@
     pub actor: ActorRef<GatewayActor>,
     /// Sends requests to upstreams.
     pub attempt_runner: AttemptRunner,
+    /// The room for requests' bodies.
+    pub bodies: Bodies,
     /// The clock of the core.
     pub clock: Clock,
     /// Metrics of the gateway.
@@ -89,18 +97,21 @@
         let body_max_bytes = limits
             .and_then(|limits| usize::try_from(limits.body_max_bytes).ok())
             .map_or(REQUEST_MAX_BYTES, |limit| limit.min(REQUEST_MAX_BYTES));
-        let read = self.until_stop_ends(read_body(body, body_max_bytes)).await;
-        let body = match read {
+        let timeout_ms = decode_request_headers(&head.headers).timeout_ms;
+        let client_timeout = timeout_ms.map(Duration::from_millis);
+        let read = self.bodies.read(body, body_max_bytes, client_timeout);
+        let refuse = |refusal, retry_after_ms| {
+            self.log_refusal(&head.headers, refusal, retry_after_ms, None);
+            not_run_response(retry_after_ms)
+        };
+        let body = match self.until_stop_ends(read).await {
             Some(Ok(body)) => body,
-            Some(Err(ApiError::BodyTooLarge { .. })) => {
-                return empty(StatusCode::PAYLOAD_TOO_LARGE);
-            }
-            Some(Err(_)) => return empty(StatusCode::REQUEST_TIMEOUT),
-            None => {
-                self.log_refusal(&head.headers, Refusal::Stopping, STOPPED_RETRY_MS, None);
-                return not_run_response(STOPPED_RETRY_MS);
-            }
+            Some(Err(ReadError::TooLarge)) => return empty(StatusCode::PAYLOAD_TOO_LARGE),
+            Some(Err(ReadError::Incomplete)) => return empty(StatusCode::REQUEST_TIMEOUT),
+            Some(Err(ReadError::NoRoom)) => return refuse(Refusal::Memory, NO_ROOM_RETRY_MS),
+            None => return refuse(Refusal::Stopping, STOPPED_RETRY_MS),
         };
+        self.metrics.record_body_room(self.bodies.free_bytes());
         let request = self.next_request.fetch_add(1, Ordering::Relaxed);
         let mut guard = RequestGuard::new(self.actor.clone(), request);
         let arrival = arrival(guard.request(), &head.headers, &head.uri);
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -47,6 +47,8 @@
     pub connections: Counter,
     /// Version of the plan in force.
     pub plan_version: Gauge,
+    small_body_room: Gauge,
+    large_body_room: Gauge,
     refused: Family<CauseLabel, Counter>,
     ended: Family<CauseLabel, Counter>,
 }
@@ -60,6 +62,8 @@
             retries: Counter::default(),
             connections: Counter::default(),
             plan_version: Gauge::default(),
+            small_body_room: Gauge::default(),
+            large_body_room: Gauge::default(),
             refused: Family::default(),
             ended: Family::default(),
         };
@@ -81,9 +85,26 @@
             "Version of the plan that runs",
             metrics.plan_version.clone(),
         );
+        registry.register(
+            "small_body_room_bytes",
+            "Room left for small bodies of requests, when one was last read",
+            metrics.small_body_room.clone(),
+        );
+        registry.register(
+            "large_body_room_bytes",
+            "Room left for large bodies of requests, when one was last read",
+            metrics.large_body_room.clone(),
+        );
         metrics
     }
 
+    /// Records the room that is left for small and for large bodies, in bytes.
+    pub fn record_body_room(&self, [small_bytes, large_bytes]: [usize; 2]) {
+        let gauge = |bytes| i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.small_body_room.set(gauge(small_bytes));
+        self.large_body_room.set(gauge(large_bytes));
+    }
+
     /// Records the latency of a successful answer, in microseconds since the request arrived.
     pub fn observe_answer(&self, target: &Target, latency_us: u64) {
         let labels = LatencyLabels {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 
 mod actor;
 mod attempt;
+mod bodies;
 mod guard;
 mod http;
 mod metrics;
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -7,6 +7,7 @@
     gateway::{
         actor::{GatewayActor, GatewayArgs, LinkEvent, SetSeeds, Stop, Tick},
         attempt::AttemptRunner,
+        bodies::Bodies,
         http::{GatewayHttp, StatusHttp},
         metrics::GatewayMetrics,
     },
@@ -119,6 +120,7 @@
             clock,
             metrics: Arc::clone(&metrics),
         },
+        bodies: Bodies::new(role_settings.memory_bytes),
         clock,
         metrics,
         limits: client_limits,
--- a/crates/daemon/src/http/body.rs
+++ b/crates/daemon/src/http/body.rs
@@ -12,7 +12,7 @@
 
 /// How much of a body beyond the limit is read and discarded, so that the sender has finished
 /// writing and reads the error response instead of a closed connection.
-const DISCARD_MAX_BYTES: usize = 16 * 1024 * 1024;
+pub const DISCARD_MAX_BYTES: usize = 16 * 1024 * 1024;
 
 /// Reads the whole body, of at most `limit_bytes`.
 ///
@@ -49,3 +49,19 @@
     }
     Ok(body_bytes.freeze())
 }
+
+/// Reads and throws away what is left of a body, at most `max_bytes` and for at most `limit`.
+pub async fn discard_body(mut body: Incoming, max_bytes: usize, limit: Duration) {
+    let discard = async {
+        let mut left_bytes = max_bytes;
+        while let Some(Ok(frame)) = body.frame().await {
+            let read_bytes = frame.data_ref().map_or(0, Bytes::len);
+            let Some(left) = left_bytes.checked_sub(read_bytes) else {
+                return;
+            };
+            left_bytes = left;
+        }
+    };
+    // A timeout means that the client still sends; its connection is closed after the answer.
+    let _ = timeout(limit, discard).await;
+}
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -10,7 +10,7 @@
 mod token;
 
 pub use self::{
-    body::read_body,
+    body::{DISCARD_MAX_BYTES, discard_body, read_body},
     connection::{AnswerBody, Connection, connect},
     headers::strip_hop_by_hop_headers,
     pool::{Pool, Put, Take},
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -100,6 +100,8 @@
     Overloaded,
     /// The client's wait time was over when the request arrived.
     Deadline,
+    /// The process has no memory left for the request's body.
+    Memory,
 }
 
 impl Refusal {
@@ -112,6 +114,7 @@
             Self::NoUpstream => "no-upstream",
             Self::Overloaded => "overloaded",
             Self::Deadline => "deadline",
+            Self::Memory => "memory",
         }
     }
 }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -9,7 +9,17 @@
 use types::{DomainName, RegionName};
 
 /// The keys of `[gateway]`.
-pub(crate) const GATEWAY_KEYS: [&str; 3] = ["listen", "status_listen", "descriptors_max"];
+pub(crate) const GATEWAY_KEYS: [&str; 4] = ["listen", "status_listen", "descriptors_max", MEMORY];
+
+const MEMORY: &str = "memory_mb";
+
+/// The memory of a gateway without a key, in megabytes: that of the smallest of today's VMs.
+const MEMORY_DEFAULT_MB: usize = 256;
+
+/// The least memory, in megabytes, in which a gateway runs with a plan and its connections.
+const MEMORY_MIN_MB: usize = 32;
+
+const BYTES_PER_MB: usize = 1_024 * 1_024;
 
 /// The keys of `[discovery]`.
 pub(crate) const DISCOVERY_KEYS: [&str; 4] = ["seeds", "peer_port", "founds", REPLICA_LOSSES];
@@ -56,9 +66,18 @@
         listen: section.required("listen", Expected::Address)?,
         status_listen: section.required("status_listen", Expected::Address)?,
         descriptors_max: section.required("descriptors_max", Expected::Count)?,
+        memory_bytes: parse_memory_bytes(section)?,
     })
 }
 
+fn parse_memory_bytes(section: &Section<'_>) -> Result<usize, SettingsError> {
+    let given: Option<usize> = section.optional(MEMORY, Expected::Count)?;
+    let memory_mb = given.unwrap_or(MEMORY_DEFAULT_MB);
+    let bytes = memory_mb.checked_mul(BYTES_PER_MB);
+    let bytes = bytes.filter(|_| memory_mb >= MEMORY_MIN_MB);
+    bytes.ok_or_else(|| section.invalid(MEMORY, &memory_mb.to_string(), Expected::Count))
+}
+
 pub(crate) fn parse_discovery(section: &Section<'_>) -> Result<DiscoverySettings, SettingsError> {
     let list: String = section.required("seeds", Expected::AddressList)?;
     let invalid = || section.invalid("seeds", &list, Expected::AddressList);
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -156,6 +156,8 @@
     pub status_listen: SocketAddr,
     /// File descriptors that the process may use.
     pub descriptors_max: u64,
+    /// Memory that the process may use, of which bodies of requests get a part.
+    pub memory_bytes: usize,
 }
 
 /// `[discovery]`: how control replicas are found that the settings don't list.
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -109,6 +109,11 @@
         ),
         ("west-a = west", "north-a = north", "[regions] north-a"),
         ("descriptors_max = 4100", "", "[gateway] descriptors_max"),
+        (
+            "descriptors_max = 4100",
+            "descriptors_max = 4100\nmemory_mb = 1",
+            "[gateway] memory_mb",
+        ),
     ] {
         let text = GATEWAY.replace(valid, invalid);
         let error = parse(&text).expect_err(invalid);
