Log when a replica applies a plan, when a change is confirmed, and late fetches

Cause: no line said when a replica applied or confirmed a plan, nor when a gateway gave up on a replica that it had asked for large changes, so that the time from a confirmation to the plan in force could not be read from the logs of an incident.

Change: lines `plan applied` and `change confirmed` of replicas, `large changes did not come in time` of gateways, and a counter of these. No decision changes.

--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -139,10 +139,16 @@
 
     fn step(&mut self, input: Input) {
         let now_us = self.now_us();
+        let before = self.args.core.state().steering().version();
         self.args.core.step(now_us, input, &mut self.outputs);
         for output in std::mem::take(&mut self.outputs) {
             self.handle_output(output);
         }
+        let steering = self.args.core.state().steering();
+        if steering.version() != before {
+            info!(self.args.log, "plan applied";
+                "version" => steering.version(), "revision" => steering.revision());
+        }
     }
 
     fn handle_output(&mut self, output: Output) {
--- a/crates/daemon/src/control/platform_http.rs
+++ b/crates/daemon/src/control/platform_http.rs
@@ -10,11 +10,12 @@
     body::Incoming,
     header::{HeaderValue, IF_MATCH, LOCATION},
 };
+use plan::Change;
 use platform::{
     CallError, HttpAnswer, decode_call, decode_lookup, encode_answer, encode_call_error,
 };
 use slog::{Logger, info};
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Instant};
 
 /// Decodes calls of instances and operators and look-ups of clients from the platform's interface,
 /// and encodes their answers.
@@ -26,7 +27,7 @@
     pub listen: SocketAddr,
     /// How long a client may use the answer of a look-up, in milliseconds.
     pub lookup_lifetime_ms: u64,
-    /// Logs calls that are not accepted.
+    /// Logs calls that are not accepted, and operators' changes that are confirmed.
     pub log: Logger,
 }
 
@@ -72,10 +73,7 @@
         target: &str,
     ) -> Response<Body> {
         let answer = match call {
-            Ok(call) => {
-                let answer = self.control.submit(call).await;
-                encode_answer(answer, target, self.listen, self.lookup_lifetime_ms)
-            }
+            Ok(call) => self.submit(call, target).await,
             Err(error) => encode_call_error(&error),
         };
         if answer.status_code >= 400 {
@@ -86,6 +84,33 @@
         }
         response(answer)
     }
+
+    async fn submit(&self, call: control::Request, target: &str) -> HttpAnswer {
+        let operator_change = operator_change(&call);
+        let received = Instant::now();
+        let answer = self.control.submit(call).await;
+        if let (Some(version), Ok(_)) = (operator_change, &answer) {
+            info!(self.log, "change confirmed";
+                "call" => target,
+                "version" => version,
+                "elapsed_ms" => received.elapsed().as_millis());
+        }
+        encode_answer(answer, target, self.listen, self.lookup_lifetime_ms)
+    }
+}
+
+/// Whether the call is a change by an operator, and the version of the plan that it declares; 0 for
+/// an evacuation.
+fn operator_change(call: &control::Request) -> Option<u64> {
+    match call {
+        control::Request::Steer {
+            change: Change::Declare(declaration),
+        } => Some(declaration.plan.version),
+        control::Request::Steer {
+            change: Change::Evacuate { .. } | Change::EndEvacuation { .. },
+        } => Some(0),
+        _ => None,
+    }
 }
 
 fn response(answer: HttpAnswer) -> Response<Body> {
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -224,6 +224,10 @@
                     info!(self.args.log, "evacuations changed";
                         "domains" => domains.join(","));
                 }
+                StateChange::FetchTimedOut { replica } => {
+                    self.args.metrics.fetch_timeouts.inc();
+                    warn!(self.args.log, "large changes did not come in time"; "replica" => replica);
+                }
             }
         }
     }
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -45,6 +45,8 @@
     pub retries: Counter,
     /// Connections to upstreams that the gateway tried to open.
     pub connections: Counter,
+    /// Control replicas that did not send large changes in time.
+    pub fetch_timeouts: Counter,
     /// Version of the plan in force.
     pub plan_version: Gauge,
     small_body_room: Gauge,
@@ -61,6 +63,7 @@
             answered_s: Family::new_with_constructor(latency_histogram),
             retries: Counter::default(),
             connections: Counter::default(),
+            fetch_timeouts: Counter::default(),
             plan_version: Gauge::default(),
             small_body_room: Gauge::default(),
             large_body_room: Gauge::default(),
@@ -80,6 +83,11 @@
         registry.register("connections", "Connections to upstreams", connections);
         registry.register("refused", "Requests not forwarded, by cause", refused);
         registry.register("attempts", "Attempts, by how they ended", ended);
+        registry.register(
+            "fetch_timeouts",
+            "Control replicas that did not send large changes in time",
+            metrics.fetch_timeouts.clone(),
+        );
         registry.register(
             "plan_version",
             "Version of the plan that runs",
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -60,6 +60,12 @@
         /// All failure domains that are evacuated now.
         domains: Vec<DomainName>,
     },
+    /// A control replica that was asked for large changes did not send them in time; another one is
+    /// asked.
+    FetchTimedOut {
+        /// The name of the replica.
+        replica: String,
+    },
 }
 
 /// An attempt to send: where the request goes and under which terms.
--- a/crates/gate/src/poll_schedule.rs
+++ b/crates/gate/src/poll_schedule.rs
@@ -107,16 +107,16 @@
     }
 
     /// Makes a replica due now and asks it for large changes, unless another one is still being
-    /// asked.
-    pub(crate) fn start_fetch(&mut self, replica: &str, now_us: TimeUs) {
+    /// asked. Returns the replica that was asked before and did not send them in time.
+    pub(crate) fn start_fetch(&mut self, replica: &str, now_us: TimeUs) -> Option<String> {
         let is_waiting = |(_, until_us): &(String, TimeUs)| !until_us.reached(now_us);
         if self.fetch.as_ref().is_some_and(is_waiting) {
-            return;
-        }
-        if let Some(target) = self.replicas.get_mut(replica) {
-            target.next_poll_us = now_us;
-            self.fetch = Some((replica.to_owned(), now_us.after_ms(FETCH_TIMEOUT_MS)));
+            return None;
         }
+        let target = self.replicas.get_mut(replica)?;
+        target.next_poll_us = now_us;
+        let fetch = (replica.to_owned(), now_us.after_ms(FETCH_TIMEOUT_MS));
+        self.fetch.replace(fetch).map(|(late, _)| late)
     }
 
     /// Records that newer changes have arrived, so that no replica is asked for large ones.
