Let no claim of a later start shut a sound instance out for good

What callers saw: one heartbeat of the own service with a start far ahead, under the name of a sound upstream or at its address, and no request reached that upstream again until it restarted.

Cause: of two runs the one with the later start counted, whatever its start and whether or not anything more came of it. The leader also took the sound instance's own heartbeats for old ones.

Change: a start beyond the leader's clock, or older than the recorded one, counts only once several heartbeats of its run have come, seconds apart; a run that falls silent loses what it took. The same for sequence numbers, for displaced instances, and for notices to leave.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -80,6 +80,12 @@
         }
     }
 
+    /// Sets the VM's clock, in Unix milliseconds. It only tells whether an instance claims to have
+    /// started in the future, so that a rough value will do.
+    pub const fn set_unix_ms(&mut self, unix_ms: u64) {
+        self.heartbeats.set_unix_ms(unix_ms);
+    }
+
     /// Handles an event at `now_us`, a time of the process's monotonic clock, and appends what is
     /// to be done. Does nothing after [`Output::Failed`].
     pub fn step(&mut self, now_us: TimeUs, input: Input, outputs: &mut Vec<Output>) {
@@ -208,7 +214,7 @@
                 request_id,
                 operation,
             } => self.propose(request, request_id, operation, outputs),
-            Request::Steer { change } => self.steer(request, change, outputs),
+            Request::Steer { change } => self.handle_change(request, change, outputs),
             Request::Register { registration } => self.register(request, registration, outputs),
         }
     }
--- a/crates/control/src/dump.rs
+++ b/crates/control/src/dump.rs
@@ -31,6 +31,9 @@
     pub waiting_watches: usize,
     /// The number of heartbeats ignored since the start because no plan names their service.
     pub unknown_service_heartbeats: u64,
+    /// The number of heartbeats and notices to leave ignored since the start because they are late, or
+    /// of a run that seems to be over or to start in the future.
+    pub doubtful_heartbeats: u64,
     /// The last poll that this replica received from each declared entry.
     pub entries: Vec<EntryDump>,
     /// The pools of capacities and links and their shares; empty unless this replica leads.
@@ -61,6 +64,7 @@
             pending_requests: self.pending.len(),
             waiting_watches: self.watches.len(),
             unknown_service_heartbeats: self.heartbeats.unknown_service(),
+            doubtful_heartbeats: self.heartbeats.doubtful(),
             entries: self.entries.dump(self.now_us),
             shares: self.shares.rows(),
             resources,
--- a/crates/control/src/heartbeats.rs
+++ b/crates/control/src/heartbeats.rs
@@ -1,6 +1,7 @@
 //! The last heartbeat of each instance, from which the leader tells which have expired.
 
-use plan::{Instance, Registration, Steering};
+use crate::doubts::Doubts;
+use plan::{Instance, Registration, RegistrationStatus, Steering};
 use std::collections::HashMap;
 use types::{TimeUs, UpstreamName};
 
@@ -10,6 +11,19 @@
 /// How often the leader checks for expired instances, in milliseconds.
 const CHECK_PERIOD_MS: u64 = 500;
 
+/// How far ahead of this VM's clock an instance may claim to have started, in milliseconds. VMs'
+/// clocks differ by less; a heartbeat beyond it is doubtful, since nothing has started in the future.
+const BORN_AHEAD_MAX_MS: u64 = 10_000;
+
+/// What to do with a heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// The record of the instance must change.
+    Propose,
+    /// Nothing: the heartbeat changes nothing, is late, or is doubtful until more of its run follow.
+    Ignore,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct LastHeartbeat {
     born_ms: u64,
@@ -26,8 +40,13 @@
     /// last [`Self::reset`] to send a heartbeat.
     grace_until_us: TimeUs,
     next_check_us: TimeUs,
+    doubts: Doubts,
+    /// The VM's clock in Unix milliseconds, 0 until it is known.
+    unix_ms: u64,
     /// Heartbeats that were ignored because no plan names their service.
     unknown_service: u64,
+    /// Heartbeats that were ignored because they are late or doubtful.
+    doubtful: u64,
 }
 
 impl Heartbeats {
@@ -38,10 +57,23 @@
             last_heartbeats: HashMap::new(),
             grace_until_us: now_us.after_us(instance_timeout_us),
             next_check_us: now_us,
+            doubts: Doubts::default(),
+            unix_ms: 0,
             unknown_service: 0,
+            doubtful: 0,
         }
     }
 
+    /// Sets the VM's clock.
+    pub(crate) const fn set_unix_ms(&mut self, unix_ms: u64) {
+        self.unix_ms = unix_ms;
+    }
+
+    /// Whether a run may have started then; any may while the VM's clock is not known.
+    pub(crate) const fn is_plausible_start(&self, born_ms: u64) -> bool {
+        self.unix_ms == 0 || born_ms <= self.unix_ms.saturating_add(BORN_AHEAD_MAX_MS)
+    }
+
     /// Counts a heartbeat that is ignored because no plan names its service.
     pub(crate) const fn count_unknown_service(&mut self) {
         self.unknown_service += 1;
@@ -52,31 +84,78 @@
         self.unknown_service
     }
 
+    /// The number of heartbeats, and notices that instances leave, ignored because they are late or
+    /// doubtful.
+    pub(crate) const fn doubtful(&self) -> u64 {
+        self.doubtful
+    }
+
+    /// Counts a notice that an instance leaves which is ignored.
+    pub(crate) const fn count_doubtful(&mut self) {
+        self.doubtful += 1;
+    }
+
     /// Forgets all heartbeats and starts a new grace period: another replica led, or this process
     /// was suspended, so that heartbeats may have been missed.
     pub(crate) fn reset(&mut self, now_us: TimeUs) {
         self.last_heartbeats.clear();
+        self.doubts.clear();
         self.grace_until_us = now_us.after_us(self.instance_timeout_us);
     }
 
-    /// Records a heartbeat unless the recorded one is as late or later, by the instance's start
-    /// time and then by sequence number. Returns whether it was recorded.
-    pub(crate) fn record(&mut self, registration: &Registration, now_us: TimeUs) -> bool {
+    /// Handles a heartbeat that compares with the recorded instances as `status`. `is_recorded_run`
+    /// says whether the run that it comes from is the recorded one.
+    ///
+    /// A heartbeat that is older than another of its name proves nothing alone: it may be late. One
+    /// with an implausible start is no better. But once several of the same run have come, seconds
+    /// apart, the run is alive. It then counts, if nothing else is heard under its name or at its
+    /// address: whoever claims a later start and falls silent can't shut it out.
+    pub(crate) fn handle(
+        &mut self,
+        registration: &Registration,
+        status: RegistrationStatus,
+        is_recorded_run: bool,
+        now_us: TimeUs,
+    ) -> Verdict {
+        let known = self.last_heartbeats.get(&registration.id);
+        let is_later = known.is_none_or(|known| {
+            (registration.born_ms, registration.sequence) > (known.born_ms, known.sequence)
+        });
+        let is_silent = known.is_none_or(|known| known.expiry_us.reached(now_us));
+        let counts_alone = match status {
+            RegistrationStatus::Unchanged => is_later,
+            RegistrationStatus::Changed => {
+                is_later && (is_recorded_run || self.is_plausible_start(registration.born_ms))
+            }
+            _ => false,
+        };
+        let counts_once_proven = match status {
+            RegistrationStatus::Changed => is_later || is_silent,
+            RegistrationStatus::Returning => is_silent,
+            _ => false,
+        };
+        let is_accepted =
+            counts_alone || (self.doubts.is_alive(registration, now_us) && counts_once_proven);
+        if !is_accepted {
+            self.doubtful += 1;
+            return Verdict::Ignore;
+        }
+        self.record(registration, now_us);
+        match status {
+            RegistrationStatus::Unchanged => Verdict::Ignore,
+            _ => Verdict::Propose,
+        }
+    }
+
+    fn record(&mut self, registration: &Registration, now_us: TimeUs) {
         let heartbeat = LastHeartbeat {
             born_ms: registration.born_ms,
             sequence: registration.sequence,
             expiry_us: now_us.after_us(self.instance_timeout_us),
         };
-        if let Some(known) = self.last_heartbeats.get(&registration.id) {
-            let is_later =
-                (heartbeat.born_ms, heartbeat.sequence) > (known.born_ms, known.sequence);
-            if !is_later {
-                return false;
-            }
-        }
+        self.doubts.remove(&registration.id);
         self.last_heartbeats
             .insert(registration.id.clone(), heartbeat);
-        true
     }
 
     /// The instances in service whose last heartbeat is too old, or that sent none since
@@ -86,6 +165,7 @@
             return Vec::new();
         }
         self.next_check_us = now_us.after_ms(CHECK_PERIOD_MS);
+        self.doubts.expire(now_us);
         self.last_heartbeats
             .retain(|id, _| steering.instance(id.as_str()).is_some());
         let present = steering
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 mod api;
 mod clock;
 mod core;
+mod doubts;
 mod dump;
 mod entries;
 mod gateways;
--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -5,10 +5,11 @@
     api::{Answer, GatewayPoll, GatewayPollAnswer, Output},
     core::{Control, INTERNAL_REQUEST},
     gateways::gateway_poll_interval_ms,
+    heartbeats::Verdict,
 };
 use plan::{Change, Registration, RegistrationStatus, SteeringChanges};
 use state::Operation;
-use types::ApiError;
+use types::{ApiError, UpstreamName};
 
 /// Changes of more instances and routes than this are large. A gateway fetches large changes from
 /// one replica only, to save bandwidth on a slow link.
@@ -79,9 +80,13 @@
         match self.state.steering().compare(&registration, at_ms) {
             RegistrationStatus::UnknownService => self.heartbeats.count_unknown_service(),
             status => {
-                let is_later = self.heartbeats.record(&registration, self.now_us);
-                if is_later && status == RegistrationStatus::Changed {
-                    return self.steer(request, Change::Register(registration), outputs);
+                let is_recorded = self.is_recorded_run(&registration.id, registration.born_ms);
+                let heartbeats = &mut self.heartbeats;
+                match heartbeats.handle(&registration, status, is_recorded, self.now_us) {
+                    Verdict::Propose => {
+                        return self.steer(request, Change::Register(registration), outputs);
+                    }
+                    Verdict::Ignore => {}
                 }
             }
         }
@@ -91,6 +96,38 @@
         });
     }
 
+    /// Proposes a change, unless it says that a run leaves which can't have started yet: that would
+    /// end every run under its name.
+    pub(crate) fn handle_change(
+        &mut self,
+        request: u64,
+        change: Change,
+        outputs: &mut Vec<Output>,
+    ) {
+        let is_doubtful = match &change {
+            Change::Leave {
+                id,
+                born_ms: Some(born_ms),
+            } => {
+                !self.is_recorded_run(id, *born_ms) && !self.heartbeats.is_plausible_start(*born_ms)
+            }
+            _ => false,
+        };
+        if !self.is_leader || !is_doubtful {
+            return self.steer(request, change, outputs);
+        }
+        self.heartbeats.count_doubtful();
+        outputs.push(Output::Answer {
+            request,
+            answer: Ok(Answer::Steered(plan::ChangeResult::Applied)),
+        });
+    }
+
+    fn is_recorded_run(&self, id: &UpstreamName, born_ms: u64) -> bool {
+        let instance = self.state.steering().instance(id.as_str());
+        instance.is_some_and(|it| it.born_ms == born_ms)
+    }
+
     /// Proposes a change of the plan, the evacuations or the instances.
     pub(crate) fn steer(&mut self, request: u64, change: Change, outputs: &mut Vec<Output>) {
         self.propose(request, String::new(), Operation::Steer(change), outputs);
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -19,6 +19,7 @@
 use std::{
     collections::{BTreeSet, HashMap},
     sync::Arc,
+    time::{SystemTime, UNIX_EPOCH},
 };
 use tokio::sync::{oneshot, watch};
 use types::{ApiError, TimeUs};
@@ -314,6 +315,7 @@
     type Reply = ();
 
     async fn handle(&mut self, _: Tick, _: &mut Context<Self, Self::Reply>) {
+        self.args.core.set_unix_ms(unix_ms());
         self.step(Input::Tick);
         self.request_join();
         let core = &self.args.core;
@@ -396,6 +398,12 @@
     }
 }
 
+/// The time of day in Unix milliseconds; 0, which stands for unknown, when it is before 1970.
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(0))
+}
+
 /// The names of members for the log, separated by commas.
 fn names(members: &BTreeSet<ReplicaId>) -> String {
     let names: Vec<&str> = members.iter().map(|id| id.name.as_str()).collect();
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -126,6 +126,7 @@
         born_ms: 1,
         sequence: 1,
         revision,
+        is_displaced: false,
     }
 }
 
--- a/crates/plan/src/instance.rs
+++ b/crates/plan/src/instance.rs
@@ -16,7 +16,7 @@
     Draining,
     /// Its heartbeats stopped; a later heartbeat brings it back.
     Expired,
-    /// It has left, or another instance has its address. Only a later run brings it back.
+    /// It has left, or another instance has its address. Only a later run brings back one that left.
     Gone,
 }
 
@@ -72,6 +72,19 @@
     pub sequence: u64,
     /// The log index of the latest change.
     pub revision: u64,
+    /// Whether it is gone because a later run of another instance had its address. It may return once
+    /// that one is gone or has expired.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_displaced: bool,
+}
+
+/// Lets the serialized form of most instances be that of builds without `is_displaced`.
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_false(value: &bool) -> bool {
+    !*value
 }
 
 /// How a registration compares with what is recorded.
@@ -87,6 +100,10 @@
     Unchanged,
     /// It is new or differs, so the record must change.
     Changed,
+    /// It is older than what is recorded, but the recorded run has expired or the instance that had
+    /// its address is no longer present. A single one may be late; if more follow, the run that
+    /// they come from is alive, and its record must change.
+    Returning,
 }
 
 /// The end of the cold period may be this much later, in milliseconds, without counting as a
@@ -115,6 +132,7 @@
             born_ms: registration.born_ms,
             sequence: registration.sequence,
             revision,
+            is_displaced: false,
         }
     }
 
@@ -128,14 +146,17 @@
     /// of the log's clock.
     #[must_use]
     pub fn compare(&self, registration: &Registration, at_ms: u64) -> RegistrationStatus {
-        if registration.born_ms != self.born_ms {
-            return match registration.born_ms > self.born_ms {
-                true => RegistrationStatus::Changed,
-                false => RegistrationStatus::Stale,
-            };
-        }
-        if self.state == InstanceState::Gone || registration.sequence <= self.sequence {
-            return RegistrationStatus::Stale;
+        let run = (registration.born_ms, registration.sequence);
+        let is_later_run = registration.born_ms > self.born_ms;
+        match self.state {
+            _ if is_later_run => return RegistrationStatus::Changed,
+            InstanceState::Gone if self.is_displaced => return RegistrationStatus::Returning,
+            InstanceState::Gone => return RegistrationStatus::Stale,
+            InstanceState::Expired if run <= (self.born_ms, self.sequence) => {
+                return RegistrationStatus::Returning;
+            }
+            _ if run <= (self.born_ms, self.sequence) => return RegistrationStatus::Stale,
+            InstanceState::Ready | InstanceState::Draining | InstanceState::Expired => {}
         }
         let draining = self.state == InstanceState::Draining;
         let same = registration.service == self.service
@@ -154,6 +175,7 @@
     /// Whether a cold period that ends `cold_ms` after `at_ms` ends later than recorded, by more
     /// than `COLD_JITTER_MS`.
     const fn extends_cold_period(&self, cold_ms: u64, at_ms: u64) -> bool {
-        cold_ms > 0 && at_ms.saturating_add(cold_ms) > self.cold_until_ms + COLD_JITTER_MS
+        cold_ms > 0
+            && at_ms.saturating_add(cold_ms) > self.cold_until_ms.saturating_add(COLD_JITTER_MS)
     }
 }
--- a/crates/plan/src/steering.rs
+++ b/crates/plan/src/steering.rs
@@ -240,15 +240,18 @@
     /// Records a heartbeat that differs from the record, and marks other instances with the same
     /// address as gone.
     fn register(&mut self, index: u64, at_ms: u64, registration: &Registration) {
-        if self.compare(registration, at_ms) != RegistrationStatus::Changed {
-            return;
+        match self.compare(registration, at_ms) {
+            RegistrationStatus::Changed | RegistrationStatus::Returning => {}
+            RegistrationStatus::Stale
+            | RegistrationStatus::UnknownService
+            | RegistrationStatus::Unchanged => return,
         }
         let others = self.instances.present_at(registration.address);
         let displaced = others.filter(|other| {
             other.id != registration.id && self.takes_address(&registration.service, &other.service)
         });
         for other in displaced.cloned().collect::<Vec<_>>() {
-            self.mark_gone(index, other);
+            self.mark_displaced(index, other);
         }
         let instance = Instance::new(registration.clone(), at_ms, index);
         self.instances.insert(instance);
@@ -269,13 +272,14 @@
             later.any(|other| self.takes_address(&other.service, &instance.service))
         });
         for instance in displaced.cloned().collect::<Vec<_>>() {
-            self.mark_gone(index, instance);
+            self.mark_displaced(index, instance);
         }
         self.forget_oldest_inactive();
     }
 
-    fn mark_gone(&mut self, index: u64, mut instance: Instance) {
+    fn mark_displaced(&mut self, index: u64, mut instance: Instance) {
         instance.state = InstanceState::Gone;
+        instance.is_displaced = true;
         instance.revision = index;
         self.instances.insert(instance);
     }
@@ -300,17 +304,20 @@
     }
 
     /// Sets the state of an instance that expired or left. Without effect when a later run than
-    /// `born_ms` is recorded, or the instance is gone already.
+    /// `born_ms` is recorded, or the instance is gone already; one that was displaced may still leave.
     fn end_instance(&mut self, index: u64, id: &str, born_ms: Option<u64>, state: InstanceState) {
         let Some(instance) = self.instances.get(id) else {
             return;
         };
         let not_superseded = born_ms.is_none_or(|born_ms| born_ms >= instance.born_ms);
-        if !not_superseded || instance.state == InstanceState::Gone {
+        let leaves = state == InstanceState::Gone;
+        let has_ended = instance.state == InstanceState::Gone && !(instance.is_displaced && leaves);
+        if !not_superseded || has_ended {
             return;
         }
         let mut instance = instance.clone();
         instance.state = state;
+        instance.is_displaced = false;
         instance.revision = index;
         self.instances.insert(instance);
         self.revision = index;
