Share large answers among gateways, and copy nothing for polls that get none

Cause: a gateway without a plan polls each replica ten times a second from index 0. For each poll a replica copied the whole state, 2,800 routes and 1,620 instances, only to hold it back, and for each fetch copied, encoded and deflated it again. The replicas' messages to each other wait in the same queue, so that followers missed heartbeats, elections failed alike, and heartbeats of instances that found no leader were sent again.

Change: a poll is judged by a count. A large answer is kept for 200 ms, a second if nothing changed, and given with its encoded form to every gateway that polls from the same index. Metrics count both.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -13,6 +13,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    sync::Arc,
 };
 use thiserror::Error;
 use types::{ApiError, DomainName, EntryName, Key, Kind, ResourceProgress};
@@ -362,7 +363,9 @@
         /// The number from [`Input::GatewayPoll`].
         poll: u64,
         /// The changes for the gateway, and when to poll again.
-        answer: GatewayPollAnswer,
+        answer: Arc<GatewayPollAnswer>,
+        /// Whether other gateways may get the same answer, so that its encoding is worth keeping.
+        is_shared: bool,
     },
     /// The role, term, leader or membership changed.
     Changed(Status),
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -7,6 +7,7 @@
     entries::Entries,
     gateways::Gateways,
     heartbeats::Heartbeats,
+    large_answers::LargeAnswers,
     pending::{Pending, Wait},
     shares::{LEADERSHIP_READ, Shares},
     snapshots::Snapshots,
@@ -44,6 +45,7 @@
     pub(crate) shares: Shares,
     pub(crate) gateways: Gateways,
     pub(crate) heartbeats: Heartbeats,
+    pub(crate) large_answers: LargeAnswers,
     pub(crate) next_member_check_us: TimeUs,
     /// The names of members that other replicas reported when this one asked for admission.
     pub(crate) reported_members: BTreeSet<String>,
@@ -68,6 +70,7 @@
             shares: Shares::new(config.raft.election_timeout_min_us),
             gateways: Gateways::default(),
             heartbeats: Heartbeats::new(config.instance_timeout_us, now_us),
+            large_answers: LargeAnswers::default(),
             next_member_check_us: now_us,
             reported_members: BTreeSet::new(),
             clock: LogClock::new(now_us),
@@ -156,6 +159,7 @@
         self.propose_due_layout(outputs);
         self.expire_instances(outputs);
         self.check_members(outputs);
+        self.large_answers.expire(self.now_us);
     }
 
     /// As the leader, proposes an empty change when a replaced entry set has expired, so that the
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 mod entries;
 mod gateways;
 mod heartbeats;
+mod large_answers;
 mod membership;
 mod pending;
 mod shares;
--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -9,6 +9,7 @@
 };
 use plan::{Change, Registration, RegistrationStatus, SteeringChanges};
 use state::Operation;
+use std::sync::Arc;
 use types::{ApiError, UpstreamName};
 
 /// Changes of more instances and routes than this are large. A gateway fetches large changes from
@@ -16,7 +17,8 @@
 const SMALL_CHANGES_MAX: usize = 16;
 
 impl Control {
-    /// Answers a gateway's poll for changes. Large changes are held back unless it asks for them.
+    /// Answers a gateway's poll for changes. Large changes are held back unless it asks for them, and
+    /// then shared with other gateways that ask for the same ones.
     pub(crate) fn answer_gateway_poll(
         &mut self,
         poll: u64,
@@ -27,30 +29,48 @@
         self.gateways
             .record(&body.gateway, &body.report, self.now_us);
         let steering = self.state.steering();
-        let mut changes = steering.changes_since(body.revision);
-        let routes = changes.plan.as_ref().map_or(0, |plan| plan.routes.len());
-        let is_large = changes.instances.len() + routes > SMALL_CHANGES_MAX;
-        let mut revision = steering.revision();
-        if is_large && !body.wants_large {
-            changes = SteeringChanges::default();
-            revision = body.revision;
+        let is_large = steering.has_more_changes_than(SMALL_CHANGES_MAX, body.revision);
+        let answer = match (is_large, body.wants_large) {
+            (true, true) => self.shared_answer(body.revision),
+            (true, false) => Arc::new(self.answer_to(body.revision, SteeringChanges::default())),
+            (false, _) => {
+                let changes = steering.changes_since(body.revision);
+                Arc::new(self.answer_to(steering.revision(), changes))
+            }
+        };
+        outputs.push(Output::GatewayPollAnswer {
+            poll,
+            answer,
+            is_shared: is_large && body.wants_large,
+        });
+    }
+
+    /// The answer with all changes since an index, which another gateway may have got shortly before.
+    fn shared_answer(&mut self, index: u64) -> Arc<GatewayPollAnswer> {
+        let steering = self.state.steering();
+        let newest = steering.revision();
+        if let Some(answer) = self.large_answers.get(index, newest, self.now_us) {
+            return answer;
         }
+        let answer = Arc::new(self.answer_to(newest, steering.changes_since(index)));
+        self.large_answers.keep(index, &answer, self.now_us);
+        answer
+    }
+
+    fn answer_to(&self, revision: u64, changes: SteeringChanges) -> GatewayPollAnswer {
         let status = self.raft.status();
         let voters = status.membership.voters.iter();
         let members = voters.chain(&status.membership.learners);
-        outputs.push(Output::GatewayPollAnswer {
-            poll,
-            answer: GatewayPollAnswer {
-                newest: steering.revision(),
-                revision,
-                clock_ms: self.log_clock_ms(),
-                knows_leader: status.leader.is_some(),
-                members: members.map(|id| id.name.clone()).collect(),
-                gateways: self.gateways.len(),
-                interval_ms: gateway_poll_interval_ms(self.gateways.len()),
-                changes,
-            },
-        });
+        GatewayPollAnswer {
+            newest: self.state.steering().revision(),
+            revision,
+            clock_ms: self.log_clock_ms(),
+            knows_leader: status.leader.is_some(),
+            members: members.map(|id| id.name.clone()).collect(),
+            gateways: self.gateways.len(),
+            interval_ms: gateway_poll_interval_ms(self.gateways.len()),
+            changes,
+        }
     }
 
     /// Answers [`Request::Locate`](crate::Request::Locate): the addresses of the gateways that a
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -15,6 +15,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
+    sync::Arc,
 };
 use types::{ApiError, Key, ResourceName, Spec, TimeUs};
 
@@ -79,7 +80,9 @@
     pub sent: Vec<(ReplicaId, Message)>,
     /// Replicas whose messages are dropped in both directions.
     pub isolated: BTreeSet<ReplicaId>,
-    pub gateway_poll_answers: BTreeMap<u64, GatewayPollAnswer>,
+    /// Replicas whose disk takes no more bytes: a write fails, and with it the replica.
+    pub full_disks: BTreeSet<ReplicaId>,
+    pub gateway_poll_answers: BTreeMap<u64, Arc<GatewayPollAnswer>>,
     pub join_answers: BTreeMap<u64, Vec<String>>,
     heartbeat_interval_us: u64,
     open_membership: bool,
@@ -124,6 +127,7 @@
             poll_answers: BTreeMap::new(),
             sent: Vec::new(),
             isolated: BTreeSet::new(),
+            full_disks: BTreeSet::new(),
             initial_membership: Membership {
                 voters,
                 learners: BTreeSet::new(),
@@ -202,6 +206,9 @@
                     message,
                 });
             }
+            Output::Persist(_) if self.full_disks.contains(replica) => {
+                self.step(replica, Input::StorageFailed);
+            }
             Output::Persist(persist) => {
                 self.disks
                     .entry(replica.clone())
@@ -217,7 +224,7 @@
             Output::PollAnswer { poll, answer } => {
                 self.poll_answers.insert(poll, answer);
             }
-            Output::GatewayPollAnswer { poll, answer } => {
+            Output::GatewayPollAnswer { poll, answer, .. } => {
                 self.gateway_poll_answers.insert(poll, answer);
             }
             Output::JoinAnswer { join, members } => {
@@ -330,7 +337,18 @@
         replica: &ReplicaId,
         gateway: &str,
         revision: u64,
-    ) -> GatewayPollAnswer {
+    ) -> Arc<GatewayPollAnswer> {
+        self.poll_as_gateway_for(replica, gateway, revision, true)
+    }
+
+    /// Polls as a gateway that asks for large changes or doesn't.
+    pub fn poll_as_gateway_for(
+        &mut self,
+        replica: &ReplicaId,
+        gateway: &str,
+        revision: u64,
+        wants_large: bool,
+    ) -> Arc<GatewayPollAnswer> {
         self.next_request += 1;
         let poll = self.next_request;
         let number = gateway.rsplit('-').next().and_then(|it| it.parse().ok());
@@ -344,7 +362,7 @@
                 takes_clients: true,
             },
             revision,
-            wants_large: true,
+            wants_large,
         };
         self.step(replica, Input::GatewayPoll { poll, body });
         let answer = self.gateway_poll_answers.remove(&poll);
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -3,7 +3,9 @@
 
 use crate::{
     clock::Clock,
-    control::{convert, metrics::ControlMetrics, storage::Storage},
+    control::{
+        convert, encoded_answers::EncodedAnswers, metrics::ControlMetrics, storage::Storage,
+    },
     replicas::ReplicaLinks,
 };
 use control::{Answer, Control, Input, Output, Request};
@@ -65,6 +67,7 @@
     /// When to ask next to join the group.
     next_join_us: TimeUs,
     outputs: Vec<Output>,
+    encoded_answers: EncodedAnswers,
 }
 
 impl Actor for ControlActor {
@@ -79,6 +82,7 @@
             reply_targets: HashMap::new(),
             next_request: 1,
             outputs: Vec::new(),
+            encoded_answers: EncodedAnswers::default(),
         };
         actor.dial_members();
         Ok(actor)
@@ -168,7 +172,11 @@
                 }
             }
             Output::PollAnswer { poll, answer } => self.reply_to_poll(poll, &answer),
-            Output::GatewayPollAnswer { poll, answer } => self.reply_to_gateway_poll(poll, &answer),
+            Output::GatewayPollAnswer {
+                poll,
+                answer,
+                is_shared,
+            } => self.reply_to_gateway_poll(poll, &answer, is_shared),
             Output::JoinAnswer { join, members } => {
                 if let Some((serial, sender)) = self.reply_targets.remove(&join) {
                     let body = Some(Body::JoinAnswer(JoinAnswer { members }));
@@ -199,11 +207,20 @@
         }
     }
 
-    fn reply_to_gateway_poll(&mut self, poll: u64, answer: &control::GatewayPollAnswer) {
+    fn reply_to_gateway_poll(
+        &mut self,
+        poll: u64,
+        answer: &Arc<control::GatewayPollAnswer>,
+        is_shared: bool,
+    ) {
         let Some((serial, sender)) = self.reply_targets.remove(&poll) else {
             return;
         };
-        match convert::gateway_poll_answer(answer) {
+        let encoded = match is_shared {
+            true => self.encoded_answers.encode(answer, &self.args.metrics),
+            false => convert::gateway_poll_answer(answer),
+        };
+        match encoded {
             Ok(answer) => {
                 let body = Some(Body::FollowAnswer(answer));
                 let _ = sender.try_send(Frame { serial, body });
@@ -316,6 +333,7 @@
 
     async fn handle(&mut self, _: Tick, _: &mut Context<Self, Self::Reply>) {
         self.args.core.set_unix_ms(unix_ms());
+        self.encoded_answers.expire();
         self.step(Input::Tick);
         self.request_join();
         let core = &self.args.core;
--- a/crates/daemon/src/control/metrics.rs
+++ b/crates/daemon/src/control/metrics.rs
@@ -14,6 +14,10 @@
     pub requests: Counter,
     /// Polls of entries and gateways.
     pub polls: Counter,
+    /// Answers to gateways with large changes.
+    pub large_answers: Counter,
+    /// Those of them that were encoded; the others repeated an earlier one.
+    pub encoded_large_answers: Counter,
     /// Writes queued for the data folder.
     pub persists: Counter,
     /// Link frames that could not be decoded or are not meant for a control replica.
@@ -36,6 +40,16 @@
             metrics.requests.clone(),
         );
         registry.register("polls", "Polls of entries", metrics.polls.clone());
+        registry.register(
+            "large_answers",
+            "Answers to gateways with large changes",
+            metrics.large_answers.clone(),
+        );
+        registry.register(
+            "encoded_large_answers",
+            "Answers with large changes that no earlier one served",
+            metrics.encoded_large_answers.clone(),
+        );
         registry.register(
             "persists",
             "Writes to the data folder",
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod actor;
 mod convert;
+mod encoded_answers;
 mod http;
 mod metrics;
 mod platform_http;
--- a/crates/plan/src/changes.rs
+++ b/crates/plan/src/changes.rs
@@ -76,23 +76,38 @@
     /// The changes that lead to `plan`, the plan in force, from the one that was in force at a log
     /// index; the whole plan for index 0 or when removals since then are forgotten.
     pub(crate) fn changes_since(&self, plan: &Plan, index: u64) -> PlanChanges {
-        if index == 0 || index < self.forgotten {
+        if self.is_whole_since(index) {
             return PlanChanges::whole(plan);
         }
-        let is_later = |changed: Option<&u64>| changed.is_none_or(|changed| *changed > index);
-        let routes = plan.routes.iter();
-        let routes = routes.filter(|route| is_later(self.changed.get(&route.name)));
-        let removed = self.removed.iter().filter(|(_, at)| is_later(Some(*at)));
+        let removed = self.removed.iter().filter(|(_, at)| **at > index);
         PlanChanges {
             version: plan.version,
             complete: false,
-            routes: routes.cloned().collect(),
+            routes: self.changed_routes(plan, index).cloned().collect(),
             removed: removed.map(|(name, _)| name.clone()).collect(),
             services: plan.services.clone(),
             limits: plan.limits,
         }
     }
 
+    /// The routes of `plan`, the plan in force, that changed after a log index; all of them where
+    /// [`Self::changes_since`] gives the whole plan.
+    pub(crate) fn changed_routes<'a>(
+        &'a self,
+        plan: &'a Plan,
+        index: u64,
+    ) -> impl Iterator<Item = &'a Route> {
+        let is_whole = self.is_whole_since(index);
+        plan.routes.iter().filter(move |route| {
+            let changed = self.changed.get(&route.name);
+            is_whole || changed.is_none_or(|changed| *changed > index)
+        })
+    }
+
+    const fn is_whole_since(&self, index: u64) -> bool {
+        index == 0 || index < self.forgotten
+    }
+
     /// Drops the oldest removals beyond `REMOVED_MAX`.
     fn forget_oldest_removals(&mut self) {
         if self.removed.len() <= REMOVED_MAX {
--- a/crates/plan/src/steering.rs
+++ b/crates/plan/src/steering.rs
@@ -129,7 +129,7 @@
         if index >= self.revision && index > 0 {
             return SteeringChanges::default();
         }
-        let complete = index < self.forgotten_revision || index == 0;
+        let complete = self.is_complete_since(index);
         let instances: Vec<Instance> = match complete {
             true => self
                 .instances
@@ -154,6 +154,41 @@
         }
     }
 
+    /// Whether more routes and instances changed since a log index than `count`. Copies nothing, and
+    /// stops at the first one beyond `count`.
+    #[must_use]
+    pub fn has_more_changes_than(&self, count: usize, index: u64) -> bool {
+        if index >= self.revision {
+            return false;
+        }
+        let complete = self.is_complete_since(index);
+        let instances = match complete {
+            true => self
+                .instances()
+                .filter(|it| it.is_present())
+                .take(count + 1)
+                .count(),
+            false => self.instances.changed_since(index).take(count + 1).count(),
+        };
+        let plan = self
+            .in_force
+            .as_ref()
+            .filter(|it| complete || it.revision > index);
+        let routes = plan.map_or(0, |it| {
+            let since = if complete { 0 } else { index };
+            it.history
+                .changed_routes(&it.plan, since)
+                .take(count + 1)
+                .count()
+        });
+        instances + routes > count
+    }
+
+    /// Whether a poll from this index gets the whole state.
+    const fn is_complete_since(&self, index: u64) -> bool {
+        index < self.forgotten_revision || index == 0
+    }
+
     /// Applies the change of the log entry at `index`, which was proposed at `at_ms`, in
     /// milliseconds of the log's clock.
     ///
