Break a link by missing progress, not by the time of a whole frame

Cause: a frame that took more than 2 s to write or 3 s to read broke the connection, and so did the next connection's. Over a link of 5 Mbit/s that is 1.2 MB at most, less beside other traffic: a declaration near the 4 MiB that are accepted could be confirmed and never reach a gateway.

Change: a socket records when bytes moved. A connection ends when none came for 3 s, or none was taken for 2 s.

The tests of silent peers and of peers that don't read hold as before.

--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -1,13 +1,14 @@
 //! One connection: the handshake on its socket, then the exchange of frames until it ends.
 
 use crate::{
+    activity::{Activity, TrackedStream},
     codec::SealedCodec,
     counters::Counters,
     error::HandshakeError,
     event::{ConnectionId, Event, FrameSender},
     handshake::{self, NONCE_BYTES, Nonce, Session},
     identity::{Identity, Peer},
-    limits::{FRAME_WRITE_TIMEOUT, KEEPALIVE_INTERVAL, QUEUE_FRAMES, SILENCE_TIMEOUT},
+    limits::{KEEPALIVE_INTERVAL, QUEUE_FRAMES, SILENCE_TIMEOUT, WRITE_STALL_TIMEOUT},
 };
 use futures_util::{
     SinkExt, StreamExt,
@@ -18,7 +19,7 @@
 use tokio_util::codec::Framed;
 use wire::peer::{Frame, Keepalive, frame::Body};
 
-type Frames = Framed<TcpStream, SealedCodec>;
+type Frames = Framed<TrackedStream, SealedCodec>;
 
 /// An authenticated connection.
 pub(crate) struct Connection {
@@ -51,7 +52,7 @@
         identity: &Identity,
         expected_node: Option<&str>,
     ) -> Result<Self, HandshakeError> {
-        let mut frames = Framed::new(stream, SealedCodec::plain());
+        let mut frames = Framed::new(TrackedStream::new(stream), SealedCodec::plain());
         let nonce = nonce();
         let hello = handshake::hello(identity, &nonce);
         frames.send(frame(Body::Hello(hello))).await?;
@@ -74,7 +75,7 @@
         stream: TcpStream,
         identity: &Identity,
     ) -> Result<Self, HandshakeError> {
-        let mut frames = Framed::new(stream, SealedCodec::plain());
+        let mut frames = Framed::new(TrackedStream::new(stream), SealedCodec::plain());
         let Some(Body::Hello(hello)) = receive(&mut frames).await? else {
             let expected = "hello";
             return Err(HandshakeError::UnexpectedMessage { expected });
@@ -125,6 +126,7 @@
         if inbox.send(event).await.is_err() {
             return;
         }
+        let activity = frames.get_ref().activity();
         let (sink, stream) = frames.split();
         let to_event = |frame| Event::Frame {
             peer: peer.clone(),
@@ -133,8 +135,8 @@
             sender: sender.clone(),
         };
         tokio::select! {
-            () = read(stream, inbox, counters, to_event) => {}
-            () = write(sink, queued, counters) => {}
+            () = read(stream, &activity, inbox, counters, to_event) => {}
+            () = write(sink, &activity, queued, counters) => {}
         }
         counters.count_closed();
         // This fails only if the receiver of events is gone, and then no one needs the event.
@@ -142,14 +144,16 @@
     }
 }
 
-/// Delivers received frames until the connection ends or is silent for [`SILENCE_TIMEOUT`].
+/// Delivers received frames until the connection ends or nothing was received for
+/// [`SILENCE_TIMEOUT`].
 async fn read(
     mut stream: SplitStream<Frames>,
+    activity: &Activity,
     inbox: &mpsc::Sender<Event>,
     counters: &Counters,
     to_event: impl Fn(Frame) -> Event,
 ) {
-    while let Ok(Some(Ok(frame))) = time::timeout(SILENCE_TIMEOUT, stream.next()).await {
+    while let Some(frame) = next_frame(&mut stream, activity).await {
         if matches!(frame.body, Some(Body::Keepalive(_))) {
             continue;
         }
@@ -160,10 +164,30 @@
     }
 }
 
+/// The next frame; none when the connection has ended or is silent. A large frame on a slow link may
+/// take longer than the timeout while its bytes come.
+async fn next_frame(stream: &mut SplitStream<Frames>, activity: &Activity) -> Option<Frame> {
+    let waiting_since = time::Instant::now();
+    loop {
+        let silent_at = activity.last_read().max(waiting_since) + SILENCE_TIMEOUT;
+        tokio::select! {
+            next = stream.next() => return next?.ok(),
+            () = time::sleep_until(silent_at) => {
+                if activity.last_read().max(waiting_since) + SILENCE_TIMEOUT
+                    <= time::Instant::now()
+                {
+                    return None;
+                }
+            }
+        }
+    }
+}
+
 /// Sends queued frames, and a keepalive after [`KEEPALIVE_INTERVAL`] without one, until the
 /// connection ends.
 async fn write(
     mut sink: SplitSink<Frames, Frame>,
+    activity: &Activity,
     mut queued: mpsc::Receiver<Frame>,
     counters: &Counters,
 ) {
@@ -174,10 +198,32 @@
             Err(_) => frame(Body::Keepalive(Keepalive {})),
         };
         let keepalive = matches!(next.body, Some(Body::Keepalive(_)));
-        match time::timeout(FRAME_WRITE_TIMEOUT, sink.send(next)).await {
-            Ok(Ok(())) if keepalive => {}
-            Ok(Ok(())) => counters.count_sent(),
-            Ok(Err(_)) | Err(_) => return,
+        if !send(&mut sink, next, activity).await {
+            return;
+        }
+        if !keepalive {
+            counters.count_sent();
+        }
+    }
+}
+
+/// Sends a frame. Returns false when the connection has failed, or takes no bytes for
+/// [`WRITE_STALL_TIMEOUT`].
+async fn send(sink: &mut SplitSink<Frames, Frame>, frame: Frame, activity: &Activity) -> bool {
+    let started = time::Instant::now();
+    let sending = sink.send(frame);
+    tokio::pin!(sending);
+    loop {
+        let stalled_at = activity.last_written().max(started) + WRITE_STALL_TIMEOUT;
+        tokio::select! {
+            sent = sending.as_mut() => return sent.is_ok(),
+            () = time::sleep_until(stalled_at) => {
+                if activity.last_written().max(started) + WRITE_STALL_TIMEOUT
+                    <= time::Instant::now()
+                {
+                    return false;
+                }
+            }
         }
     }
 }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`handshake`] and [`seal`] do no input or output. [`listen`] and [`dial`] start the tasks that
 //! own the sockets and report to the rest of the process by [`Event`]s.
 
+mod activity;
 mod codec;
 mod connection;
 mod counters;
@@ -24,8 +25,8 @@
     event::{ConnectionId, Event, FrameSender},
     identity::{Identity, Peer},
     limits::{
-        FRAME_WRITE_TIMEOUT, HANDSHAKE_FRAME_MAX_BYTES, HANDSHAKE_TIMEOUT, HANDSHAKES_MAX,
-        HANDSHAKES_PER_ADDRESS_MAX, KEEPALIVE_INTERVAL, QUEUE_FRAMES, SILENCE_TIMEOUT,
+        HANDSHAKE_FRAME_MAX_BYTES, HANDSHAKE_TIMEOUT, HANDSHAKES_MAX, HANDSHAKES_PER_ADDRESS_MAX,
+        KEEPALIVE_INTERVAL, QUEUE_FRAMES, SILENCE_TIMEOUT, WRITE_STALL_TIMEOUT,
     },
     listener::{ListenerHandle, listen},
 };
--- a/crates/link/src/limits.rs
+++ b/crates/link/src/limits.rs
@@ -18,11 +18,12 @@
 pub const HANDSHAKES_PER_ADDRESS_MAX: usize = 16;
 /// The most authenticated connections of one listener; further ones are closed.
 pub const CONNECTIONS_MAX: usize = 4096;
-/// A connection is closed if writing a frame takes longer.
-pub const FRAME_WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+/// A connection is closed if it takes none of a frame's bytes for this long. A large frame on a slow
+/// link may take longer in all.
+pub const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// A keepalive is sent when no other frame was sent for this long.
 pub const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// A connection is closed if nothing was received for this long.
+/// A connection is closed if no byte was received for this long.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
 /// The most frames that wait to be written to one connection's socket.
 pub const QUEUE_FRAMES: usize = 256;
--- a/crates/link/tests/support/mod.rs
+++ b/crates/link/tests/support/mod.rs
@@ -8,7 +8,15 @@
     listen,
 };
 use std::{net::SocketAddr, time::Duration};
-use tokio::{io::AsyncReadExt, net::TcpStream, sync::mpsc, time};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::mpsc,
+    time,
+};
 use tokio_util::codec::Framed;
 use wire::peer::{Challenge, Frame, Hello, Poll, Proof, frame::Body};
 
@@ -85,6 +93,33 @@
     }
 }
 
+/// Starts a relay to `target` that passes on `bytes_per_s` in each direction; returns its address.
+pub async fn slow_relay(target: SocketAddr, bytes_per_s: usize) -> SocketAddr {
+    let listener = TcpListener::bind(any_port()).await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    tokio::spawn(async move {
+        while let Ok((client, _)) = listener.accept().await {
+            let server = TcpStream::connect(target).await.expect("connected");
+            let (client_read, client_write) = client.into_split();
+            let (server_read, server_write) = server.into_split();
+            tokio::spawn(copy_slowly(client_read, server_write, bytes_per_s));
+            tokio::spawn(copy_slowly(server_read, client_write, bytes_per_s));
+        }
+    });
+    address
+}
+
+async fn copy_slowly(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, bytes_per_s: usize) {
+    const PIECES_PER_S: usize = 20;
+    let mut piece = vec![0; bytes_per_s / PIECES_PER_S];
+    while let Ok(len) = from.read(&mut piece).await {
+        if len == 0 || to.write_all(&piece[..len]).await.is_err() {
+            return;
+        }
+        time::sleep(Duration::from_secs(1) / PIECES_PER_S as u32).await;
+    }
+}
+
 /// Waits until the other side has closed the connection.
 pub async fn wait_until_closed(stream: &mut TcpStream) {
     let mut buffer = [0; 1024];
