Give a replica time to send very large changes before another one is asked

Cause: a gateway asked the next replica for large changes after one second, whatever their size. Over a link of 5 Mbit/s the largest plans take longer; the second answer then halved what was left of the link for the first, the third came a second later.

Change: a replica that holds changes back says how many, and the gateway allows a millisecond for three of them beside the second. One that is silent is still replaced after a second for small counts.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -254,6 +254,9 @@
     pub clock_ms: u64,
     /// Whether the replica knows a leader.
     #[serde(rename = "confirmed")]
+    /// How many routes and instances the changes hold that are held back, roughly.
+    #[serde(default)]
+    pub held_back: usize,
     pub knows_leader: bool,
     /// The names of all voters and learners.
     pub members: Vec<String>,
--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -29,10 +29,17 @@
         self.gateways
             .record(&body.gateway, &body.report, self.now_us);
         let steering = self.state.steering();
-        let is_large = steering.has_more_changes_than(SMALL_CHANGES_MAX, body.revision);
+        let count = steering.count_changes_since(body.revision);
+        let is_large = count > SMALL_CHANGES_MAX;
         let answer = match (is_large, body.wants_large) {
             (true, true) => self.shared_answer(body.revision),
-            (true, false) => Arc::new(self.answer_to(body.revision, SteeringChanges::default())),
+            (true, false) => {
+                let answer = self.answer_to(body.revision, SteeringChanges::default());
+                Arc::new(GatewayPollAnswer {
+                    held_back: count,
+                    ..answer
+                })
+            }
             (false, _) => {
                 let changes = steering.changes_since(body.revision);
                 Arc::new(self.answer_to(steering.revision(), changes))
@@ -64,6 +71,7 @@
         GatewayPollAnswer {
             newest: self.state.steering().revision(),
             revision,
+            held_back: 0,
             clock_ms: self.log_clock_ms(),
             knows_leader: status.leader.is_some(),
             members: members.map(|id| id.name.clone()).collect(),
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -166,7 +166,7 @@
         }
         if answer.revision <= self.revision {
             if answer.newest > self.revision {
-                let late = self.polls.start_fetch(replica, now_us);
+                let late = self.polls.start_fetch(replica, answer.held_back, now_us);
                 let late = late.map(|replica| StateChange::FetchTimedOut { replica });
                 self.state_changes.extend(late);
             }
--- a/crates/gate/src/poll_schedule.rs
+++ b/crates/gate/src/poll_schedule.rs
@@ -13,9 +13,14 @@
 const NO_PLAN_INTERVAL_MS: u64 = 100;
 
 /// How long one replica may take to send large changes before another one may be asked, in
-/// milliseconds. A plan of a few hundred kilobytes takes half of this over a 5 Mbit/s link.
+/// milliseconds, beside the time for the bytes. Answers of two replicas at the same time would each
+/// take twice as long.
 const FETCH_TIMEOUT_MS: u64 = 1_000;
 
+/// How many changes a slow link carries in a millisecond. A changed route or instance takes up to a
+/// hundred bytes deflated, a link of 5 Mbit/s that is half in use carries some 300 in that time.
+const CHANGES_PER_MS: u64 = 3;
+
 /// How long a replica is still polled after the last answer that named it as a member, in
 /// milliseconds. Seeds are always polled.
 const REPLICA_EXPIRY_MS: u64 = 10_000;
@@ -106,16 +111,22 @@
         due.into_iter().map(|(name, _)| name.clone()).collect()
     }
 
-    /// Makes a replica due now and asks it for large changes, unless another one is still being
-    /// asked. Returns the replica that was asked before and did not send them in time.
-    pub(crate) fn start_fetch(&mut self, replica: &str, now_us: TimeUs) -> Option<String> {
+    /// Makes a replica due now and asks it for large changes, of about `count` routes and instances,
+    /// unless another one is still being asked. Returns the replica that was asked before and did not send them in time.
+    pub(crate) fn start_fetch(
+        &mut self,
+        replica: &str,
+        count: usize,
+        now_us: TimeUs,
+    ) -> Option<String> {
         let is_waiting = |(_, until_us): &(String, TimeUs)| !until_us.reached(now_us);
         if self.fetch.as_ref().is_some_and(is_waiting) {
             return None;
         }
         let target = self.replicas.get_mut(replica)?;
         target.next_poll_us = now_us;
-        let fetch = (replica.to_owned(), now_us.after_ms(FETCH_TIMEOUT_MS));
+        let timeout_ms = FETCH_TIMEOUT_MS + count as u64 / CHANGES_PER_MS;
+        let fetch = (replica.to_owned(), now_us.after_ms(timeout_ms));
         self.fetch.replace(fetch).map(|(late, _)| late)
     }
 
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -135,6 +135,7 @@
     GatewayPollAnswer {
         newest: revision,
         revision,
+        held_back: 0,
         clock_ms: 1_000,
         knows_leader: true,
         members: vec!["10.1.0.1".to_owned()],
--- a/crates/plan/src/instances.rs
+++ b/crates/plan/src/instances.rs
@@ -52,6 +52,11 @@
         self.by_name.get(id)
     }
 
+    /// How many are recorded, expired and gone ones included.
+    pub(crate) fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
     /// Every instance, by name.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Instance> {
         self.by_name.values()
--- a/crates/plan/src/steering.rs
+++ b/crates/plan/src/steering.rs
@@ -154,34 +154,21 @@
         }
     }
 
-    /// Whether more routes and instances changed since a log index than `count`. Copies nothing, and
-    /// stops at the first one beyond `count`.
+    /// How many routes and instances changed since a log index; for a poll that gets the whole state,
+    /// how many are recorded. Copies nothing.
     #[must_use]
-    pub fn has_more_changes_than(&self, count: usize, index: u64) -> bool {
+    pub fn count_changes_since(&self, index: u64) -> usize {
         if index >= self.revision {
-            return false;
+            return 0;
         }
-        let complete = self.is_complete_since(index);
-        let instances = match complete {
-            true => self
-                .instances()
-                .filter(|it| it.is_present())
-                .take(count + 1)
-                .count(),
-            false => self.instances.changed_since(index).take(count + 1).count(),
-        };
-        let plan = self
-            .in_force
-            .as_ref()
-            .filter(|it| complete || it.revision > index);
-        let routes = plan.map_or(0, |it| {
-            let since = if complete { 0 } else { index };
-            it.history
-                .changed_routes(&it.plan, since)
-                .take(count + 1)
-                .count()
-        });
-        instances + routes > count
+        let in_force = self.in_force.as_ref();
+        if self.is_complete_since(index) {
+            let routes = in_force.map_or(0, |it| it.plan.routes.len());
+            return self.instances.len() + routes;
+        }
+        let changed = in_force.filter(|it| it.revision > index);
+        let routes = changed.map_or(0, |it| it.history.changed_routes(&it.plan, index).count());
+        self.instances.changed_since(index).count() + routes
     }
 
     /// Whether a poll from this index gets the whole state.
