Take no plan of a replica that has not caught up when a gateway starts

What callers could see: after a loss of power a gateway and a replica start together.

Change: an answer says whether its replica has caught up with what a leader of this term has committed. A gateway without a plan ignores answers that may be old for 2 s; then an old plan is better than none.

Evidence: control/tests/restart.rs restarts one replica and all, and never sees an old answer that claims to be current; gate/tests/polls.rs. On the untouched code the answer did not say so, and the gateway took it.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -242,6 +242,10 @@
     pub wants_large: bool,
 }
 
+const fn always() -> bool {
+    true
+}
+
 /// The answer to a [`GatewayPoll`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -250,14 +254,18 @@
     pub newest: u64,
     /// The index that `changes` lead to; the gateway's own while large changes are held back.
     pub revision: u64,
+    /// How many routes and instances the changes hold that are held back, roughly.
+    #[serde(default)]
+    pub held_back: usize,
     /// The log's clock at the time of the answer, in milliseconds.
     pub clock_ms: u64,
     /// Whether the replica knows a leader.
     #[serde(rename = "confirmed")]
-    /// How many routes and instances the changes hold that are held back, roughly.
-    #[serde(default)]
-    pub held_back: usize,
     pub knows_leader: bool,
+    /// Whether the changes hold all that was committed when a leader last told this replica; false
+    /// after its start until it has caught up. Builds that don't say so count as current.
+    #[serde(default = "always")]
+    pub is_current: bool,
     /// The names of all voters and learners.
     pub members: Vec<String>,
     /// The number of gateways that poll this replica.
--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -74,6 +74,7 @@
             held_back: 0,
             clock_ms: self.log_clock_ms(),
             knows_leader: status.leader.is_some(),
+            is_current: self.raft.is_current(),
             members: members.map(|id| id.name.clone()).collect(),
             gateways: self.gateways.len(),
             interval_ms: gateway_poll_interval_ms(self.gateways.len()),
--- a/crates/control/tests/restart.rs
+++ b/crates/control/tests/restart.rs
@@ -221,3 +221,38 @@
     let answer = cluster.request(&leader, put("x", "gauteng", region(2, "gauteng-a"), 1));
     assert_eq!(answer, Err(ApiError::Unavailable));
 }
+
+// After a loss of power, a gateway that starts may poll a replica that has just started too. Its
+// answer is that of its snapshot, and says so until the replica has heard what is committed.
+#[test]
+fn a_replica_that_has_just_started_says_that_its_answers_may_be_old() {
+    let mut cluster = Cluster::new(3);
+    run_changes(&mut cluster, 0..20);
+    cluster.run_ms(500);
+    let replicas: Vec<ReplicaId> = cluster.replicas.keys().cloned().collect();
+    let is_current = |cluster: &mut Cluster, replica: &ReplicaId| {
+        cluster.poll_as_gateway(replica, "gateway-1", 0).is_current
+    };
+    for replica in &replicas {
+        assert!(is_current(&mut cluster, replica));
+    }
+    for restarted in [&replicas[..1], &replicas[1..2], &replicas[..]] {
+        restarted.iter().for_each(|replica| cluster.kill(replica));
+        cluster.run_ms(200);
+        restarted.iter().for_each(|replica| cluster.start(replica));
+        for _ in 0..300 {
+            for replica in &replicas {
+                let may_be_old = cluster.replicas[replica]
+                    .state()
+                    .resources(None)
+                    .next()
+                    .is_none();
+                assert!(!may_be_old || !is_current(&mut cluster, replica));
+            }
+            cluster.tick();
+        }
+        for replica in &replicas {
+            assert!(is_current(&mut cluster, replica), "{replica}");
+        }
+    }
+}
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -15,6 +15,11 @@
 /// How often the region shares of every service are rebalanced, in milliseconds.
 const REBALANCE_INTERVAL_MS: u64 = 100;
 
+/// How long a gateway that starts waits for a replica that has caught up, in milliseconds. After a
+/// failure of all replicas a leader is elected in less; while there is none for longer, an old plan is
+/// better than none.
+const CURRENT_PLAN_WAIT_MS: u64 = 2_000;
+
 /// The state of a gateway. Every call that depends on time is given the current time.
 #[derive(Debug)]
 pub struct Gate {
@@ -22,6 +27,8 @@
     polls: PollSchedule,
     /// The log index up to which all changes are applied here.
     revision: u64,
+    /// Until when, before the first plan, answers of replicas that have not caught up are ignored.
+    waits_for_current_until_us: TimeUs,
     plan_version: u64,
     limits: Option<Limits>,
     /// None until the first plan arrives.
@@ -55,6 +62,7 @@
             polls: PollSchedule::new(&config.seeds, now_us),
             config,
             revision: 0,
+            waits_for_current_until_us: now_us.after_ms(CURRENT_PLAN_WAIT_MS),
             plan_version: 0,
             limits: None,
             table: None,
@@ -164,6 +172,10 @@
             self.polls.record_members(members, interval_ms, now_us);
             self.gateway_count = answer.gateways.max(1);
         }
+        let may_be_old = !answer.is_current && self.table.is_none();
+        if may_be_old && !self.waits_for_current_until_us.reached(now_us) {
+            return false;
+        }
         if answer.revision <= self.revision {
             if answer.newest > self.revision {
                 let late = self.polls.start_fetch(replica, answer.held_back, now_us);
--- a/crates/gate/tests/polls.rs
+++ b/crates/gate/tests/polls.rs
@@ -75,3 +75,37 @@
     assert!(!asks_for_large(&gate, first));
     assert_eq!(fetch_timeouts(&mut gate), [""; 0]);
 }
+
+/// An answer with a plan, of a replica that may not have caught up.
+fn answer_of(version: u64, revision: u64, is_current: bool) -> GatewayPollAnswer {
+    GatewayPollAnswer {
+        is_current,
+        ..answer(revision, Some(a_plan(version)), Vec::new())
+    }
+}
+
+// After a loss of power, a gateway and a replica start together. The replica answered from its
+// snapshot, and the gateway took requests under a plan that had been replaced before.
+#[test]
+fn a_gateway_that_starts_takes_no_plan_of_a_replica_that_has_not_caught_up() {
+    let mut gate = gate();
+    let [first, second] = REPLICAS;
+    assert!(!gate.handle_poll_answer(first, answer_of(3, 5, false), at_ms(10)));
+    assert!(!gate.is_ready());
+    assert!(gate.handle_poll_answer(second, answer_of(4, 9, true), at_ms(700)));
+    assert!(gate.is_ready());
+    assert_eq!(gate.plan_version(), 4);
+}
+
+// While no majority of the replicas is there, the wait has an end.
+#[test]
+fn a_gateway_takes_an_old_plan_rather_than_none() {
+    let mut gate = gate();
+    let [first, _] = REPLICAS;
+    assert!(!gate.handle_poll_answer(first, answer_of(3, 5, false), at_ms(1_900)));
+    assert!(gate.handle_poll_answer(first, answer_of(3, 5, false), at_ms(2_100)));
+    assert!(gate.is_ready());
+    // From then on, newer changes count whoever sends them.
+    assert!(gate.handle_poll_answer(first, answer_of(4, 6, false), at_ms(2_200)));
+    assert_eq!(gate.plan_version(), 4);
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -138,6 +138,7 @@
         held_back: 0,
         clock_ms: 1_000,
         knows_leader: true,
+        is_current: true,
         members: vec!["10.1.0.1".to_owned()],
         gateways: 4,
         interval_ms: 400,
--- a/crates/raft/src/replica.rs
+++ b/crates/raft/src/replica.rs
@@ -49,6 +49,8 @@
     hard_state: HardState,
     log: Log,
     commit_index: u64,
+    /// The highest commit index that a leader has told this replica since its start.
+    told_commit_index: u64,
     state: State,
     leader: Option<ReplicaId>,
     /// Until then this replica grants no vote: one election timeout after its start or after the
@@ -82,6 +84,7 @@
             now_us,
             hard_state: restored.hard_state,
             commit_index: log.snapshot_index(),
+            told_commit_index: 0,
             durability: Durability::new(log.last_index()),
             log,
             state: State::Follower,
@@ -136,6 +139,16 @@
         }
     }
 
+    /// Whether this replica knows a leader that has committed an entry in its term, and has committed
+    /// all that a leader has told it was. A replica that has just started is not current: it doesn't
+    /// know which entries after its snapshot are committed.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        self.leader.is_some()
+            && self.log.term_at(self.commit_index) == Some(self.hard_state.term)
+            && self.commit_index >= self.told_commit_index
+    }
+
     /// The term of the entry at `index`; `None` when the entry was dropped or doesn't exist yet.
     #[must_use]
     pub fn term_at(&self, index: u64) -> Option<u64> {
--- a/crates/raft/src/replica/follow.rs
+++ b/crates/raft/src/replica/follow.rs
@@ -28,6 +28,7 @@
             return;
         };
         self.record_leader_contact(from);
+        self.told_commit_index = self.told_commit_index.max(commit);
         if let Some(next_index) = self.conflict_index(prev_index, prev_term) {
             let rejection = self.appended_message(false, next_index, round);
             return self.send(from, rejection);
