Answer no gateway's poll that has waited for its turn for long

Cause: the messages between replicas wait in the queue in which gateways' polls do. A replica that falls behind with polls handles heartbeats and votes late, and nothing sheds the load: polls that no gateway waits for any more are answered first.

Change: a poll that has waited for 200 ms, half of the shortest election timeout, is not answered; the gateway counts as heard. The dump counts these polls.

Evidence: the test in control/tests/restart_of_gateways.rs.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -16,7 +16,7 @@
     sync::Arc,
 };
 use thiserror::Error;
-use types::{ApiError, DomainName, EntryName, Key, Kind, ResourceProgress};
+use types::{ApiError, DomainName, EntryName, Key, Kind, ResourceProgress, TimeUs};
 
 /// The fixed parameters of a control replica.
 #[derive(Clone, Debug)]
@@ -314,12 +314,14 @@
         /// The entry's state, and what it asks for.
         body: Poll,
     },
-    /// A gateway's poll; answered at once.
+    /// A gateway's poll; answered at once, or not at all if it has waited for long.
     GatewayPoll {
         /// Identifies the poll in [`Output::GatewayPollAnswer`].
         poll: u64,
         /// The gateway's report, and the changes that it knows.
         body: GatewayPoll,
+        /// When it was received. It may have waited for its turn since then.
+        received_us: TimeUs,
     },
     /// Another replica asks to join; answered at once.
     Join {
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -115,7 +115,11 @@
                 self.watches.remove(request);
             }
             Input::Poll { poll, body } => self.answer_poll(poll, &body, outputs),
-            Input::GatewayPoll { poll, body } => self.answer_gateway_poll(poll, &body, outputs),
+            Input::GatewayPoll {
+                poll,
+                body,
+                received_us,
+            } => self.handle_gateway_poll(poll, &body, received_us, outputs),
             Input::Join { join, from } => self.join(join, from, outputs),
             Input::Members { names } => self.add_reported_members(names),
         }
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -54,6 +54,8 @@
     last_reports: BTreeMap<EntryName, LastReport>,
     /// The number of answers given to clients; rotates which gateways the next one starts with.
     located_count: usize,
+    /// Polls that were not answered because they had waited for too long.
+    expired_polls: u64,
 }
 
 impl Gateways {
@@ -67,6 +69,16 @@
         self.last_reports.insert(name.clone(), last_report);
     }
 
+    /// Counts a poll that is not answered because it has waited for too long.
+    pub(crate) const fn count_expired_poll(&mut self) {
+        self.expired_polls += 1;
+    }
+
+    /// The number of such polls.
+    pub(crate) const fn expired_polls(&self) -> u64 {
+        self.expired_polls
+    }
+
     /// Drops the gateways whose last poll is too old.
     pub(crate) fn expire(&mut self, now_us: TimeUs) {
         self.last_reports
--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -10,21 +10,39 @@
 use plan::{Change, Registration, RegistrationStatus, SteeringChanges};
 use state::Operation;
 use std::sync::Arc;
-use types::{ApiError, UpstreamName};
+use types::{ApiError, TimeUs, UpstreamName};
 
 /// Changes of more instances and routes than this are large. A gateway fetches large changes from
 /// one replica only, to save bandwidth on a slow link.
 const SMALL_CHANGES_MAX: usize = 16;
 
+/// How long a gateway's poll may wait for its turn, in milliseconds. It is half of the shortest
+/// election timeout, so that a backlog of polls deposes no leader.
+const POLL_WAIT_MAX_MS: u64 = 200;
+
 impl Control {
-    /// Answers a gateway's poll for changes. Large changes are held back unless it asks for them, and
-    /// then shared with other gateways that ask for the same ones.
-    pub(crate) fn answer_gateway_poll(
+    /// Answers a gateway's poll, unless it has waited for so long that the replica is overloaded: the
+    /// gateway polls again anyway, and what the replicas owe each other waits behind it.
+    pub(crate) fn handle_gateway_poll(
         &mut self,
         poll: u64,
         body: &GatewayPoll,
+        received_us: TimeUs,
         outputs: &mut Vec<Output>,
     ) {
+        self.gateways.expire(self.now_us);
+        self.gateways
+            .record(&body.gateway, &body.report, self.now_us);
+        if received_us.after_ms(POLL_WAIT_MAX_MS).reached(self.now_us) {
+            self.gateways.count_expired_poll();
+            return;
+        }
+        self.answer_gateway_poll(poll, body, outputs);
+    }
+
+    /// Answers a gateway's poll for changes. Large changes are held back unless it asks for them, and
+    /// then shared with other gateways that ask for the same ones.
+    fn answer_gateway_poll(&mut self, poll: u64, body: &GatewayPoll, outputs: &mut Vec<Output>) {
         self.gateways.expire(self.now_us);
         self.gateways
             .record(&body.gateway, &body.report, self.now_us);
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -364,7 +364,13 @@
             revision,
             wants_large,
         };
-        self.step(replica, Input::GatewayPoll { poll, body });
+        let received_us = TimeUs(self.now_us);
+        let input = Input::GatewayPoll {
+            poll,
+            body,
+            received_us,
+        };
+        self.step(replica, input);
         let answer = self.gateway_poll_answers.remove(&poll);
         answer.expect("polls of gateways are answered at once")
     }
--- a/crates/control/tests/restart_of_gateways.rs
+++ b/crates/control/tests/restart_of_gateways.rs
@@ -4,12 +4,13 @@
 mod cluster;
 
 use cluster::Cluster;
-use control::Request;
+use control::{GatewayPoll, GatewayReport, Input, Request};
 use plan::{
     Change, Document, Limits, Plan, PlanDeclaration, Registration, RetrySafety, Route,
     ServiceTerms, WeightedService,
 };
 use raft::ReplicaId;
+use types::TimeUs;
 
 const ROUTES: usize = 1_400;
 /// As many as register here before the first of them expire.
@@ -168,3 +169,36 @@
     assert!(later.revision > first.revision);
     assert_eq!(later.revision, later.newest);
 }
+
+// Polls that a replica can't keep up with filled the queue in which the messages of the other replicas
+// wait, so that followers missed the leader's heartbeats in a calm group.
+#[test]
+fn a_poll_that_has_waited_for_long_is_not_answered() {
+    const WAITED_MS: u64 = 250;
+    let (mut cluster, leader) = cluster();
+    let received_us = TimeUs(cluster.now_us);
+    cluster.run_ms(WAITED_MS);
+    let answered = cluster.poll_as_gateway(&leader, "gateway-1", 0);
+    assert!(answered.revision > 0);
+    let report = GatewayReport {
+        address: ([10, 1, 0, 14], 8_080).into(),
+        region: "east".parse().expect("a valid name"),
+        failure_domain: "east-a".parse().expect("a valid name"),
+        takes_clients: true,
+    };
+    let body = GatewayPoll {
+        gateway: "gateway-2".parse().expect("a valid name"),
+        report,
+        revision: 0,
+        wants_large: true,
+    };
+    let input = Input::GatewayPoll {
+        poll: 1,
+        body,
+        received_us,
+    };
+    cluster.gateway_poll_answers.clear();
+    cluster.step(&leader, input);
+    assert!(cluster.gateway_poll_answers.is_empty());
+    assert_eq!(cluster.replicas[&leader].dump().expired_gateway_polls, 1);
+}
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -23,7 +23,12 @@
 
     /// The current reading.
     pub fn now_us(&self) -> TimeUs {
-        let elapsed = self.origin.elapsed().as_micros();
+        self.at(Instant::now())
+    }
+
+    /// The reading at a time after the creation of the clock.
+    pub fn at(&self, time: Instant) -> TimeUs {
+        let elapsed = time.duration_since(self.origin).as_micros();
         TimeUs(ORIGIN_US + u64::try_from(elapsed).unwrap_or(u64::MAX / 2))
     }
 
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -23,7 +23,10 @@
     sync::Arc,
     time::{SystemTime, UNIX_EPOCH},
 };
-use tokio::sync::{oneshot, watch};
+use tokio::{
+    sync::{oneshot, watch},
+    time::Instant,
+};
 use types::{ApiError, TimeUs};
 use wire::peer::{Frame, Join, JoinAnswer, RaftMessage, frame::Body};
 
@@ -135,7 +138,20 @@
 
 /// An event of a link to another replica, an entry or a gateway.
 #[derive(Debug)]
-pub struct LinkEvent(pub Event);
+pub struct LinkEvent {
+    event: Event,
+    received: Instant,
+}
+
+impl LinkEvent {
+    /// An event that is received now.
+    pub fn new(event: Event) -> Self {
+        Self {
+            event,
+            received: Instant::now(),
+        }
+    }
+}
 
 impl ControlActor {
     fn now_us(&self) -> TimeUs {
@@ -263,7 +279,7 @@
             "learners" => names(&status.membership.learners));
     }
 
-    fn handle_frame(&mut self, peer: &Peer, frame: Frame, sender: FrameSender) {
+    fn handle_frame(&mut self, peer: &Peer, frame: Frame, sender: FrameSender, received: Instant) {
         match frame.body {
             Some(Body::Raft(message)) => self.handle_raft(peer, message),
             Some(Body::Poll(poll)) => {
@@ -287,7 +303,12 @@
                 let poll = self.next_request;
                 self.next_request += 1;
                 self.reply_targets.insert(poll, (frame.serial, sender));
-                self.step(Input::GatewayPoll { poll, body });
+                let received_us = self.args.clock.at(received);
+                self.step(Input::GatewayPoll {
+                    poll,
+                    body,
+                    received_us,
+                });
                 self.reply_targets.remove(&poll);
             }
             Some(Body::Join(_)) => {
@@ -403,7 +424,8 @@
 impl Message<LinkEvent> for ControlActor {
     type Reply = ();
 
-    async fn handle(&mut self, LinkEvent(event): LinkEvent, _: &mut Context<Self, Self::Reply>) {
+    async fn handle(&mut self, message: LinkEvent, _: &mut Context<Self, Self::Reply>) {
+        let LinkEvent { event, received } = message;
         if let Event::Frame {
             peer,
             frame,
@@ -411,7 +433,7 @@
             ..
         } = event
         {
-            self.handle_frame(&peer, frame, sender);
+            self.handle_frame(&peer, frame, sender, received);
         }
     }
 }
--- a/crates/daemon/src/control/start.rs
+++ b/crates/daemon/src/control/start.rs
@@ -156,7 +156,7 @@
     );
     let replica_actor = actor.clone();
     storage::run(store, queue, actor.clone(), log.clone())?;
-    tokio::spawn(forward_events(events, actor.clone(), LinkEvent));
+    tokio::spawn(forward_events(events, actor.clone(), LinkEvent::new));
     let timer = tokio::spawn(tick(actor.clone(), TICK, Tick));
     let tokens = role_settings.operator_tokens.clone().into();
     let http = ControlHttp {
