--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -82,6 +82,10 @@
     pub isolated: BTreeSet<ReplicaId>,
     /// Replicas whose disk takes no more bytes: a write fails, and with it the replica.
     pub full_disks: BTreeSet<ReplicaId>,
+    /// How many bytes a second the connection from one replica to another carries; none for no limit.
+    pub link_bytes_per_s: Option<u64>,
+    /// When the connection from one replica to another has carried what was sent on it so far.
+    carried_us: BTreeMap<(ReplicaId, ReplicaId), u64>,
     pub gateway_poll_answers: BTreeMap<u64, Arc<GatewayPollAnswer>>,
     pub join_answers: BTreeMap<u64, Vec<String>>,
     heartbeat_interval_us: u64,
@@ -128,6 +132,8 @@
             sent: Vec::new(),
             isolated: BTreeSet::new(),
             full_disks: BTreeSet::new(),
+            link_bytes_per_s: None,
+            carried_us: BTreeMap::new(),
             initial_membership: Membership {
                 voters,
                 learners: BTreeSet::new(),
@@ -199,8 +205,9 @@
         match output {
             Output::Send { to, message } => {
                 self.sent.push((to.clone(), message.clone()));
+                let carried_us = self.carry(replica, &to, &message);
                 self.in_flight.push_back(InFlight {
-                    at_us: self.now_us + MESSAGE_DELAY_US,
+                    at_us: carried_us + MESSAGE_DELAY_US,
                     from: replica.clone(),
                     to,
                     message,
@@ -235,6 +242,18 @@
         }
     }
 
+    /// When the last byte of a message leaves, behind what was sent on the same connection before.
+    fn carry(&mut self, from: &ReplicaId, to: &ReplicaId, message: &Message) -> u64 {
+        let Some(bytes_per_s) = self.link_bytes_per_s else {
+            return self.now_us;
+        };
+        let taken_us = message_bytes(message) * 1_000_000 / bytes_per_s;
+        let connection = (from.clone(), to.clone());
+        let carried_us = self.carried_us.entry(connection).or_default();
+        *carried_us = (*carried_us).max(self.now_us) + taken_us;
+        *carried_us
+    }
+
     /// Advances the clock by one tick, delivers the messages due and ticks every replica.
     pub fn tick(&mut self) {
         self.now_us += TICK_US;
@@ -423,6 +442,22 @@
     }
 }
 
+/// The bytes of the commands and snapshots in a message; all else is small.
+pub fn message_bytes(message: &Message) -> u64 {
+    let bytes = match message {
+        Message::Append { entries, .. } => entries
+            .iter()
+            .map(|entry| match &entry.payload {
+                raft::Payload::Command(data) => data.len(),
+                raft::Payload::Noop | raft::Payload::Membership(_) => 0,
+            })
+            .sum(),
+        Message::InstallSnapshot { data, .. } => data.len(),
+        _ => 0,
+    };
+    bytes as u64
+}
+
 pub fn name(text: &str) -> ResourceName {
     text.parse().expect("a valid name")
 }
--- a/crates/control/tests/restart.rs
+++ b/crates/control/tests/restart.rs
@@ -3,7 +3,7 @@
 
 mod cluster;
 
-use cluster::{Cluster, SNAPSHOT_ENTRIES, id, item, put, region};
+use cluster::{Cluster, SNAPSHOT_ENTRIES, id, item, message_bytes, put, region};
 use control::{Answer, Request};
 use raft::{Message, ReplicaId};
 use state::{Change, WatchAnswer};
@@ -39,19 +39,9 @@
 }
 
 fn received_bytes(cluster: &Cluster, replica: &ReplicaId) -> usize {
-    let bytes = |message: &Message| match message {
-        Message::Append { entries, .. } => entries
-            .iter()
-            .map(|entry| match &entry.payload {
-                raft::Payload::Command(data) => data.len(),
-                raft::Payload::Noop | raft::Payload::Membership(_) => 0,
-            })
-            .sum(),
-        Message::InstallSnapshot { data, .. } => data.len(),
-        _ => 0,
-    };
     let to_replica = cluster.sent.iter().filter(|(to, _)| to == replica);
-    to_replica.map(|(_, message)| bytes(message)).sum()
+    let bytes: u64 = to_replica.map(|(_, message)| message_bytes(message)).sum();
+    usize::try_from(bytes).expect("a size")
 }
 
 #[test]
