--- a/crates/control/src/doubts.rs
+++ b/crates/control/src/doubts.rs
@@ -8,8 +8,8 @@
 use types::{TimeUs, UpstreamName};
 
 /// How long after the first doubtful heartbeat of a run another one proves that the run is alive, in
-/// milliseconds. It is longer than the second within which what a cut has delayed arrives, and shorter
-/// than the interval of heartbeats, so that the second one counts.
+/// milliseconds. What a cut has delayed arrives together, within less. The usual interval of heartbeats
+/// is longer, so that the second one counts.
 const PROOF_MS: u64 = 1_000;
 
 /// How long a run stays in doubt without another heartbeat, in milliseconds.
--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -43,9 +43,6 @@
     /// Answers a gateway's poll for changes. Large changes are held back unless it asks for them, and
     /// then shared with other gateways that ask for the same ones.
     fn answer_gateway_poll(&mut self, poll: u64, body: &GatewayPoll, outputs: &mut Vec<Output>) {
-        self.gateways.expire(self.now_us);
-        self.gateways
-            .record(&body.gateway, &body.report, self.now_us);
         let steering = self.state.steering();
         let count = steering.count_changes_since(body.revision);
         let is_large = count > SMALL_CHANGES_MAX;
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -7,6 +7,7 @@
     Answer, Control, ControlConfig, GatewayPoll, GatewayPollAnswer, GatewayReport, Input, Output,
     Poll, PollAnswer, PollRejection, Request,
 };
+use plan::{Limits, Plan, RetrySafety, Route, ServiceTerms, WeightedService};
 use raft::{
     Entry, HardState, Membership, Message, Persist, RaftConfig, ReplicaId, Restored, Role, Snapshot,
 };
@@ -458,6 +459,41 @@
     bytes as u64
 }
 
+/// A plan with this many routes of one service.
+pub fn plan_of(version: u64, routes: usize) -> Plan {
+    let route = |n: usize| Route {
+        name: format!("route-{n}"),
+        host: "shop.example".to_owned(),
+        prefix: format!("/{n}/"),
+        repeat: RetrySafety::Idempotent,
+        timeout_ms: 2_000 + version,
+        target_ms: 250,
+        priority: 1,
+        parts: vec![WeightedService {
+            service: "catalogue".parse().expect("a valid name"),
+            weight_milli: 1_000,
+        }],
+        attempts_max: 2,
+        sticky: false,
+        home_regions: Vec::new(),
+    };
+    Plan {
+        version,
+        routes: (0..routes).map(route).collect(),
+        services: vec![ServiceTerms {
+            name: "catalogue".parse().expect("a valid name"),
+            connections_max: 360,
+            cold_milli_per_s: 2_600,
+        }],
+        limits: Limits {
+            header_max_bytes: 16_384,
+            body_max_bytes: 1 << 20,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+    }
+}
+
 pub fn name(text: &str) -> ResourceName {
     text.parse().expect("a valid name")
 }
--- a/crates/control/tests/large_declarations.rs
+++ b/crates/control/tests/large_declarations.rs
@@ -3,12 +3,9 @@
 
 mod cluster;
 
-use cluster::Cluster;
+use cluster::{Cluster, plan_of};
 use control::{Answer, Request};
-use plan::{
-    Change, ChangeResult, Document, Limits, Plan, PlanDeclaration, RetrySafety, Route,
-    ServiceTerms, WeightedService,
-};
+use plan::{Change, ChangeResult, Document, PlanDeclaration};
 
 /// The text of a declaration, half of what is accepted.
 const DOCUMENT_BYTES: usize = 2_000_000;
@@ -28,41 +25,10 @@
 const DECLARATIONS: u64 = 20;
 
 fn declaration(version: u64) -> Request {
-    let route = |n: usize| Route {
-        name: format!("route-{n}"),
-        host: "shop.example".to_owned(),
-        prefix: format!("/{n}/"),
-        repeat: RetrySafety::Idempotent,
-        timeout_ms: 2_000 + version,
-        target_ms: 250,
-        priority: 1,
-        parts: vec![WeightedService {
-            service: "catalogue".parse().expect("a valid name"),
-            weight_milli: 1_000,
-        }],
-        attempts_max: 2,
-        sticky: false,
-        home_regions: Vec::new(),
-    };
-    let plan = Plan {
-        version,
-        routes: (0..ROUTES).map(route).collect(),
-        services: vec![ServiceTerms {
-            name: "catalogue".parse().expect("a valid name"),
-            connections_max: 360,
-            cold_milli_per_s: 2_600,
-        }],
-        limits: Limits {
-            header_max_bytes: 16_384,
-            body_max_bytes: 1 << 20,
-            header_timeout_ms: 3_000,
-            idle_timeout_ms: 15_000,
-        },
-    };
     let text = format!("{version}{}", "x".repeat(DOCUMENT_BYTES));
     Request::Steer {
         change: Change::Declare(Box::new(PlanDeclaration {
-            plan,
+            plan: plan_of(version, ROUTES),
             document: Document::Foreign(text),
             based_on: version - 1,
         })),
--- a/crates/control/tests/restart_of_gateways.rs
+++ b/crates/control/tests/restart_of_gateways.rs
@@ -3,12 +3,9 @@
 
 mod cluster;
 
-use cluster::Cluster;
+use cluster::{Cluster, plan_of};
 use control::{GatewayPoll, GatewayReport, Input, Request};
-use plan::{
-    Change, Document, Limits, Plan, PlanDeclaration, Registration, RetrySafety, Route,
-    ServiceTerms, WeightedService,
-};
+use plan::{Change, Document, PlanDeclaration, Registration};
 use raft::ReplicaId;
 use types::TimeUs;
 
@@ -25,40 +22,6 @@
 /// What a poll may allocate, in bytes, the answer's list of members included.
 const POLL_MAX_BYTES: u64 = 8 * 1_024;
 
-fn plan() -> Plan {
-    let route = |n: usize| Route {
-        name: format!("route-{n}"),
-        host: "shop.example".to_owned(),
-        prefix: format!("/{n}/"),
-        repeat: RetrySafety::Idempotent,
-        timeout_ms: 2_000,
-        target_ms: 250,
-        priority: 1,
-        parts: vec![WeightedService {
-            service: "catalogue".parse().expect("a valid name"),
-            weight_milli: 1_000,
-        }],
-        attempts_max: 2,
-        sticky: false,
-        home_regions: Vec::new(),
-    };
-    Plan {
-        version: 1,
-        routes: (0..ROUTES).map(route).collect(),
-        services: vec![ServiceTerms {
-            name: "catalogue".parse().expect("a valid name"),
-            connections_max: 360,
-            cold_milli_per_s: 2_600,
-        }],
-        limits: Limits {
-            header_max_bytes: 16_384,
-            body_max_bytes: 1 << 20,
-            header_timeout_ms: 3_000,
-            idle_timeout_ms: 15_000,
-        },
-    }
-}
-
 fn registration(n: u16, sequence: u64) -> Registration {
     Registration {
         id: format!("w-{n}").parse().expect("a valid name"),
@@ -77,7 +40,7 @@
 fn cluster() -> (Cluster, ReplicaId) {
     let mut cluster = Cluster::new(3);
     let declaration = PlanDeclaration {
-        plan: plan(),
+        plan: plan_of(1, ROUTES),
         document: Document::Own,
         based_on: 0,
     };
