--- a/crates/control/tests/restart_of_gateways.rs
+++ b/crates/control/tests/restart_of_gateways.rs
@@ -10,6 +10,7 @@
 use types::TimeUs;
 
 const ROUTES: usize = 1_400;
+
 /// As many as register here before the first of them expire.
 const INSTANCES: u16 = 300;
 
