Identify tenants by their keys, and tell upstreams whose request it is

Cause: nothing knew tenants.

Change: a plan declares tenants with the digests of their keys. A gateway looks the key up before anything else, rejects unknown ones with 401, removes the key and states the tenant to the upstream. Homes of route and tenant both bind, and a tenant's priority goes before the route's. Changed tenants travel like changed routes. Replicas say whether they certainly lead, and loads carry the upstream's slowness; nothing uses the two yet.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -266,6 +266,10 @@
     /// after its start until it has caught up. Builds that don't say so count as current.
     #[serde(default = "always")]
     pub is_current: bool,
+    /// Whether the replica certainly led when it made the answer, so that `newest` covers every change that
+    /// was confirmed before. False from builds that don't say so.
+    #[serde(default)]
+    pub is_certain: bool,
     /// The names of all voters and learners.
     pub members: Vec<String>,
     /// The number of gateways that poll this replica.
--- a/crates/control/src/shares.rs
+++ b/crates/control/src/shares.rs
@@ -117,6 +117,21 @@
         }
     }
 
+    /// Records that somebody relies on the leadership being confirmed, so that the reads go on for a while.
+    pub(crate) fn record_demand(&mut self, now_us: TimeUs) {
+        if let Some(leadership) = &mut self.leadership {
+            leadership.demand_until_us = now_us.after_ms(DEMAND_TIMEOUT_MS);
+        }
+    }
+
+    /// Whether this replica certainly leads and has applied every entry that earlier leaders committed,
+    /// so that its state holds all that was ever confirmed.
+    pub(crate) fn is_certain(&self, now_us: TimeUs, applied_term: Option<u64>) -> bool {
+        self.leadership.as_ref().is_some_and(|leadership| {
+            !leadership.confirmed_until_us.reached(now_us) && applied_term == Some(leadership.term)
+        })
+    }
+
     /// Grants shares for an entry's wants. Grants nothing unless leadership is confirmed and every
     /// log entry that earlier leaders committed is applied here.
     pub(crate) fn grant(
@@ -127,15 +142,13 @@
         holder: &HolderId,
         wants: &[Want],
     ) -> Vec<Grant> {
-        let Some(leadership) = &mut self.leadership else {
-            return Vec::new();
-        };
         if !wants.is_empty() {
-            leadership.demand_until_us = now_us.after_ms(DEMAND_TIMEOUT_MS);
+            self.record_demand(now_us);
         }
-        if leadership.confirmed_until_us.reached(now_us) || applied_term != Some(leadership.term) {
+        let is_certain = self.is_certain(now_us, applied_term);
+        let Some(leadership) = self.leadership.as_mut().filter(|_| is_certain) else {
             return Vec::new();
-        }
+        };
         leadership.update_limits(state);
         let allocator = &mut leadership.allocator;
         let entry_region = entry_region(state, holder);
--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -33,6 +33,10 @@
         self.gateways.expire(self.now_us);
         self.gateways
             .record(&body.gateway, &body.report, self.now_us);
+        let plan = self.state.steering().plan();
+        if plan.is_some_and(|plan| !plan.tenants.is_empty()) {
+            self.shares.record_demand(self.now_us);
+        }
         if received_us.after_ms(POLL_WAIT_MAX_MS).reached(self.now_us) {
             self.gateways.count_expired_poll();
             return;
@@ -74,7 +78,11 @@
         if let Some(answer) = self.large_answers.get(index, newest, self.now_us) {
             return answer;
         }
-        let answer = Arc::new(self.answer_to(newest, steering.changes_since(index)));
+        // Another gateway may get the answer later, when it no longer holds everything.
+        let answer = Arc::new(GatewayPollAnswer {
+            is_certain: false,
+            ..self.answer_to(newest, steering.changes_since(index))
+        });
         self.large_answers.keep(index, &answer, self.now_us);
         answer
     }
@@ -90,6 +98,7 @@
             clock_ms: self.log_clock_ms(),
             knows_leader: status.leader.is_some(),
             is_current: self.raft.is_current(),
+            is_certain: self.is_certain_leader(),
             members: members.map(|id| id.name.clone()).collect(),
             gateways: self.gateways.len(),
             interval_ms: gateway_poll_interval_ms(self.gateways.len()),
@@ -97,6 +106,12 @@
         }
     }
 
+    /// Whether this replica certainly leads, so that its state holds all that was ever confirmed.
+    fn is_certain_leader(&self) -> bool {
+        let applied_term = self.raft.term_at(self.state.applied_index());
+        self.shares.is_certain(self.now_us, applied_term)
+    }
+
     /// Answers [`Request::Locate`](crate::Request::Locate): the addresses of the gateways that a
     /// client of this region and failure domain should use.
     pub(crate) fn locate(&mut self, region: &str, domain: &str) -> Answer {
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -476,6 +476,7 @@
         attempts_max: 2,
         sticky: false,
         home_regions: Vec::new(),
+        allow_anonymous: false,
     };
     Plan {
         version,
@@ -491,6 +492,7 @@
             header_timeout_ms: 3_000,
             idle_timeout_ms: 15_000,
         },
+        tenants: Vec::new(),
     }
 }
 
--- a/crates/control/tests/log_size.rs
+++ b/crates/control/tests/log_size.rs
@@ -20,6 +20,7 @@
             header_timeout_ms: 3_000,
             idle_timeout_ms: 15_000,
         },
+        tenants: Vec::new(),
     };
     let change = Change::Declare(Box::new(PlanDeclaration {
         plan,
--- a/crates/control/tests/steering.rs
+++ b/crates/control/tests/steering.rs
@@ -29,6 +29,7 @@
             attempts_max: 2,
             sticky: false,
             home_regions: Vec::new(),
+            allow_anonymous: false,
         }],
         services: vec![ServiceTerms {
             name: "catalogue".parse().expect("a valid name"),
@@ -41,6 +42,7 @@
             header_timeout_ms: 3_000,
             idle_timeout_ms: 15_000,
         },
+        tenants: Vec::new(),
     }
 }
 
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -10,7 +10,7 @@
     message::{Context, Message},
 };
 use link::Event;
-use plan::Limits;
+use plan::{KeyDigest, Limits};
 use slog::{Logger, info, warn};
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 use tokio::sync::watch;
@@ -88,6 +88,8 @@
     pub timeout_ms: Option<u64>,
     /// Identifies the object that the request is about, when the client names one.
     pub object: Option<u64>,
+    /// The digest of the key that the client sent, if it sent one.
+    pub key: Option<KeyDigest>,
 }
 
 /// Whether and where a client's request is forwarded.
@@ -311,6 +313,7 @@
             path: &arrived.path,
             timeout_ms: arrived.timeout_ms,
             object: arrived.object,
+            key: arrived.key,
         };
         let now_us = self.args.clock.now_us();
         DecisionReply(self.args.core.handle_arrival(&arrival, now_us))
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -175,7 +175,13 @@
         *request.uri_mut() = call.uri.clone();
         *request.headers_mut() = call.headers.clone();
         let left_ms = target.deadline_us.since_us(self.clock.now_us()) / 1_000;
-        set_attempt_headers(request.headers_mut(), &target.upstream, left_ms).ok()?;
+        set_attempt_headers(
+            request.headers_mut(),
+            &target.upstream,
+            left_ms,
+            &target.caller,
+        )
+        .ok()?;
         Some(request)
     }
 
--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -120,6 +120,7 @@
         };
         let target = match decision {
             Decision::NoRoute => return empty(StatusCode::NOT_FOUND),
+            Decision::Unauthorized => return empty(StatusCode::UNAUTHORIZED),
             Decision::Refuse {
                 refusal,
                 retry_after_ms,
@@ -327,6 +328,7 @@
         path: uri.path().to_owned(),
         timeout_ms: request_headers.timeout_ms,
         object: request_headers.object,
+        key: request_headers.key,
     }
 }
 
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -1,6 +1,6 @@
 //! The inputs and results of [`Gate`](crate::Gate).
 
-use plan::InstanceState;
+use plan::{InstanceState, KeyDigest};
 use std::net::SocketAddr;
 use types::{DomainName, ServiceName, TimeUs, UpstreamName};
 
@@ -20,6 +20,19 @@
     /// The hash of the object that the request is for, when the client names one. On sticky routes,
     /// requests for one object mostly go to one upstream.
     pub object: Option<u64>,
+    /// The digest of the key that the client sent, if it sent one.
+    pub key: Option<KeyDigest>,
+}
+
+/// Whose request it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Caller {
+    /// The plan has no tenants, so nobody asked.
+    Untracked,
+    /// The client sent no key, and the route accepts that.
+    Anonymous,
+    /// The tenant of this name holds the key.
+    Tenant(String),
 }
 
 /// A change of what a gateway knows about its upstreams, to be logged.
@@ -83,6 +96,8 @@
     pub address: SocketAddr,
     /// When the client must have the final answer, whatever the number of attempts.
     pub deadline_us: TimeUs,
+    /// Whose request it is, for the upstream.
+    pub caller: Caller,
     /// The number of this attempt, from 1.
     pub attempt: u32,
     /// Whether the request may run more than once.
@@ -141,6 +156,8 @@
 pub enum Decision {
     /// No route matches its host and path.
     NoRoute,
+    /// No tenant holds its key, or it has none and the route wants one.
+    Unauthorized,
     /// It is refused.
     Refuse {
         /// Why the gateway doesn't forward it.
@@ -163,6 +180,8 @@
     pub waiting: u32,
     /// Requests that it can run at once.
     pub slots: u32,
+    /// How long work takes there at this moment, in percent of the usual time; none when it isn't told.
+    pub slowness_percent: Option<u32>,
 }
 
 /// What an upstream asks for in its answer to an attempt.
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -8,7 +8,7 @@
     times::RunTimes, upstream::Upstream, withheld::WithheldRuns,
 };
 use control::{GatewayPoll, GatewayPollAnswer, GatewayReport};
-use plan::{Instance, Limits, PlanChanges, RouteTable, ServiceTerms};
+use plan::{Instance, Limits, PlanChanges, RouteTable, ServiceTerms, TenantTable};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use types::{DomainName, RegionName, ServiceName, TimeUs, UpstreamName};
 
@@ -33,6 +33,7 @@
     limits: Option<Limits>,
     /// None until the first plan arrives.
     pub(crate) table: Option<RouteTable>,
+    pub(crate) tenants: TenantTable,
     /// By route name.
     pub(crate) splits: HashMap<String, Split>,
     /// By route name.
@@ -66,6 +67,7 @@
             plan_version: 0,
             limits: None,
             table: None,
+            tenants: TenantTable::default(),
             splits: HashMap::new(),
             run_times: HashMap::new(),
             services: BTreeMap::new(),
@@ -290,6 +292,7 @@
         self.limits = Some(plan.limits);
         let table = self.table.get_or_insert_default();
         table.apply(plan);
+        self.tenants.apply(plan);
         self.splits.retain(|name, _| table.contains(name));
         self.run_times.retain(|name, _| table.contains(name));
         for route in &plan.routes {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -10,6 +10,7 @@
 mod candidates;
 mod config;
 mod gate;
+mod identity;
 mod mean_load;
 mod poll_schedule;
 mod rank;
@@ -26,7 +27,7 @@
 
 pub use crate::{
     api::{
-        Arrival, BusyUpstream, Decision, Ending, Failure, Load, NextStep, Notices, Refusal,
+        Arrival, BusyUpstream, Caller, Decision, Ending, Failure, Load, NextStep, Notices, Refusal,
         StateChange, Target,
     },
     config::{GateBounds, GateConfig},
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -2,18 +2,19 @@
 
 use crate::{
     api::{
-        Arrival, BusyUpstream, Decision, Ending, Failure, Load, NextStep, Notices, Refusal,
+        Arrival, BusyUpstream, Caller, Decision, Ending, Failure, Load, NextStep, Notices, Refusal,
         StateChange, Target,
     },
     gate::Gate,
+    identity::{Homes, Identity},
     service::{Choice, Criteria},
     split::Split,
     stopping::Stopping,
     times::RunTimes,
     urgency::queue_max_us,
 };
-use plan::{RetrySafety, Route};
-use types::{DomainName, RegionName, ServiceName, TimeUs, UpstreamName};
+use plan::{RetrySafety, Route, Tenant};
+use types::{DomainName, ServiceName, TimeUs, UpstreamName};
 
 /// The shortest time after which a refused client may retry, in milliseconds.
 const RETRY_AFTER_MIN_MS: u64 = 100;
@@ -32,10 +33,11 @@
     service: ServiceName,
     /// The hash of the object that it is for; none unless the route is sticky.
     object: Option<u64>,
-    home_regions: Vec<RegionName>,
+    homes: Homes,
+    caller: Caller,
     attempts_max: u32,
     idempotent: bool,
-    /// The route's priority; 0 is the most urgent.
+    /// The priority of the tenant or, without one, of the route; 0 is the most urgent.
     priority: u32,
     deadline_us: TimeUs,
     target_us: u64,
@@ -61,6 +63,7 @@
         arrival: &Arrival<'_>,
         route: &Route,
         part: usize,
+        (tenant, caller): (Option<&Tenant>, Caller),
         timeout_ms: u64,
         now_us: TimeUs,
     ) -> Self {
@@ -68,10 +71,11 @@
             route: route.name.clone(),
             service: route.parts[part].service.clone(),
             object: arrival.object.filter(|_| route.sticky),
-            home_regions: route.home_regions.clone(),
+            homes: Homes::of(route, tenant),
+            caller,
             attempts_max: route.attempts_max,
             idempotent: route.repeat == RetrySafety::Idempotent,
-            priority: route.priority,
+            priority: tenant.and_then(|it| it.priority).unwrap_or(route.priority),
             deadline_us: now_us.after_ms(timeout_ms),
             target_us: route.target_ms.min(timeout_ms) * 1_000,
             route_target_us: route.target_ms * 1_000,
@@ -92,7 +96,7 @@
     ) -> Criteria<'a> {
         Criteria {
             object: self.object,
-            home_regions: &self.home_regions,
+            homes: &self.homes,
             tried: &self.tried,
             own_domain,
             run_times,
@@ -111,6 +115,10 @@
         let Some(route) = table.find(arrival.host, arrival.path) else {
             return Decision::NoRoute;
         };
+        let identity = Identity::of(arrival, route, &self.tenants);
+        let Some(caller) = identity.caller() else {
+            return Decision::Unauthorized;
+        };
         let stopping = self.stopping;
         if stopping.is_some_and(|it| it.accepts_until_us.reached(now_us)) {
             return refuse(Refusal::Stopping, RETRY_AFTER_MIN_MS);
@@ -123,7 +131,14 @@
         let Some(part) = split.and_then(Split::next) else {
             return refuse(Refusal::NoUpstream, RETRY_AFTER_MAX_MS);
         };
-        let pending = PendingRequest::new(arrival, route, part, timeout_ms, now_us);
+        let pending = PendingRequest::new(
+            arrival,
+            route,
+            part,
+            (identity.tenant(), caller),
+            timeout_ms,
+            now_us,
+        );
         self.admit(arrival.request, pending, now_us)
     }
 
@@ -327,6 +342,7 @@
             upstream: instance.id.clone(),
             address: instance.address,
             deadline_us: pending.deadline_us,
+            caller: pending.caller.clone(),
             attempt: u32::try_from(pending.tried.len()).unwrap_or(u32::MAX),
             idempotent: pending.idempotent,
             expected_wait_ms: (choice.wait_us / 1e3) as u64,
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -8,6 +8,7 @@
     bucket::TokenBucket,
     candidates::{Grouping, Standing, candidates},
     config::GateBounds,
+    identity::Homes,
     mean_load::MeanLoad,
     regions::{RebalanceParams, RegionLoad, RegionShares},
     times::RunTimes,
@@ -59,8 +60,8 @@
 pub(crate) struct Criteria<'a> {
     /// The hash of the object that the request is for; set on sticky routes only.
     pub(crate) object: Option<u64>,
-    /// The only regions that may run the request; empty when any may.
-    pub(crate) home_regions: &'a [RegionName],
+    /// The regions that may run the request.
+    pub(crate) homes: &'a Homes,
     /// Upstreams that earlier attempts went to; they are not chosen again.
     pub(crate) tried: &'a [UpstreamName],
     /// The gateway's own failure domain.
@@ -253,8 +254,7 @@
     fn usable(&self, criteria: Criteria<'_>, now_us: TimeUs) -> Vec<usize> {
         let allowed = |index: &usize| {
             let upstream = &self.upstreams[*index];
-            let in_home_region = criteria.home_regions.is_empty()
-                || criteria.home_regions.contains(&upstream.region);
+            let in_home_region = criteria.homes.contain(&upstream.region);
             let cold_rate_allows = !upstream.is_cold(now_us) || upstream.cold_bucket.has_one();
             let was_tried = criteria.tried.contains(&upstream.instance.id);
             upstream.accepts_requests(now_us) && in_home_region && cold_rate_allows && !was_tried
--- a/crates/gate/tests/choice.rs
+++ b/crates/gate/tests/choice.rs
@@ -87,6 +87,7 @@
             running: 3,
             waiting,
             slots: 3,
+            slowness_percent: None,
         };
         let target = forwarded(gate.handle_arrival(&arrival("/browse/1"), at_ms(ms)));
         gate.attempt_ended(target.request, Ending::Left, Some(load), at_ms(ms));
@@ -166,6 +167,7 @@
         running: 900,
         waiting: 0,
         slots: 3_000,
+        slowness_percent: None,
     };
     let mut counts: BTreeMap<(u64, String), u32> = BTreeMap::new();
     for (ms, object) in objects() {
@@ -244,6 +246,7 @@
                 running,
                 waiting: 0,
                 slots: 1_000,
+                slowness_percent: None,
             };
             gate.attempt_ended(target.request, Ending::Answered, Some(load), at_ms(ms + 5));
         }
--- a/crates/gate/tests/loads.rs
+++ b/crates/gate/tests/loads.rs
@@ -25,12 +25,14 @@
     running: 1,
     waiting: 0,
     slots: 3,
+    slowness_percent: None,
 };
 
 const NONSENSE: Load = Load {
     running: u32::MAX,
     waiting: u32::MAX,
     slots: 8,
+    slowness_percent: None,
 };
 
 fn serving() -> Gate {
@@ -74,7 +76,7 @@
                     assert_eq!(refusal, Refusal::Overloaded);
                     served.refused += 1;
                 }
-                Decision::NoRoute => panic!("no route matches"),
+                Decision::NoRoute | Decision::Unauthorized => panic!("no route matches"),
             }
         }
         for target in targets {
@@ -125,6 +127,7 @@
         running: 3,
         waiting: 18,
         slots: 3,
+        slowness_percent: None,
     };
     let mut gate = serving();
     let overloaded = send(&mut gate, 0, 4_000, |_| OVERLOADED);
@@ -139,6 +142,7 @@
         running: 3,
         waiting: 18,
         slots: 3,
+        slowness_percent: None,
     };
     let mut gate = serving();
     send(&mut gate, 0, 5_000, |_| OVERLOADED);
@@ -160,7 +164,9 @@
         let mut gate = serving();
         let mut reports = reports.into_iter();
         send(&mut gate, 0, 2_000, |_| match reports.next() {
-            Some((running, waiting, slots)) => Load { running, waiting, slots },
+            Some((running, waiting, slots)) => Load { running, waiting, slots,
+        slowness_percent: None,
+},
             None => SOUND,
         });
         assert_served_again(&mut gate, 2_000);
--- a/crates/gate/tests/requests.rs
+++ b/crates/gate/tests/requests.rs
@@ -29,7 +29,7 @@
 fn refusal(decision: &Decision) -> Option<Refusal> {
     match decision {
         Decision::Refuse { refusal, .. } => Some(*refusal),
-        Decision::NoRoute | Decision::Forward(_) => None,
+        Decision::NoRoute | Decision::Unauthorized | Decision::Forward(_) => None,
     }
 }
 
@@ -300,6 +300,7 @@
         running: 3,
         waiting: 24,
         slots: 3,
+        slowness_percent: None,
     };
     let mut refused = None;
     for n in 0..60 {
@@ -318,7 +319,7 @@
                 refused = Some(refusal);
                 assert!(retry_after_ms >= 100);
             }
-            Decision::NoRoute => panic!("no route matches"),
+            Decision::NoRoute | Decision::Unauthorized => panic!("no route matches"),
         }
     }
     assert_eq!(refused, Some(Refusal::Overloaded));
@@ -333,6 +334,7 @@
         running: 3,
         waiting: 9,
         slots: 3,
+        slowness_percent: None,
     };
     for n in 0..8 {
         if let Decision::Forward(target) = gate.handle_arrival(&arrival("/browse/1"), at_ms(n)) {
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -89,6 +89,7 @@
         attempts_max: 2,
         sticky: false,
         home_regions: Vec::new(),
+        allow_anonymous: false,
     }
 }
 
@@ -108,6 +109,7 @@
             header_timeout_ms: 3_000,
             idle_timeout_ms: 15_000,
         },
+        tenants: Vec::new(),
     }
 }
 
@@ -139,6 +141,7 @@
         clock_ms: 1_000,
         knows_leader: true,
         is_current: true,
+        is_certain: true,
         members: vec!["10.1.0.1".to_owned()],
         gateways: 4,
         interval_ms: 400,
@@ -167,6 +170,7 @@
         path,
         timeout_ms: Some(3_000),
         object: None,
+        key: None,
     }
 }
 
--- a/crates/gate/tests/urgency.rs
+++ b/crates/gate/tests/urgency.rs
@@ -72,6 +72,7 @@
                 running: running.len() as u32,
                 waiting: waiting.len() as u32,
                 slots: SLOTS,
+                slowness_percent: None,
             };
             gate.attempt_ended(request, Ending::Answered, Some(load), at_ms(ms));
             let taken_ms = ms - job.arrived_ms;
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -12,6 +12,8 @@
 mod model;
 mod steering;
 mod table;
+mod tenant;
+mod tenants;
 mod validate;
 
 pub use crate::{
@@ -21,5 +23,7 @@
     model::{Limits, Plan, RetrySafety, Route, ServiceTerms, WeightedService},
     steering::{INACTIVE_MAX, Steering, SteeringChanges},
     table::RouteTable,
+    tenant::{InvalidDigest, KeyDigest, Tenant},
+    tenants::TenantTable,
     validate::{InvalidPlan, validate},
 };
--- a/crates/plan/src/model.rs
+++ b/crates/plan/src/model.rs
@@ -1,5 +1,6 @@
 //! The plan, as operators declare it.
 
+use crate::tenant::Tenant;
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
 use types::{RegionName, ServiceName};
@@ -56,6 +57,9 @@
     pub sticky: bool,
     /// The only regions that may run the requests; empty when any may.
     pub home_regions: Vec<RegionName>,
+    /// Whether requests without a key are accepted though the plan has tenants.
+    #[serde(default)]
+    pub allow_anonymous: bool,
 }
 
 /// The limits that hold for each upstream of a service.
@@ -97,4 +101,7 @@
     pub services: Vec<ServiceTerms>,
     /// The limits on clients.
     pub limits: Limits,
+    /// The tenants, with unique names and keys. When there are any, requests need a key.
+    #[serde(default)]
+    pub tenants: Vec<Tenant>,
 }
--- a/crates/plan/src/steering.rs
+++ b/crates/plan/src/steering.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     change::{Change, ChangeResult, DeclarationError, Document, PlanDeclaration},
-    changes::{PlanChanges, RouteHistory},
+    changes::{PlanChanges, PlanHistory},
     instance::{Instance, InstanceState, Registration, RegistrationStatus},
     instances::Instances,
     model::Plan,
@@ -35,7 +35,7 @@
     pub instances: Vec<Instance>,
 }
 
-/// The plan in force, with its document and the history of its routes.
+/// The plan in force, with its document and the history of its routes and tenants.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 struct InForce {
@@ -43,7 +43,7 @@
     document: Document,
     /// The log index at which the plan came into force.
     revision: u64,
-    history: RouteHistory,
+    history: PlanHistory,
 }
 
 /// The plan in force, the evacuated failure domains and the instances.
@@ -154,8 +154,8 @@
         }
     }
 
-    /// How many routes and instances changed since a log index; for a poll that gets the whole state,
-    /// how many are recorded. Copies nothing.
+    /// How many routes, tenants and instances changed since a log index; for a poll that gets the whole
+    /// state, how many are recorded. Copies nothing.
     #[must_use]
     pub fn count_changes_since(&self, index: u64) -> usize {
         if index >= self.revision {
@@ -163,12 +163,12 @@
         }
         let in_force = self.in_force.as_ref();
         if self.is_complete_since(index) {
-            let routes = in_force.map_or(0, |it| it.plan.routes.len());
-            return self.instances.len() + routes;
+            let named = in_force.map_or(0, |it| it.plan.routes.len() + it.plan.tenants.len());
+            return self.instances.len() + named;
         }
         let changed = in_force.filter(|it| it.revision > index);
-        let routes = changed.map_or(0, |it| it.history.changed_routes(&it.plan, index).count());
-        self.instances.changed_since(index).count() + routes
+        let named = changed.map_or(0, |it| it.history.count_changed(&it.plan, index));
+        self.instances.changed_since(index).count() + named
     }
 
     /// Whether a poll from this index gets the whole state.
--- a/crates/plan/src/validate.rs
+++ b/crates/plan/src/validate.rs
@@ -1,10 +1,16 @@
 //! Checks that a plan is consistent.
 
-use crate::model::{Plan, Route};
+use crate::{
+    model::{Plan, Route},
+    tenant::{KeyDigest, Tenant},
+};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use thiserror::Error;
 
+/// The longest name of a tenant, in bytes.
+const TENANT_NAME_MAX_BYTES: usize = 255;
+
 /// Why a plan is refused.
 #[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -51,6 +57,39 @@
         /// The name of the route.
         route: String,
     },
+    /// A tenant's name can't be stated in a header: it is empty, too long, or has characters other than
+    /// visible ASCII.
+    #[error("tenant {tenant:?} has no name of 1 to 255 visible ASCII characters")]
+    TenantName {
+        /// The rejected name.
+        tenant: String,
+    },
+    /// Two tenants have the same name.
+    #[error("two tenants have the name {tenant}")]
+    SameTenant {
+        /// The name of both tenants.
+        tenant: String,
+    },
+    /// A key is empty, so that requests without a key would have it.
+    #[error("key {position} of tenant {tenant} is empty")]
+    EmptyKey {
+        /// The name of the tenant.
+        tenant: String,
+        /// The position of the key, from 1.
+        position: usize,
+    },
+    /// Two tenants have the same key, or one has it twice. The key itself is not told.
+    #[error("key {position} of tenant {tenant} is also key {other_position} of tenant {other}")]
+    SameKey {
+        /// The tenant that has it later in the plan.
+        tenant: String,
+        /// Its position there, from 1.
+        position: usize,
+        /// The tenant that has it first.
+        other: String,
+        /// Its position there, from 1.
+        other_position: usize,
+    },
     /// The plan can't be encoded as JSON.
     #[error("the plan can't be encoded as JSON")]
     #[serde(rename = "form")]
@@ -89,7 +128,7 @@
             });
         }
     }
-    Ok(())
+    check_tenants(&plan.tenants)
 }
 
 fn check_route(route: &Route, services: &BTreeSet<&str>) -> Result<(), InvalidPlan> {
@@ -117,3 +156,40 @@
         None => Ok(()),
     }
 }
+
+fn check_tenants(tenants: &[Tenant]) -> Result<(), InvalidPlan> {
+    let mut names = BTreeSet::new();
+    let mut places: HashMap<&KeyDigest, (&str, usize)> = HashMap::new();
+    for tenant in tenants {
+        let name = tenant.name.as_str();
+        let is_visible = name.bytes().all(|byte| byte.is_ascii_graphic());
+        if name.is_empty() || name.len() > TENANT_NAME_MAX_BYTES || !is_visible {
+            return Err(InvalidPlan::TenantName {
+                tenant: name.to_owned(),
+            });
+        }
+        if !names.insert(name) {
+            return Err(InvalidPlan::SameTenant {
+                tenant: name.to_owned(),
+            });
+        }
+        for (index, key) in tenant.keys.iter().enumerate() {
+            let position = index + 1;
+            if key.is_of_empty_key() {
+                return Err(InvalidPlan::EmptyKey {
+                    tenant: name.to_owned(),
+                    position,
+                });
+            }
+            if let Some((other, other_position)) = places.insert(key, (name, position)) {
+                return Err(InvalidPlan::SameKey {
+                    tenant: name.to_owned(),
+                    position,
+                    other: other.to_owned(),
+                    other_position,
+                });
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/plan/tests/changes.rs
+++ b/crates/plan/tests/changes.rs
@@ -22,6 +22,7 @@
         attempts_max: 2,
         sticky: false,
         home_regions: Vec::new(),
+        allow_anonymous: false,
     }
 }
 
@@ -41,6 +42,7 @@
             header_timeout_ms: 3_000,
             idle_timeout_ms: 15_000,
         },
+        tenants: Vec::new(),
     }
 }
 
--- a/crates/plan/tests/foreign_reports.rs
+++ b/crates/plan/tests/foreign_reports.rs
@@ -41,6 +41,7 @@
                 header_timeout_ms: 3_000,
                 idle_timeout_ms: 15_000,
             },
+            tenants: Vec::new(),
         },
         document: Document::Own,
         based_on: version - 1,
