Count how slow an upstream says it is, for the moment it says so

Cause: the fourth figure of upstreams' loads was decoded and used by nothing. A gateway learned of a slow moment only by runs that took long, and kept away from the upstream for seconds afterwards.

--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -18,6 +18,7 @@
 mod requests;
 mod service;
 mod slack;
+mod slowness;
 mod split;
 mod stopping;
 mod times;
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -217,7 +217,7 @@
         self.mean_time_us += TIME_WEIGHT * (taken_us - self.mean_time_us);
         let upstream = &mut self.upstreams[index];
         if !upstream.is_cold(now_us) {
-            upstream.record_slowness(taken_us / usual_us, now_us);
+            upstream.slowness.record_run(taken_us / usual_us, now_us);
         }
     }
 
@@ -279,17 +279,18 @@
         let upstream = &self.upstreams[index];
         let slots = f64::from(upstream.instance.slots.max(1));
         let load = upstream.load(self.mean_load.requests(now_us), now_us);
-        let slowness = upstream.slowness(now_us);
         let knows_object = |object| upstream.recently_sent(object);
         let has_affinity = match standing {
             Standing::Any | Standing::First => true,
             Standing::Next => criteria.object.is_some_and(knows_object),
         };
-        let mut run_us = criteria.run_times.run_us(has_affinity) * slowness;
+        let queue = (load + 1.0 - slots).max(0.0);
+        let usual_wait_us = queue * self.mean_time_us / slots;
+        let wait_us = usual_wait_us * upstream.slowness.mean_over(usual_wait_us, now_us);
+        let run_slowness = upstream.slowness.after(wait_us, now_us);
+        let mut run_us = criteria.run_times.run_us(has_affinity) * run_slowness;
         // The first slow run at a next upstream is not wasted: what overflows later finds affinity.
         let usual_us = run_us;
-        let queue = (load + 1.0 - slots).max(0.0);
-        let wait_us = queue * self.mean_time_us * slowness / slots;
         if upstream.is_cold(now_us) {
             run_us *= COLD_RATIO;
         }
--- a/crates/gate/src/upstream.rs
+++ b/crates/gate/src/upstream.rs
@@ -3,6 +3,7 @@
 use crate::{
     api::{Ending, Load},
     bucket::TokenBucket,
+    slowness::Slowness,
     withheld::Withheld,
 };
 use plan::{Instance, InstanceState};
@@ -20,12 +21,6 @@
 /// The weight of a new sample in the moving average of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
 
-/// The weight of a new sample in the moving average of slowness.
-const SLOWNESS_WEIGHT: f64 = 0.15;
-
-/// The time constant with which slowness decays to 1 while there are no samples, in microseconds.
-const SLOWNESS_DECAY_US: f64 = 6_000_000.0;
-
 /// An upstream is paused after this many failed attempts in a row.
 const FAILURES_MAX: u32 = 3;
 
@@ -65,10 +60,8 @@
     /// The length of the next pause.
     pause_ms: u64,
     paused_until_us: TimeUs,
-    /// The moving average of the run time here divided by the route's usual run time, as of
-    /// `slowness_us`.
-    slowness: f64,
-    slowness_us: TimeUs,
+    /// How long work takes here, compared with the usual time.
+    pub(crate) slowness: Slowness,
     /// Limits the requests that are sent while it is cold.
     pub(crate) cold_bucket: TokenBucket,
     /// The objects of the latest requests that this gateway sent there, the latest at the end.
@@ -95,8 +88,7 @@
             consecutive_failures: 0,
             pause_ms: PAUSE_MIN_MS,
             paused_until_us: now_us,
-            slowness: 1.0,
-            slowness_us: now_us,
+            slowness: Slowness::new(now_us),
             cold_bucket: TokenBucket::new(0.0, now_us),
             recent_objects: VecDeque::new(),
         }
@@ -137,12 +129,6 @@
             + (1.0 - freshness) * mean_other_requests
     }
 
-    /// The estimated run time here divided by the usual run time; 1 without samples.
-    pub(crate) fn slowness(&self, now_us: TimeUs) -> f64 {
-        let age_us = now_us.since_us(self.slowness_us) as f64;
-        1.0 + (self.slowness - 1.0) * (-age_us / SLOWNESS_DECAY_US).exp()
-    }
-
     /// Records a load report; returns how many requests it has from other gateways, as far as its
     /// slots make that credible.
     pub(crate) fn record_load(&mut self, load: Load, now_us: TimeUs) -> f64 {
@@ -153,16 +139,12 @@
         let other_requests = (reported - f64::from(self.own_requests)).clamp(0.0, credible_max);
         self.other_requests = other_requests;
         self.reported_us = now_us;
+        if let Some(percent) = load.slowness_percent {
+            self.slowness.record_stated(percent, now_us);
+        }
         other_requests
     }
 
-    /// Records the ratio of a request's run time to the usual run time.
-    pub(crate) fn record_slowness(&mut self, ratio: f64, now_us: TimeUs) {
-        let slowness = self.slowness(now_us);
-        self.slowness = slowness + SLOWNESS_WEIGHT * (ratio - slowness);
-        self.slowness_us = now_us;
-    }
-
     /// Whether this gateway lately sent a request for an object there.
     pub(crate) fn recently_sent(&self, object: u64) -> bool {
         self.recent_objects.contains(&object)
