Ask an upstream for its load before a request, and share objects between two upstreams (trial)

Cause: 12 to 15 percent of the runs at upstreams that know the object take long because the upstream is slow at the moment; the figure in answers is old when the next request comes. Connections were kept idle for 3 s at most, and 70 percent of the requests opened a new one.

Change: a health check before a request where upstreams are often slow, an object's requests at two upstreams, and idle connections for as long as upstreams advertise.

--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -85,6 +85,7 @@
     let idle = pool
         .ask(Take {
             address: target.address,
+            fresh: false,
         })
         .await
         .ok()
@@ -156,11 +157,13 @@
     deadline: Instant,
 ) {
     if let Ok(Ok(_)) = timeout_at(deadline, response.into_body().collect()).await {
+        let expires = Instant::now() + IDLE_TIMEOUT;
         let _ = pool
             .tell(Put {
                 address,
                 connection,
-                expires: Instant::now() + IDLE_TIMEOUT,
+                fresh_until: expires,
+                expires,
             })
             .await;
     }
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -138,10 +138,12 @@
             answer,
         );
         if let Some(connection) = self.connection.take() {
+            let expires = Instant::now() + IDLE_TIMEOUT;
             let put = Put {
                 address: self.address,
                 connection,
-                expires: Instant::now() + IDLE_TIMEOUT,
+                fresh_until: expires,
+                expires,
             };
             let _ = self.pool.tell(put).try_send();
         }
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -2,7 +2,7 @@
 //! attempt; the actor polls the control replicas over links and publishes the limits of the plan.
 
 use crate::{clock::Clock, gateway::metrics::GatewayMetrics, replicas::ReplicaLinks};
-use gate::{Arrival, Decision, Ending, Gate, Load, NextStep, Notices, StateChange};
+use gate::{Arrival, Decision, Ending, Gate, Load, NextStep, Notices, StateChange, Target};
 use kameo::{
     Actor, Reply,
     actor::ActorRef,
@@ -117,6 +117,20 @@
     pub notices: Notices,
 }
 
+/// The upstream of a request's current attempt answered a health check with its load, before the request is
+/// sent. The reply is where to send it, if that has changed.
+#[derive(Clone, Copy, Debug)]
+pub struct HealthAnswered {
+    /// ID of the request.
+    pub request: u64,
+    /// Load that the upstream reported.
+    pub load: Load,
+}
+
+/// Where to send a request after a health check; none to stay with the earlier target.
+#[derive(Debug, Reply)]
+pub struct TargetReply(pub Option<Target>);
+
 /// The delivery of an answer, whose beginning has gone to the client, ended.
 #[derive(Debug)]
 pub struct DeliveryEnded {
@@ -348,6 +362,19 @@
     }
 }
 
+impl Message<HealthAnswered> for GatewayActor {
+    type Reply = TargetReply;
+
+    async fn handle(
+        &mut self,
+        HealthAnswered { request, load }: HealthAnswered,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        let now_us = self.args.clock.now_us();
+        TargetReply(self.args.core.health_answered(request, load, now_us))
+    }
+}
+
 impl Message<DeliveryEnded> for GatewayActor {
     type Reply = ();
 
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -7,8 +7,11 @@
 };
 use bytes::{Bytes, BytesMut};
 use gate::{Ending, Load, Notices, Target};
-use http_body_util::{BodyExt, Full};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    header::{HOST, HeaderValue},
+};
 use kameo::actor::ActorRef;
 use platform::{
     AnswerHeaders, NotRun, decode_answer_headers, decode_request_headers, set_attempt_headers,
@@ -20,14 +23,25 @@
 /// lost packet on the longest path between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time for the answer to a health check; after it, the request is sent without. Upstreams that state their
+/// slowness answer at once, and only those of the own region are asked, but a gateway's link may be busy.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// The largest body of an answer to a health check; with a larger one the connection is closed.
+const HEALTH_BODY_MAX_BYTES: usize = 4 * 1024;
+
 /// How much of an answer is buffered before any of it goes to the client. An answer that breaks off
 /// earlier can still be replaced by a retry; a larger one is streamed.
 const BUFFER_MAX_BYTES: usize = 256 * 1024;
 
-/// How long an idle connection may be reused when the upstream advertises no idle timeout or a
-/// longer one.
+/// How long an idle connection may be reused when the upstream advertises no idle timeout, and for a
+/// request that may run only once in any case: an upstream may forget a connection earlier than it says.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// How long an idle connection may be reused at most, whatever the upstream advertises. A gateway of a
+/// large fleet sends to one upstream every few seconds.
+const ADVERTISED_IDLE_MAX: Duration = Duration::from_secs(15);
+
 /// How long before the idle timeout that the upstream advertises a connection is no longer reused.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
@@ -65,6 +79,17 @@
     pub response: Option<UpstreamAnswer>,
 }
 
+/// The result of a health check.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    /// The upstream stated its load.
+    Load(Load),
+    /// It did not answer in time, or without stating its load.
+    Unknown,
+    /// No connection could be opened.
+    Unreachable,
+}
+
 /// An upstream's answer.
 #[derive(Debug)]
 pub enum UpstreamAnswer {
@@ -75,7 +100,8 @@
 }
 
 impl Outcome {
-    const fn without_answer(ending: Ending) -> Self {
+    /// The result of an attempt that got no usable answer.
+    pub const fn without_answer(ending: Ending) -> Self {
         Self {
             ending,
             load: None,
@@ -158,9 +184,46 @@
         }
     }
 
+    /// Asks the upstream of `target` for its load, over a connection that the request can use afterwards.
+    pub async fn check_health(&self, target: &Target, path: &str) -> Health {
+        self.metrics.health_checks.inc();
+        let deadline = self.clock.instant(target.deadline_us);
+        let Some(connection) = self.connection(target, deadline).await else {
+            return Health::Unreachable;
+        };
+        let deadline = deadline.min(Instant::now() + HEALTH_TIMEOUT);
+        let load = self.load(connection, target, path, deadline).await;
+        load.map_or(Health::Unknown, Health::Load)
+    }
+
+    /// The load that the upstream states in the answer to a health check, if that comes before the deadline.
+    async fn load(
+        &self,
+        mut connection: Connection,
+        target: &Target,
+        path: &str,
+        deadline: Instant,
+    ) -> Option<Load> {
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = path.parse().ok()?;
+        let host = HeaderValue::from_str(&target.address.to_string()).ok()?;
+        request.headers_mut().insert(HOST, host);
+        let response = timeout_at(deadline, connection.send(request)).await.ok()?;
+        let (head, body) = response.ok()?.into_parts();
+        let answer = decode_answer_headers(head.status, &head.headers, None);
+        let body = Limited::new(body, HEALTH_BODY_MAX_BYTES).collect();
+        let is_whole = timeout_at(deadline, body).await.is_ok_and(|it| it.is_ok());
+        if is_whole && !answer.closes_connection {
+            self.return_connection(target, connection, &answer).await;
+        }
+        answer.load
+    }
+
     async fn connection(&self, target: &Target, deadline: Instant) -> Option<Connection> {
         let address = target.address;
-        let idle = self.pool.ask(Take { address }).await.ok().flatten();
+        let fresh = !target.idempotent;
+        let idle = self.pool.ask(Take { address, fresh }).await;
+        let idle = idle.ok().flatten();
         if idle.is_some() {
             return idle;
         }
@@ -193,11 +256,13 @@
     ) {
         let advertised = answer.keep_alive_ms.map(Duration::from_millis);
         let advertised = advertised.map(|idle| idle.saturating_sub(IDLE_MARGIN));
-        let idle = advertised.unwrap_or(IDLE_TIMEOUT).min(IDLE_TIMEOUT);
+        let idle = advertised.unwrap_or(IDLE_TIMEOUT).min(ADVERTISED_IDLE_MAX);
+        let now = Instant::now();
         let put = Put {
             address: target.address,
             connection,
-            expires: Instant::now() + idle,
+            fresh_until: now + IDLE_TIMEOUT,
+            expires: now + idle,
         };
         // When the pool has ended, the connection is dropped and closes.
         let _ = self.pool.tell(put).await;
--- a/crates/daemon/src/gateway/guard.rs
+++ b/crates/daemon/src/gateway/guard.rs
@@ -1,10 +1,10 @@
 //! Reports each request that the core may hold as in flight to the actor until it has ended.
 
 use crate::gateway::actor::{
-    AttemptEnded, ClientLeft, DecisionReply, DeliveryEnded, GatewayActor, NextReply,
-    NoticesReceived, RequestArrived,
+    AttemptEnded, ClientLeft, DecisionReply, DeliveryEnded, GatewayActor, HealthAnswered,
+    NextReply, NoticesReceived, RequestArrived, TargetReply,
 };
-use gate::{Decision, Ending, Failure, Load, NextStep, Notices};
+use gate::{Decision, Ending, Failure, Load, NextStep, Notices, Target};
 use kameo::actor::ActorRef;
 
 /// A client's request that the core may hold as in flight. Dropping it, as when the client closes
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Reports the load that the upstream stated in a health check; returns where to send the request, if
+    /// that has changed.
+    pub async fn report_health(&self, load: Load) -> Option<Target> {
+        let request = self.request;
+        let reply = self.actor.ask(HealthAnswered { request, load }).await;
+        reply.ok().and_then(|TargetReply(target)| target)
+    }
+
     /// Reports the end of an attempt to the core and returns what to do next.
     pub async fn end_attempt(&mut self, ending: Ending, load: Option<Load>) -> NextStep {
         let ended = AttemptEnded {
--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -5,7 +5,7 @@
     clock::Clock,
     gateway::{
         actor::{GatewayActor, QueryStatus, RequestArrived},
-        attempt::{AttemptRunner, Call, UpstreamAnswer},
+        attempt::{AttemptRunner, Call, Health, Outcome, UpstreamAnswer},
         bodies::{Bodies, ReadError},
         guard::RequestGuard,
         metrics::GatewayMetrics,
@@ -180,7 +180,10 @@
     ) -> Response<Body> {
         let mut failed = false;
         let response = loop {
-            let outcome = self.attempt_runner.run(call, &target).await;
+            let outcome = match self.check_health(&mut target, &guard).await {
+                true => self.attempt_runner.run(call, &target).await,
+                false => Outcome::without_answer(Ending::NotSent),
+            };
             guard.report_notices(outcome.notices).await;
             let response = match (outcome.ending, outcome.response) {
                 (Ending::Answered, Some(UpstreamAnswer::Streamed(response))) => {
@@ -227,6 +230,24 @@
         response
     }
 
+    /// Asks the upstream for its load first where the core wants that, and changes the target if another one
+    /// is faster at the moment. Returns whether the upstream can be reached, as far as is known.
+    async fn check_health(&self, target: &mut Target, guard: &RequestGuard) -> bool {
+        let Some(path) = target.health_path.take() else {
+            return true;
+        };
+        match self.attempt_runner.check_health(target, &path).await {
+            Health::Load(load) => {
+                if let Some(chosen) = guard.report_health(load).await {
+                    *target = chosen;
+                }
+                true
+            }
+            Health::Unknown => true,
+            Health::Unreachable => false,
+        }
+    }
+
     /// What is reported at the end of an answer that is streamed to the client.
     fn delivery(
         &self,
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -45,6 +45,8 @@
     pub retries: Counter,
     /// Connections to upstreams that the gateway tried to open.
     pub connections: Counter,
+    /// Health checks of upstreams before a request is sent there.
+    pub health_checks: Counter,
     /// Control replicas that did not send large changes in time.
     pub fetch_timeouts: Counter,
     /// Version of the plan in force.
@@ -63,6 +65,7 @@
             answered_s: Family::new_with_constructor(latency_histogram),
             retries: Counter::default(),
             connections: Counter::default(),
+            health_checks: Counter::default(),
             fetch_timeouts: Counter::default(),
             plan_version: Gauge::default(),
             small_body_room: Gauge::default(),
@@ -81,6 +84,11 @@
         );
         registry.register("repeats", "Attempts beyond the first", retries);
         registry.register("connections", "Connections to upstreams", connections);
+        registry.register(
+            "health_checks",
+            "Health checks before a request is sent",
+            metrics.health_checks.clone(),
+        );
         registry.register("refused", "Requests not forwarded, by cause", refused);
         registry.register("attempts", "Attempts, by how they ended", ended);
         registry.register(
--- a/crates/daemon/src/http/pool.rs
+++ b/crates/daemon/src/http/pool.rs
@@ -14,10 +14,11 @@
 /// Largest number of idle connections kept per upstream; beyond it, the oldest is closed.
 const IDLE_PER_UPSTREAM_MAX: usize = 32;
 
-/// An idle connection and the time until which it may be reused.
+/// An idle connection and the times until which it may be reused.
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
+    fresh_until: Instant,
     expires: Instant,
 }
 
@@ -32,6 +33,9 @@
 pub struct Take {
     /// Address of the upstream, the key of the pool.
     pub address: SocketAddr,
+    /// Whether only a connection that was used lately will do, as for a request that can't be sent again
+    /// when the upstream has dropped the connection.
+    pub fresh: bool,
 }
 
 /// Returns a connection to the pool after a complete exchange.
@@ -41,6 +45,8 @@
     pub address: SocketAddr,
     /// The connection, with no request in flight.
     pub connection: Connection,
+    /// Until when the connection counts as used lately, if that is before `expires`.
+    pub fresh_until: Instant,
     /// When the connection must no longer be reused, since the upstream may close it.
     pub expires: Instant,
 }
@@ -50,12 +56,16 @@
 
     async fn handle(
         &mut self,
-        Take { address }: Take,
+        Take { address, fresh }: Take,
         _: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
         let idle = self.idle.get_mut(&address)?;
         let now = Instant::now();
-        while let Some(idle_connection) = idle.pop_back() {
+        while let Some(last) = idle.back() {
+            if fresh && last.fresh_until <= now {
+                return None;
+            }
+            let idle_connection = idle.pop_back()?;
             if idle_connection.connection.is_ready() && idle_connection.expires > now {
                 return Some(idle_connection.connection);
             }
@@ -73,6 +83,7 @@
         Put {
             address,
             connection,
+            fresh_until,
             expires,
         }: Put,
         _: &mut Context<Self, Self::Reply>,
@@ -87,6 +98,7 @@
         }
         idle.push_back(Idle {
             connection,
+            fresh_until,
             expires,
         });
     }
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -102,6 +102,9 @@
     pub attempt: u32,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// The path of a health check to send there first; its answer goes to
+    /// [`Gate::health_answered`](crate::Gate::health_answered). None when the request is sent at once.
+    pub health_path: Option<String>,
     /// How long the request is expected to queue there, in milliseconds.
     pub expected_wait_ms: u64,
     /// How long it is expected to run there after that, in milliseconds.
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -39,8 +39,8 @@
     /// By route name.
     pub(crate) run_times: HashMap<String, RunTimes>,
     pub(crate) services: BTreeMap<ServiceName, Service>,
-    /// Requests per second that all gateways together may send to one cold upstream of a service.
-    cold_per_s: HashMap<ServiceName, f64>,
+    /// The declared terms of the services.
+    service_terms: HashMap<ServiceName, ServiceTerms>,
     evacuated: BTreeSet<DomainName>,
     pub(crate) withheld_runs: WithheldRuns,
     /// Gateways of the whole deployment, as the control replicas count them; at least 1.
@@ -71,7 +71,7 @@
             splits: HashMap::new(),
             run_times: HashMap::new(),
             services: BTreeMap::new(),
-            cold_per_s: HashMap::new(),
+            service_terms: HashMap::new(),
             evacuated: BTreeSet::new(),
             withheld_runs: WithheldRuns::default(),
             gateway_count: 1,
@@ -272,11 +272,11 @@
 
     /// Returns the service of this name, which is created when missing.
     pub(crate) fn service_mut(&mut self, name: &ServiceName, now_us: TimeUs) -> &mut Service {
-        let cold_per_s = self.cold_per_s.get(name).copied().unwrap_or_default();
+        let terms = self.service_terms.get(name);
         let own_region = &self.config.region;
         self.services
             .entry(name.clone())
-            .or_insert_with(|| Service::new(own_region.clone(), cold_per_s, now_us))
+            .or_insert_with(|| Service::new(own_region.clone(), now_us).with_terms(terms))
     }
 
     /// The region of a failure domain; the gateway's own region when the settings don't list it.
@@ -303,11 +303,10 @@
                 self.splits.insert(route.name.clone(), Split::new(route));
             }
         }
-        let per_s = |terms: &ServiceTerms| terms.cold_milli_per_s as f64 / 1e3;
         let terms = plan.services.iter();
-        self.cold_per_s = terms.map(|it| (it.name.clone(), per_s(it))).collect();
+        self.service_terms = terms.map(|it| (it.name.clone(), it.clone())).collect();
         for (name, service) in &mut self.services {
-            service.cold_per_s = self.cold_per_s.get(name).copied().unwrap_or_default();
+            service.set_terms(self.service_terms.get(name));
         }
     }
 
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -12,6 +12,7 @@
 mod gate;
 mod identity;
 mod mean_load;
+mod objects;
 mod poll_schedule;
 mod rank;
 mod regions;
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -5,6 +5,7 @@
         Arrival, BusyUpstream, Caller, Decision, Ending, Failure, Load, NextStep, Notices, Refusal,
         StateChange, Target,
     },
+    config::GateConfig,
     gate::Gate,
     identity::{Homes, Identity},
     service::{Choice, Criteria},
@@ -14,7 +15,7 @@
     urgency::queue_max_us,
 };
 use plan::{RetrySafety, Route, Tenant};
-use types::{DomainName, ServiceName, TimeUs, UpstreamName};
+use types::{ServiceName, TimeUs, UpstreamName, fnv1a};
 
 /// The shortest time after which a refused client may retry, in milliseconds.
 const RETRY_AFTER_MIN_MS: u64 = 100;
@@ -54,6 +55,8 @@
     /// Whether that upstream had a free slot when the attempt was sent, so that its time is all run
     /// time.
     had_free_slot: bool,
+    /// Whether an upstream was asked for its load before the current attempt.
+    was_health_checked: bool,
     /// Whether an upstream may have run any attempt that ended.
     may_have_run: bool,
 }
@@ -84,13 +87,14 @@
             sent_us: now_us,
             has_affinity: false,
             had_free_slot: false,
+            was_health_checked: false,
             may_have_run: false,
         }
     }
 
     fn criteria<'a>(
         &'a self,
-        own_domain: &'a DomainName,
+        config: &'a GateConfig,
         run_times: RunTimes,
         now_us: TimeUs,
     ) -> Criteria<'a> {
@@ -98,7 +102,8 @@
             object: self.object,
             homes: &self.homes,
             tried: &self.tried,
-            own_domain,
+            own_domain: &config.failure_domain,
+            gateway_hash: fnv1a(config.name.as_str().bytes()),
             run_times,
             remaining_us: self.deadline_us.since_us(now_us) as f64,
             target_us: self.target_us as f64,
@@ -187,6 +192,36 @@
         }
     }
 
+    /// Handles the answer to the health check of the upstream that a request was to go to. Returns where to
+    /// send the request: the same upstream, or another one that is faster at the moment; none when the
+    /// request is not in flight.
+    pub fn health_answered(&mut self, request: u64, load: Load, now_us: TimeUs) -> Option<Target> {
+        let mut pending = self.pending.remove(&request)?;
+        pending.was_health_checked = true;
+        let times = self.route_times(&pending.route);
+        let service = self.services.get_mut(&pending.service)?;
+        let id = pending.tried.pop()?;
+        // The upstream may have gone meanwhile; the request was not sent there yet.
+        let region = service.position(&id).map(|index| {
+            let upstream = &mut service.upstreams[index];
+            upstream.own_requests = upstream.own_requests.saturating_sub(1);
+            let region = upstream.region.clone();
+            service.record_load(index, load, now_us);
+            region
+        });
+        let criteria = pending.criteria(&self.config, times, now_us);
+        let choice = region.and_then(|region| service.reconsider(&region, criteria, now_us));
+        let Some(choice) = choice else {
+            if let Some(index) = service.position(&id) {
+                service.upstreams[index].own_requests += 1;
+            }
+            pending.tried.push(id);
+            self.pending.insert(request, pending);
+            return None;
+        };
+        Some(self.start_attempt(request, pending, choice, now_us))
+    }
+
     /// Handles the end of an answer whose beginning has gone to the client already, so that no
     /// retry is possible any more.
     pub fn delivery_ended(
@@ -248,7 +283,7 @@
         };
         self.slack.record_request();
         service.record_request(&self.config.bounds, self.gateway_count);
-        let criteria = pending.criteria(&self.config.failure_domain, times, now_us);
+        let criteria = pending.criteria(&self.config, times, now_us);
         let Some(choice) = service.choose(criteria, self.gateway_count, now_us) else {
             let backoff_end_us = service.backoff_end_us(now_us);
             let backoff_ms = backoff_end_us.map(|end_us| end_us.since_us(now_us) / 1_000);
@@ -309,7 +344,7 @@
         }
         let times = self.route_times(&pending.route);
         let service = self.services.get_mut(&pending.service)?;
-        let criteria = pending.criteria(&self.config.failure_domain, times, now_us);
+        let criteria = pending.criteria(&self.config, times, now_us);
         let choice = service.choose(criteria, self.gateway_count, now_us)?;
         let remaining_us = pending.deadline_us.since_us(now_us) as f64;
         let fits = choice.wait_us + choice.run_us < remaining_us
@@ -329,6 +364,11 @@
     ) -> Target {
         let service = self.service_mut(&pending.service.clone(), now_us);
         pending.had_free_slot = service.has_free_slot(choice.index, now_us);
+        let health_path = match pending.was_health_checked {
+            true => None,
+            false => service.health_path.clone(),
+        };
+        let health_path = health_path.filter(|_| service.needs_health_check(choice.index, now_us));
         service.record_sent(choice.index, pending.object, now_us);
         let instance = &service.upstreams[choice.index].instance;
         pending.tried.push(instance.id.clone());
@@ -345,6 +385,7 @@
             caller: pending.caller.clone(),
             attempt: u32::try_from(pending.tried.len()).unwrap_or(u32::MAX),
             idempotent: pending.idempotent,
+            health_path,
             expected_wait_ms: (choice.wait_us / 1e3) as u64,
             expected_run_ms: (choice.run_us / 1e3) as u64,
         };
--- a/crates/gate/src/upstream.rs
+++ b/crates/gate/src/upstream.rs
@@ -129,6 +129,11 @@
             + (1.0 - freshness) * mean_other_requests
     }
 
+    /// The time since its last load report.
+    pub(crate) fn report_age_us(&self, now_us: TimeUs) -> u64 {
+        now_us.since_us(self.reported_us)
+    }
+
     /// Records a load report; returns how many requests it has from other gateways, as far as its
     /// slots make that credible.
     pub(crate) fn record_load(&mut self, load: Load, now_us: TimeUs) -> f64 {
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -98,6 +98,7 @@
         name: name(service),
         connections_max: 100,
         cold_milli_per_s: 2_000,
+        health_path: None,
     };
     Plan {
         version,
