Check health in every region, and at two upstreams (trial)

Cause: a third of the requests had no check, and the upstream that stood in was slow as often.

Change: checks in every region, at most two for a request, 250 ms each.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -24,8 +24,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Time for the answer to a health check; after it, the request is sent without. Upstreams that state their
-/// slowness answer at once, and only those of the own region are asked, but a gateway's link may be busy.
-const HEALTH_TIMEOUT: Duration = Duration::from_millis(60);
+/// slowness answer at once, but on a slow link the check waits behind the body of an upload, as the request
+/// itself would.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// The largest body of an answer to a health check; with a larger one the connection is closed.
 const HEALTH_BODY_MAX_BYTES: usize = 4 * 1024;
--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -233,19 +233,18 @@
     /// Asks the upstream for its load first where the core wants that, and changes the target if another one
     /// is faster at the moment. Returns whether the upstream can be reached, as far as is known.
     async fn check_health(&self, target: &mut Target, guard: &RequestGuard) -> bool {
-        let Some(path) = target.health_path.take() else {
-            return true;
-        };
-        match self.attempt_runner.check_health(target, &path).await {
-            Health::Load(load) => {
-                if let Some(chosen) = guard.report_health(load).await {
-                    *target = chosen;
+        while let Some(path) = target.health_path.take() {
+            match self.attempt_runner.check_health(target, &path).await {
+                Health::Load(load) => {
+                    if let Some(chosen) = guard.report_health(load).await {
+                        *target = chosen;
+                    }
                 }
-                true
+                Health::Unknown => return true,
+                Health::Unreachable => return false,
             }
-            Health::Unknown => true,
-            Health::Unreachable => false,
         }
+        true
     }
 
     /// What is reported at the end of an answer that is streamed to the client.
--- a/crates/gate/src/regions.rs
+++ b/crates/gate/src/regions.rs
@@ -105,11 +105,6 @@
         }
     }
 
-    /// The region of the gateway.
-    pub(crate) const fn own_region(&self) -> &RegionName {
-        &self.own_region
-    }
-
     /// Moves the shares by the loads and the time since the last rebalance.
     pub(crate) fn rebalance(
         &mut self,
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -24,6 +24,10 @@
 /// plan has usually arrived by then.
 const RETRY_AFTER_START_MS: u64 = 300;
 
+/// The most upstreams that are asked for their load before a request is sent: the one that is chosen first,
+/// and the one that stands in for it.
+const HEALTH_CHECKS_MAX: u32 = 2;
+
 /// The longest time after which a refused client may retry, in milliseconds.
 const RETRY_AFTER_MAX_MS: u64 = 1_000;
 
@@ -55,8 +59,8 @@
     /// Whether that upstream had a free slot when the attempt was sent, so that its time is all run
     /// time.
     had_free_slot: bool,
-    /// Whether an upstream was asked for its load before the current attempt.
-    was_health_checked: bool,
+    /// How many more upstreams may be asked for their load before the request is sent to one.
+    health_checks_left: u32,
     /// Whether an upstream may have run any attempt that ended.
     may_have_run: bool,
 }
@@ -87,7 +91,7 @@
             sent_us: now_us,
             has_affinity: false,
             had_free_slot: false,
-            was_health_checked: false,
+            health_checks_left: HEALTH_CHECKS_MAX,
             may_have_run: false,
         }
     }
@@ -197,7 +201,7 @@
     /// request is not in flight.
     pub fn health_answered(&mut self, request: u64, load: Load, now_us: TimeUs) -> Option<Target> {
         let mut pending = self.pending.remove(&request)?;
-        pending.was_health_checked = true;
+        pending.health_checks_left = pending.health_checks_left.saturating_sub(1);
         let times = self.route_times(&pending.route);
         let service = self.services.get_mut(&pending.service)?;
         let id = pending.tried.pop()?;
@@ -364,11 +368,9 @@
     ) -> Target {
         let service = self.service_mut(&pending.service.clone(), now_us);
         pending.had_free_slot = service.has_free_slot(choice.index, now_us);
-        let health_path = match pending.was_health_checked {
-            true => None,
-            false => service.health_path.clone(),
-        };
-        let health_path = health_path.filter(|_| service.needs_health_check(choice.index, now_us));
+        let is_checked =
+            pending.health_checks_left > 0 && service.needs_health_check(choice.index, now_us);
+        let health_path = service.health_path.clone().filter(|_| is_checked);
         service.record_sent(choice.index, pending.object, now_us);
         let instance = &service.upstreams[choice.index].instance;
         pending.tried.push(instance.id.clone());
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -272,14 +272,13 @@
         }
     }
 
-    /// Whether a request to an upstream had better wait for its health check: it may be slow at the moment,
-    /// and it is near.
+    /// Whether a request to an upstream had better wait for its health check, since the upstream may be slow
+    /// at the moment.
     pub(crate) fn needs_health_check(&self, index: usize, now_us: TimeUs) -> bool {
         let upstream = &self.upstreams[index];
         let is_often_slow = self.slow_fraction.is_some_and(|it| it > SLOW_FRACTION_MIN);
         is_often_slow
             && !upstream.is_cold(now_us)
-            && upstream.region == *self.regions.own_region()
             && upstream.report_age_us(now_us) > FRESH_REPORT_US
     }
 
