--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -2,7 +2,7 @@
 //! attempt; the actor polls the control replicas over links and publishes the limits of the plan.
 
 use crate::{clock::Clock, gateway::metrics::GatewayMetrics, replicas::ReplicaLinks};
-use gate::{Arrival, Decision, Ending, Gate, Load, NextStep, Notices, StateChange, Target};
+use gate::{Arrival, Decision, Ending, Gate, Load, NextStep, Notices, StateChange};
 use kameo::{
     Actor, Reply,
     actor::ActorRef,
@@ -118,7 +118,7 @@
 }
 
 /// The upstream of a request's current attempt answered a health check with its load, before the request is
-/// sent. The reply is where to send it, if that has changed.
+/// sent. The reply is the decision on it, if that has changed.
 #[derive(Clone, Copy, Debug)]
 pub struct HealthAnswered {
     /// ID of the request.
@@ -127,9 +127,9 @@
     pub load: Load,
 }
 
-/// Where to send a request after a health check; none to stay with the earlier target.
+/// The decision on a request after a health check; none to stay with the earlier target.
 #[derive(Debug, Reply)]
-pub struct TargetReply(pub Option<Target>);
+pub struct HealthReply(pub Option<Decision>);
 
 /// The delivery of an answer, whose beginning has gone to the client, ended.
 #[derive(Debug)]
@@ -363,7 +363,7 @@
 }
 
 impl Message<HealthAnswered> for GatewayActor {
-    type Reply = TargetReply;
+    type Reply = HealthReply;
 
     async fn handle(
         &mut self,
@@ -371,7 +371,7 @@
         _: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
         let now_us = self.args.clock.now_us();
-        TargetReply(self.args.core.health_answered(request, load, now_us))
+        HealthReply(self.args.core.health_answered(request, load, now_us))
     }
 }
 
--- a/crates/daemon/src/gateway/guard.rs
+++ b/crates/daemon/src/gateway/guard.rs
@@ -2,9 +2,9 @@
 
 use crate::gateway::actor::{
     AttemptEnded, ClientLeft, DecisionReply, DeliveryEnded, GatewayActor, HealthAnswered,
-    NextReply, NoticesReceived, RequestArrived, TargetReply,
+    HealthReply, NextReply, NoticesReceived, RequestArrived,
 };
-use gate::{Decision, Ending, Failure, Load, NextStep, Notices, Target};
+use gate::{Decision, Ending, Failure, Load, NextStep, Notices};
 use kameo::actor::ActorRef;
 
 /// A client's request that the core may hold as in flight. Dropping it, as when the client closes
@@ -47,12 +47,16 @@
         }
     }
 
-    /// Reports the load that the upstream stated in a health check; returns where to send the request, if
+    /// Reports the load that the upstream stated in a health check; returns the decision on the request, if
     /// that has changed.
-    pub async fn report_health(&self, load: Load) -> Option<Target> {
+    pub async fn report_health(&mut self, load: Load) -> Option<Decision> {
         let request = self.request;
         let reply = self.actor.ask(HealthAnswered { request, load }).await;
-        reply.ok().and_then(|TargetReply(target)| target)
+        let HealthReply(decision) = reply.ok()?;
+        if let Some(decision) = &decision {
+            self.is_open = matches!(decision, Decision::Forward(_));
+        }
+        decision
     }
 
     /// Reports the end of an attempt to the core and returns what to do next.
--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -180,9 +180,16 @@
     ) -> Response<Body> {
         let mut failed = false;
         let response = loop {
-            let outcome = match self.check_health(&mut target, &guard).await {
-                true => self.attempt_runner.run(call, &target).await,
-                false => Outcome::without_answer(Ending::NotSent),
+            let outcome = match self.check_health(target, &mut guard, call).await {
+                Checked::Send(chosen) => {
+                    target = chosen;
+                    self.attempt_runner.run(call, &target).await
+                }
+                Checked::Unreachable(chosen) => {
+                    target = chosen;
+                    Outcome::without_answer(Ending::NotSent)
+                }
+                Checked::Refused(response) => return response,
             };
             guard.report_notices(outcome.notices).await;
             let response = match (outcome.ending, outcome.response) {
@@ -230,21 +237,33 @@
         response
     }
 
-    /// Asks the upstream for its load first where the core wants that, and changes the target if another one
-    /// is faster at the moment. Returns whether the upstream can be reached, as far as is known.
-    async fn check_health(&self, target: &mut Target, guard: &RequestGuard) -> bool {
+    /// Asks the upstream for its load first where the core wants that, and lets the core decide anew.
+    async fn check_health(
+        &self,
+        mut target: Target,
+        guard: &mut RequestGuard,
+        call: &Call,
+    ) -> Checked {
         while let Some(path) = target.health_path.take() {
-            match self.attempt_runner.check_health(target, &path).await {
-                Health::Load(load) => {
-                    if let Some(chosen) = guard.report_health(load).await {
-                        *target = chosen;
-                    }
+            let load = match self.attempt_runner.check_health(&target, &path).await {
+                Health::Load(load) => load,
+                Health::Unknown => break,
+                Health::Unreachable => return Checked::Unreachable(target),
+            };
+            match guard.report_health(load).await {
+                Some(Decision::Forward(chosen)) => target = chosen,
+                Some(Decision::Refuse {
+                    refusal,
+                    retry_after_ms,
+                    best,
+                }) => {
+                    self.log_refusal(&call.headers, refusal, retry_after_ms, best.as_ref());
+                    return Checked::Refused(not_run_response(retry_after_ms));
                 }
-                Health::Unknown => return true,
-                Health::Unreachable => return false,
+                Some(Decision::NoRoute | Decision::Unauthorized) | None => break,
             }
         }
-        true
+        Checked::Send(target)
     }
 
     /// What is reported at the end of an answer that is streamed to the client.
@@ -299,6 +318,17 @@
     }
 }
 
+/// What becomes of an attempt after the health check of its upstream.
+#[derive(Debug)]
+enum Checked {
+    /// It is sent there.
+    Send(Target),
+    /// No connection to the upstream could be opened, so that nothing was sent.
+    Unreachable(Target),
+    /// The request is refused after all.
+    Refused(Response<Body>),
+}
+
 /// Handles the status interface: `/ready` and `/metrics`.
 #[derive(Clone, Debug)]
 pub struct StatusHttp {
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -196,34 +196,47 @@
         }
     }
 
-    /// Handles the answer to the health check of the upstream that a request was to go to. Returns where to
-    /// send the request: the same upstream, or another one that is faster at the moment; none when the
-    /// request is not in flight.
-    pub fn health_answered(&mut self, request: u64, load: Load, now_us: TimeUs) -> Option<Target> {
+    /// Handles the answer to the health check of the upstream that a request was to go to. Returns whether
+    /// the request is sent there, to another upstream that is faster at the moment, or, if it is new, not
+    /// at all; none when nothing has changed.
+    pub fn health_answered(
+        &mut self,
+        request: u64,
+        load: Load,
+        now_us: TimeUs,
+    ) -> Option<Decision> {
+        let pending = self.pending.get(&request)?;
+        let id = pending.tried.last()?.clone();
+        let service = self.services.get_mut(&pending.service)?;
+        let index = service.position(&id)?;
+        let upstream = &mut service.upstreams[index];
+        upstream.own_requests = upstream.own_requests.saturating_sub(1);
+        let region = upstream.region.clone();
+        service.record_load(index, load, now_us);
         let mut pending = self.pending.remove(&request)?;
+        pending.tried.pop();
         pending.health_checks_left = pending.health_checks_left.saturating_sub(1);
         let times = self.route_times(&pending.route);
-        let service = self.services.get_mut(&pending.service)?;
-        let id = pending.tried.pop()?;
-        // The upstream may have gone meanwhile; the request was not sent there yet.
-        let region = service.position(&id).map(|index| {
-            let upstream = &mut service.upstreams[index];
-            upstream.own_requests = upstream.own_requests.saturating_sub(1);
-            let region = upstream.region.clone();
-            service.record_load(index, load, now_us);
-            region
-        });
         let criteria = pending.criteria(&self.config, times, now_us);
-        let choice = region.and_then(|region| service.reconsider(&region, criteria, now_us));
-        let Some(choice) = choice else {
-            if let Some(index) = service.position(&id) {
-                service.upstreams[index].own_requests += 1;
+        let service = self.services.get(&pending.service)?;
+        let is_new = pending.tried.is_empty();
+        match service.reconsider(&region, criteria, now_us) {
+            Some(choice) if is_new => Some(self.admit_to(request, pending, choice, now_us)),
+            Some(choice) => {
+                let target = self.start_attempt(request, pending, choice, now_us);
+                Some(Decision::Forward(target))
             }
-            pending.tried.push(id);
-            self.pending.insert(request, pending);
-            return None;
-        };
-        Some(self.start_attempt(request, pending, choice, now_us))
+            None if is_new => Some(refuse(Refusal::NoUpstream, RETRY_AFTER_MAX_MS)),
+            // A retry has no other upstream either: it is sent where it was to go.
+            None => {
+                pending.tried.push(id);
+                if let Some(service) = self.services.get_mut(&pending.service) {
+                    service.upstreams[index].own_requests += 1;
+                }
+                self.pending.insert(request, pending);
+                None
+            }
+        }
     }
 
     /// Handles the end of an answer whose beginning has gone to the client already, so that no
@@ -294,6 +307,19 @@
             let retry_after_ms = backoff_ms.unwrap_or(RETRY_AFTER_MAX_MS);
             return refuse(Refusal::NoUpstream, retry_after_ms.max(RETRY_AFTER_MIN_MS));
         };
+        self.admit_to(request, pending, choice, now_us)
+    }
+
+    /// Sends a new request to the chosen upstream; refuses it when it would queue there for longer than its
+    /// target and other routes allow.
+    fn admit_to(
+        &mut self,
+        request: u64,
+        pending: PendingRequest,
+        choice: Choice,
+        now_us: TimeUs,
+    ) -> Decision {
+        let service = self.service_mut(&pending.service, now_us);
         let route_max_us = service.active_routes.wait_max_us(
             &pending.route,
             pending.priority,
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -54,17 +54,18 @@
 /// gateways there are; the rest allows for retries that are sent in the window after the requests.
 const RATIO_USED: f64 = 0.85;
 
-/// The weight of a new sample in the moving average of slow figures.
-const SLOW_WEIGHT: f64 = 0.02;
+/// The weight of a new sample in the moving average of reports of a slow or full upstream.
+const BUSY_WEIGHT: f64 = 0.02;
 
 /// An upstream that states at least this figure is slow for the moment, in percent of the usual time.
 const SLOW_PERCENT: u32 = 150;
 
-/// A health check before a request pays off when more than this fraction of the stated figures is slow.
-const SLOW_FRACTION_MIN: f64 = 0.03;
+/// A health check before a request pays off when more than this fraction of the reports tells of a slow or
+/// full upstream.
+const BUSY_FRACTION_MIN: f64 = 0.03;
 
-/// What an upstream stated lately needs no health check, in microseconds: figures change many times a
-/// second.
+/// An upstream that reported its load lately needs no health check, in microseconds: slowness changes many
+/// times a second.
 const FRESH_REPORT_US: u64 = 100_000;
 
 /// How much more a run counts at an upstream that shares an object with the one that this gateway prefers,
@@ -127,8 +128,9 @@
     objects: BTreeMap<RegionName, ObjectCount>,
     /// The path of a health check, which upstreams that state their slowness answer at once.
     pub(crate) health_path: Option<String>,
-    /// The moving average of stated figures that are slow; none before the first figure.
-    slow_fraction: Option<f64>,
+    /// The moving average of reports of a slow or full upstream, among those that state a slowness; none
+    /// before the first of them.
+    busy_fraction: Option<f64>,
 }
 
 impl Service {
@@ -143,7 +145,7 @@
             mean_load: MeanLoad::new(now_us),
             objects: BTreeMap::new(),
             health_path: None,
-            slow_fraction: None,
+            busy_fraction: None,
         }
     }
 
@@ -265,7 +267,7 @@
     fn copies(&self, region: Option<&RegionName>, upstreams: usize, grouping: Grouping) -> usize {
         let objects = region.and_then(|region| self.objects.get(region));
         match (objects, grouping) {
-            (Some(objects), Grouping::Region) if self.slow_fraction.is_some() => {
+            (Some(objects), Grouping::Region) if self.busy_fraction.is_some() => {
                 objects.copies(upstreams)
             }
             _ => 1,
@@ -273,11 +275,11 @@
     }
 
     /// Whether a request to an upstream had better wait for its health check, since the upstream may be slow
-    /// at the moment.
+    /// or full at the moment.
     pub(crate) fn needs_health_check(&self, index: usize, now_us: TimeUs) -> bool {
         let upstream = &self.upstreams[index];
-        let is_often_slow = self.slow_fraction.is_some_and(|it| it > SLOW_FRACTION_MIN);
-        is_often_slow
+        let is_often_busy = self.busy_fraction.is_some_and(|it| it > BUSY_FRACTION_MIN);
+        is_often_busy
             && !upstream.is_cold(now_us)
             && upstream.report_age_us(now_us) > FRESH_REPORT_US
     }
@@ -334,9 +336,10 @@
     /// Records the load that an upstream reported.
     pub(crate) fn record_load(&mut self, index: usize, load: crate::Load, now_us: TimeUs) {
         if let Some(percent) = load.slowness_percent {
-            let slow = if percent >= SLOW_PERCENT { 1.0 } else { 0.0 };
-            let fraction = self.slow_fraction.unwrap_or_default();
-            self.slow_fraction = Some(fraction + SLOW_WEIGHT * (slow - fraction));
+            let is_busy = percent >= SLOW_PERCENT || load.waiting > 0;
+            let sample = if is_busy { 1.0 } else { 0.0 };
+            let fraction = self.busy_fraction.unwrap_or_default();
+            self.busy_fraction = Some(fraction + BUSY_WEIGHT * (sample - fraction));
         }
         let other_requests = self.upstreams[index].record_load(load, now_us);
         self.mean_load.record(other_requests, now_us);
