Let a gateway rely on keys only while a lease lasts

Cause: a gateway that is cut off, or whose machine was suspended, went on to accept keys that had been withdrawn. Its clock is the monotonic one, which stands still while the machine is suspended. The same held for a leader: one that was suspended said that it certainly leads after it had been replaced.

Change: with `strict_revoke`, keys are known for 0.8 of `revoke_s` from the time at which a poll was sent whose answer says that the replica certainly leads, once all changes up to the answer's newest are applied. Polls are numbered and answers repeat the number, so that no answer counts for a later poll than its own; shared answers have no number and extend nothing. An answer whose changes are held back counts once they are applied, so that a steady flow of large changes doesn't end the lease. When the lease is over, requests that need or carry a key are refused as stale-keys (503 with retry-after), the gateway isn't ready, and the lease's loss and gain are logged and counted. Gateways and control replicas are told for how long the machine was suspended: CLOCK_BOOTTIME less their own clock. A gateway without its first lease polls every 100 ms for 2 s.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -240,6 +240,9 @@
     pub revision: u64,
     /// Whether to send large changes too; a gateway asks only one replica for them.
     pub wants_large: bool,
+    /// The number of the poll, which the answer repeats; 0 from builds that don't number them.
+    #[serde(default)]
+    pub number: u64,
 }
 
 const fn always() -> bool {
@@ -270,6 +273,10 @@
     /// was confirmed before. False from builds that don't say so.
     #[serde(default)]
     pub is_certain: bool,
+    /// The number of the poll that it answers, so that a gateway knows when it sent that poll also after
+    /// answers were lost; 0 when gateways share the answer, and from builds that don't repeat it.
+    #[serde(default)]
+    pub number: u64,
     /// The names of all voters and learners.
     pub members: Vec<String>,
     /// The number of gateways that poll this replica.
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -55,6 +55,8 @@
     failed: bool,
     next_layout_check_us: TimeUs,
     pub(crate) now_us: TimeUs,
+    /// For how long the machine was suspended, in microseconds since an origin of the process.
+    suspended_us: u64,
 }
 
 impl Control {
@@ -80,6 +82,7 @@
             failed: false,
             next_layout_check_us: now_us,
             now_us,
+            suspended_us: 0,
         }
     }
 
@@ -89,6 +92,18 @@
         self.heartbeats.set_unix_ms(unix_ms);
     }
 
+    /// Sets for how long the machine was suspended since an origin of the process, in microseconds. To be
+    /// called before each [`Self::step`]: a leader that was suspended may have been replaced meanwhile,
+    /// though its clock stood still.
+    pub fn set_suspended_us(&mut self, suspended_us: u64) {
+        self.suspended_us = self.suspended_us.max(suspended_us);
+    }
+
+    /// The time of a clock that counts the time in which the machine was suspended.
+    pub(crate) const fn with_suspension(&self) -> TimeUs {
+        self.now_us.after_us(self.suspended_us)
+    }
+
     /// Handles an event at `now_us`, a time of the process's monotonic clock, and appends what is
     /// to be done. Does nothing after [`Output::Failed`].
     pub fn step(&mut self, now_us: TimeUs, input: Input, outputs: &mut Vec<Output>) {
@@ -156,7 +171,7 @@
 
     fn tick(&mut self, outputs: &mut Vec<Output>) {
         self.step_raft(raft::Input::Tick, outputs);
-        if self.shares.start_due_confirmation(self.now_us) {
+        if self.shares.start_due_confirmation(self.with_suspension()) {
             let request = LEADERSHIP_READ;
             self.step_raft(raft::Input::Read { request }, outputs);
         }
@@ -280,9 +295,10 @@
             entry: body.entry.clone(),
             incarnation: body.incarnation,
         };
-        let grants =
-            self.shares
-                .grant(self.now_us, &self.state, applied_term, &holder, &body.wants);
+        let now_us = self.with_suspension();
+        let grants = self
+            .shares
+            .grant(now_us, &self.state, applied_term, &holder, &body.wants);
         outputs.push(Output::PollAnswer {
             poll,
             answer: PollAnswer {
@@ -361,7 +377,8 @@
                     self.heartbeats.reset(self.now_us);
                 }
                 self.is_leader = is_leader;
-                self.shares.update_role(is_leader, &status, self.now_us);
+                let now_us = self.with_suspension();
+                self.shares.update_role(is_leader, &status, now_us);
                 outputs.push(Output::Changed(status));
             }
         }
--- a/crates/control/src/shares.rs
+++ b/crates/control/src/shares.rs
@@ -2,7 +2,9 @@
 //!
 //! A leader confirms its leadership by a read: a majority answers a round of the leader's messages
 //! that began after the read was requested. Those replicas refuse to vote for another candidate
-//! until the election timeout has passed, so that there can be no other leader until then.
+//! until the election timeout has passed, so that there can be no other leader until then. All times
+//! here are those of a clock that counts the time in which the machine was suspended, since the other
+//! replicas go on meanwhile.
 
 use raft::Status;
 use share::{Allocator, Grant, HolderId, Pool, PoolRow, Want};
--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -35,7 +35,7 @@
             .record(&body.gateway, &body.report, self.now_us);
         let plan = self.state.steering().plan();
         if plan.is_some_and(|plan| !plan.tenants.is_empty()) {
-            self.shares.record_demand(self.now_us);
+            self.shares.record_demand(self.with_suspension());
         }
         if received_us.after_ms(POLL_WAIT_MAX_MS).reached(self.now_us) {
             self.gateways.count_expired_poll();
@@ -56,12 +56,16 @@
                 let answer = self.answer_to(body.revision, SteeringChanges::default());
                 Arc::new(GatewayPollAnswer {
                     held_back: count,
+                    number: body.number,
                     ..answer
                 })
             }
             (false, _) => {
                 let changes = steering.changes_since(body.revision);
-                Arc::new(self.answer_to(steering.revision(), changes))
+                Arc::new(GatewayPollAnswer {
+                    number: body.number,
+                    ..self.answer_to(steering.revision(), changes)
+                })
             }
         };
         outputs.push(Output::GatewayPollAnswer {
@@ -99,6 +103,7 @@
             knows_leader: status.leader.is_some(),
             is_current: self.raft.is_current(),
             is_certain: self.is_certain_leader(),
+            number: 0,
             members: members.map(|id| id.name.clone()).collect(),
             gateways: self.gateways.len(),
             interval_ms: gateway_poll_interval_ms(self.gateways.len()),
@@ -109,7 +114,7 @@
     /// Whether this replica certainly leads, so that its state holds all that was ever confirmed.
     fn is_certain_leader(&self) -> bool {
         let applied_term = self.raft.term_at(self.state.applied_index());
-        self.shares.is_certain(self.now_us, applied_term)
+        self.shares.is_certain(self.with_suspension(), applied_term)
     }
 
     /// Answers [`Request::Locate`](crate::Request::Locate): the addresses of the gateways that a
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -383,6 +383,7 @@
             },
             revision,
             wants_large,
+            number: poll,
         };
         let received_us = TimeUs(self.now_us);
         let input = Input::GatewayPoll {
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -159,6 +159,9 @@
     }
 
     fn step(&mut self, input: Input) {
+        self.args
+            .core
+            .set_suspended_us(self.args.clock.suspended_us());
         let now_us = self.now_us();
         let before = self.args.core.state().steering().version();
         self.args.core.step(now_us, input, &mut self.outputs);
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -14,6 +14,7 @@
 use slog::{Logger, info, warn};
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 use tokio::sync::watch;
+use types::TimeUs;
 use wire::{
     WireError, follow_answer_from_wire,
     peer::{Follow, FollowAnswer, Frame, frame::Body},
@@ -167,12 +168,20 @@
 }
 
 impl GatewayActor {
+    /// The current time, after the core was told for how long the machine was suspended.
+    fn now_us(&mut self) -> TimeUs {
+        let suspended_us = self.args.clock.suspended_us();
+        self.args.core.set_suspended_us(suspended_us);
+        self.args.clock.now_us()
+    }
+
     fn poll_replicas(&mut self) {
-        let now_us = self.args.clock.now_us();
+        let now_us = self.now_us();
         let due = self.args.core.tick(now_us);
+        self.log_state_changes();
         self.dial_replicas();
         for replica in due {
-            let poll = self.args.core.poll_request(&replica);
+            let poll = self.args.core.poll_request(&replica, now_us);
             let Ok(question_json) = serde_json::to_vec(&poll) else {
                 warn!(
                     self.args.log,
@@ -226,6 +235,15 @@
                     info!(self.args.log, "evacuations changed";
                         "domains" => domains.join(","));
                 }
+                StateChange::KeyLeaseGained => {
+                    self.args.metrics.holds_keys.set(1);
+                    info!(self.args.log, "key lease held");
+                }
+                StateChange::KeyLeaseLost => {
+                    self.args.metrics.holds_keys.set(0);
+                    self.args.metrics.key_leases_lost.inc();
+                    warn!(self.args.log, "key lease lost");
+                }
                 StateChange::FetchTimedOut { replica } => {
                     self.args.metrics.fetch_timeouts.inc();
                     warn!(self.args.log, "large changes did not come in time"; "replica" => replica);
@@ -243,7 +261,7 @@
                 return;
             }
         };
-        let now_us = self.args.clock.now_us();
+        let now_us = self.now_us();
         let before = self.args.core.plan_version();
         let changed = self.args.core.handle_poll_answer(replica, answer, now_us);
         self.log_state_changes();
@@ -315,8 +333,10 @@
             object: arrived.object,
             key: arrived.key,
         };
-        let now_us = self.args.clock.now_us();
-        DecisionReply(self.args.core.handle_arrival(&arrival, now_us))
+        let now_us = self.now_us();
+        let decision = self.args.core.handle_arrival(&arrival, now_us);
+        self.log_state_changes();
+        DecisionReply(decision)
     }
 }
 
@@ -329,7 +349,7 @@
         _: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
         self.args.metrics.count_attempt_end(ended.ending);
-        let now_us = self.args.clock.now_us();
+        let now_us = self.now_us();
         let core = &mut self.args.core;
         let next = core.attempt_ended(ended.request, ended.ending, ended.load, now_us);
         self.log_state_changes();
@@ -342,7 +362,7 @@
 
     async fn handle(&mut self, received: NoticesReceived, _: &mut Context<Self, Self::Reply>) {
         let NoticesReceived { request, notices } = received;
-        let now_us = self.args.clock.now_us();
+        let now_us = self.now_us();
         self.args.core.record_notices(request, notices, now_us);
         self.log_state_changes();
     }
@@ -353,7 +373,7 @@
 
     async fn handle(&mut self, ended: DeliveryEnded, _: &mut Context<Self, Self::Reply>) {
         self.args.metrics.count_attempt_end(ended.ending);
-        let now_us = self.args.clock.now_us();
+        let now_us = self.now_us();
         let core = &mut self.args.core;
         core.delivery_ended(ended.request, ended.ending, ended.load, now_us);
         self.log_state_changes();
@@ -368,7 +388,7 @@
         ClientLeft { request }: ClientLeft,
         _: &mut Context<Self, Self::Reply>,
     ) {
-        let now_us = self.args.clock.now_us();
+        let now_us = self.now_us();
         if self.args.core.client_left(request, now_us) {
             self.args.metrics.count_attempt_end(Ending::Left);
         }
@@ -379,7 +399,7 @@
     type Reply = ();
 
     async fn handle(&mut self, _: Stop, _: &mut Context<Self, Self::Reply>) {
-        let now_us = self.args.clock.now_us();
+        let now_us = self.now_us();
         self.args.core.stop(now_us);
         self.poll_replicas();
     }
@@ -389,7 +409,7 @@
     type Reply = ();
 
     async fn handle(&mut self, SetSeeds(seeds): SetSeeds, _: &mut Context<Self, Self::Reply>) {
-        let now_us = self.args.clock.now_us();
+        let now_us = self.now_us();
         self.args.core.set_seeds(&seeds, now_us);
     }
 }
@@ -398,9 +418,10 @@
     type Reply = GatewayStatus;
 
     async fn handle(&mut self, _: QueryStatus, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let now_us = self.now_us();
         let core = &self.args.core;
         GatewayStatus {
-            is_ready: core.is_ready(),
+            is_ready: core.is_ready(now_us),
             in_flight: core.in_flight(),
             plan_version: core.plan_version(),
             revision: core.revision(),
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -49,6 +49,10 @@
     pub fetch_timeouts: Counter,
     /// Version of the plan in force.
     pub plan_version: Gauge,
+    /// 1 while the gateway holds the lease on keys, else 0.
+    pub holds_keys: Gauge,
+    /// How often the lease on keys ended.
+    pub key_leases_lost: Counter,
     small_body_room: Gauge,
     large_body_room: Gauge,
     refused: Family<CauseLabel, Counter>,
@@ -65,6 +69,8 @@
             connections: Counter::default(),
             fetch_timeouts: Counter::default(),
             plan_version: Gauge::default(),
+            holds_keys: Gauge::default(),
+            key_leases_lost: Counter::default(),
             small_body_room: Gauge::default(),
             large_body_room: Gauge::default(),
             refused: Family::default(),
@@ -93,6 +99,16 @@
             "Version of the plan that runs",
             metrics.plan_version.clone(),
         );
+        registry.register(
+            "key_lease_held",
+            "Whether the gateway may rely on the keys that it knows",
+            metrics.holds_keys.clone(),
+        );
+        registry.register(
+            "key_leases_lost",
+            "How often the lease on keys ended",
+            metrics.key_leases_lost.clone(),
+        );
         registry.register(
             "small_body_room_bytes",
             "Room left for small bodies of requests, when one was last read",
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -177,6 +177,7 @@
             retry_window_ms: bounds.retry_window_ms,
             region_shift_max: bounds.region_shift_max_milli as f64 / MILLI,
             grace_ms: bounds.grace_ms,
+            revoke_ms: bounds.revoke_ms,
         },
     })
 }
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -73,6 +73,10 @@
         /// All failure domains that are evacuated now.
         domains: Vec<DomainName>,
     },
+    /// The gateway may rely on the keys that it knows.
+    KeyLeaseGained,
+    /// The keys that the gateway knows may be outdated, so that requests that need one are refused.
+    KeyLeaseLost,
     /// A control replica that was asked for large changes did not send them in time; another one is
     /// asked.
     FetchTimedOut {
@@ -113,6 +117,8 @@
 pub enum Refusal {
     /// The gateway has no plan yet.
     NoPlan,
+    /// The keys that the gateway knows may be outdated, and the request needs one.
+    StaleKeys,
     /// The gateway is stopping and no longer accepts requests.
     Stopping,
     /// The service has no upstream that may take the request.
@@ -131,6 +137,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::NoPlan => "no-plan",
+            Self::StaleKeys => "stale-keys",
             Self::Stopping => "stopping",
             Self::NoUpstream => "no-upstream",
             Self::Overloaded => "overloaded",
--- a/crates/gate/src/config.rs
+++ b/crates/gate/src/config.rs
@@ -16,6 +16,9 @@
     pub region_shift_max: f64,
     /// How long this gateway's process may take to stop, in milliseconds.
     pub grace_ms: u64,
+    /// How long after its withdrawal was confirmed a key may still work, in milliseconds, also at a
+    /// gateway that is cut off; none when revocation isn't strict.
+    pub revoke_ms: Option<u64>,
 }
 
 /// The parameters of a gateway that stay the same while it runs.
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -3,9 +3,9 @@
 //! The handling of client requests is in `requests.rs`.
 
 use crate::{
-    api::StateChange, config::GateConfig, poll_schedule::PollSchedule, regions::RebalanceParams,
-    requests::PendingRequest, service::Service, slack::Slack, split::Split, stopping::Stopping,
-    times::RunTimes, upstream::Upstream, withheld::WithheldRuns,
+    api::StateChange, config::GateConfig, key_lease::KeyLease, poll_schedule::PollSchedule,
+    regions::RebalanceParams, requests::PendingRequest, service::Service, slack::Slack,
+    split::Split, stopping::Stopping, times::RunTimes, upstream::Upstream, withheld::WithheldRuns,
 };
 use control::{GatewayPoll, GatewayPollAnswer, GatewayReport};
 use plan::{Instance, Limits, PlanChanges, RouteTable, ServiceTerms, TenantTable};
@@ -20,6 +20,10 @@
 /// better than none.
 const CURRENT_PLAN_WAIT_MS: u64 = 2_000;
 
+/// How long a gateway with its first plan polls more often to get the lease on keys, in milliseconds.
+/// An answer with the whole plan is shared among gateways and gives no lease.
+const FIRST_LEASE_HURRY_MS: u64 = 2_000;
+
 /// The state of a gateway. Every call that depends on time is given the current time.
 #[derive(Debug)]
 pub struct Gate {
@@ -34,6 +38,13 @@
     /// None until the first plan arrives.
     pub(crate) table: Option<RouteTable>,
     pub(crate) tenants: TenantTable,
+    key_lease: KeyLease,
+    /// Whether the latest [`StateChange`] on the lease says that it is held.
+    has_reported_lease: bool,
+    /// Until when a gateway that lacks the lease polls as often as one without a plan.
+    hurries_until_us: TimeUs,
+    /// For how long the machine was suspended, in microseconds since an origin of the process.
+    suspended_us: u64,
     /// By route name.
     pub(crate) splits: HashMap<String, Split>,
     /// By route name.
@@ -61,6 +72,10 @@
     pub fn new(config: GateConfig, now_us: TimeUs) -> Self {
         Self {
             polls: PollSchedule::new(&config.seeds, now_us),
+            key_lease: KeyLease::new(config.bounds.revoke_ms),
+            has_reported_lease: false,
+            hurries_until_us: now_us,
+            suspended_us: 0,
             config,
             revision: 0,
             waits_for_current_until_us: now_us.after_ms(CURRENT_PLAN_WAIT_MS),
@@ -83,11 +98,29 @@
         }
     }
 
-    /// Whether the gateway has a plan and is not stopping. Control replicas send clients to ready
-    /// gateways only.
+    /// Sets for how long the machine was suspended since an origin of the process, in microseconds. The
+    /// clock of the other calls stands still meanwhile, but what a gateway knows of keys gets older.
+    /// To be called before every call that depends on it: [`Self::handle_arrival`],
+    /// [`Self::is_ready`], [`Self::poll_request`], [`Self::tick`] and [`Self::handle_poll_answer`].
+    pub fn set_suspended_us(&mut self, suspended_us: u64) {
+        self.suspended_us = self.suspended_us.max(suspended_us);
+    }
+
+    /// The time of a clock that counts the time in which the machine was suspended.
+    const fn with_suspension(&self, now_us: TimeUs) -> TimeUs {
+        now_us.after_us(self.suspended_us)
+    }
+
+    /// Whether the gateway has a plan, may rely on its keys and is not stopping. Control replicas send
+    /// clients to ready gateways only.
     #[must_use]
-    pub const fn is_ready(&self) -> bool {
-        self.table.is_some() && self.stopping.is_none()
+    pub fn is_ready(&self, now_us: TimeUs) -> bool {
+        self.table.is_some() && self.stopping.is_none() && !self.has_stale_keys(now_us)
+    }
+
+    /// Whether the plan has tenants whose keys may be outdated.
+    pub(crate) fn has_stale_keys(&self, now_us: TimeUs) -> bool {
+        !self.tenants.is_empty() && self.key_lease.is_over(self.with_suspension(now_us))
     }
 
     /// Counts the forwarded requests whose last attempt has not ended.
@@ -143,20 +176,38 @@
             self.next_rebalance_us = now_us.after_ms(REBALANCE_INTERVAL_MS);
             self.rebalance_regions(now_us);
         }
-        self.polls.due(self.table.is_some(), now_us)
+        self.report_key_lease(now_us);
+        let hurries = !self.hurries_until_us.reached(now_us) && self.has_stale_keys(now_us);
+        self.polls.due(self.table.is_some() && !hurries, now_us)
     }
 
-    /// Builds the poll request for a replica.
+    /// Reports a change of the lease on keys. Its end is noticed by the first request or tick after it.
+    pub(crate) fn report_key_lease(&mut self, now_us: TimeUs) {
+        let is_held = !self.tenants.is_empty()
+            && self.config.bounds.revoke_ms.is_some()
+            && !self.has_stale_keys(now_us);
+        if is_held != self.has_reported_lease {
+            self.has_reported_lease = is_held;
+            self.state_changes.push(match is_held {
+                true => StateChange::KeyLeaseGained,
+                false => StateChange::KeyLeaseLost,
+            });
+        }
+    }
+
+    /// Builds the poll request for a replica. It is to be sent at `now_us` or later.
     #[must_use]
-    pub fn poll_request(&self, replica: &str) -> GatewayPoll {
+    pub fn poll_request(&mut self, replica: &str, now_us: TimeUs) -> GatewayPoll {
+        let sent_us = self.with_suspension(now_us);
         GatewayPoll {
             gateway: self.config.name.clone(),
             report: GatewayReport {
                 address: self.config.address,
                 region: self.config.region.clone(),
                 failure_domain: self.config.failure_domain.clone(),
-                takes_clients: self.is_ready(),
+                takes_clients: self.is_ready(now_us),
             },
+            number: self.key_lease.record_poll(sent_us),
             revision: self.revision,
             wants_large: self.polls.is_fetching_from(replica),
         }
@@ -169,6 +220,21 @@
         answer: GatewayPollAnswer,
         now_us: TimeUs,
     ) -> bool {
+        if answer.is_certain {
+            let (number, newest) = (answer.number, answer.newest);
+            self.key_lease.record_certain_answer(number, newest);
+        }
+        let had_plan = self.table.is_some();
+        let has_changed = self.apply_answer(replica, answer, now_us);
+        self.key_lease.record_revision(self.revision);
+        if !had_plan && self.table.is_some() {
+            self.hurries_until_us = now_us.after_ms(FIRST_LEASE_HURRY_MS);
+        }
+        self.report_key_lease(now_us);
+        has_changed
+    }
+
+    fn apply_answer(&mut self, replica: &str, answer: GatewayPollAnswer, now_us: TimeUs) -> bool {
         if answer.knows_leader {
             let (members, interval_ms) = (&answer.members, answer.interval_ms);
             self.polls.record_members(members, interval_ms, now_us);
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -11,6 +11,7 @@
 mod config;
 mod gate;
 mod identity;
+mod key_lease;
 mod mean_load;
 mod poll_schedule;
 mod rank;
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -115,6 +115,11 @@
         let Some(route) = table.find(arrival.host, arrival.path) else {
             return Decision::NoRoute;
         };
+        let needs_key = arrival.key.is_some() || !route.allow_anonymous;
+        if needs_key && self.has_stale_keys(now_us) {
+            self.report_key_lease(now_us);
+            return refuse(Refusal::StaleKeys, RETRY_AFTER_MAX_MS);
+        }
         let identity = Identity::of(arrival, route, &self.tenants);
         let Some(caller) = identity.caller() else {
             return Decision::Unauthorized;
--- a/crates/gate/tests/polls.rs
+++ b/crates/gate/tests/polls.rs
@@ -27,8 +27,8 @@
 }
 
 /// Whether the next poll of this replica asks for large changes.
-fn asks_for_large(gate: &Gate, replica: &str) -> bool {
-    gate.poll_request(replica).wants_large
+fn asks_for_large(gate: &mut Gate, replica: &str) -> bool {
+    gate.poll_request(replica, at_ms(0)).wants_large
 }
 
 fn fetch_timeouts(gate: &mut Gate) -> Vec<String> {
@@ -45,11 +45,11 @@
     let mut gate = gate();
     let [first, second] = REPLICAS;
     gate.handle_poll_answer(first, held_back(9, 20), at_ms(0));
-    assert!(asks_for_large(&gate, first));
+    assert!(asks_for_large(&mut gate, first));
     gate.handle_poll_answer(second, held_back(9, 20), at_ms(900));
-    assert!(asks_for_large(&gate, first));
+    assert!(asks_for_large(&mut gate, first));
     gate.handle_poll_answer(second, held_back(9, 20), at_ms(1_100));
-    assert!(asks_for_large(&gate, second));
+    assert!(asks_for_large(&mut gate, second));
     assert_eq!(fetch_timeouts(&mut gate), [first]);
 }
 
@@ -67,12 +67,12 @@
     gate.handle_poll_answer(first, held_back(9, ROUTES), at_ms(0));
     for ms in (100..2 * taken_ms).step_by(100) {
         gate.handle_poll_answer(second, held_back(9, ROUTES), at_ms(ms));
-        assert!(asks_for_large(&gate, first), "after {ms} ms");
+        assert!(asks_for_large(&mut gate, first), "after {ms} ms");
     }
     let instances = vec![instance("w-1", "catalogue", "east-a", 9)];
     let whole = answer(9, Some(a_plan(3)), instances);
     assert!(gate.handle_poll_answer(first, whole, at_ms(2 * taken_ms)));
-    assert!(!asks_for_large(&gate, first));
+    assert!(!asks_for_large(&mut gate, first));
     assert_eq!(fetch_timeouts(&mut gate), [""; 0]);
 }
 
@@ -91,9 +91,9 @@
     let mut gate = gate();
     let [first, second] = REPLICAS;
     assert!(!gate.handle_poll_answer(first, answer_of(3, 5, false), at_ms(10)));
-    assert!(!gate.is_ready());
+    assert!(!gate.is_ready(at_ms(10)));
     assert!(gate.handle_poll_answer(second, answer_of(4, 9, true), at_ms(700)));
-    assert!(gate.is_ready());
+    assert!(gate.is_ready(at_ms(700)));
     assert_eq!(gate.plan_version(), 4);
 }
 
@@ -104,7 +104,7 @@
     let [first, _] = REPLICAS;
     assert!(!gate.handle_poll_answer(first, answer_of(3, 5, false), at_ms(1_900)));
     assert!(gate.handle_poll_answer(first, answer_of(3, 5, false), at_ms(2_100)));
-    assert!(gate.is_ready());
+    assert!(gate.is_ready(at_ms(2_100)));
     // From then on, newer changes count whoever sends them.
     assert!(gate.handle_poll_answer(first, answer_of(4, 6, false), at_ms(2_200)));
     assert_eq!(gate.plan_version(), 4);
--- a/crates/gate/tests/requests.rs
+++ b/crates/gate/tests/requests.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use support::{
     DOMAINS, REPLICA, answer, arrival, at_ms, evacuated, forwarded, gate, instance, name, plan,
-    route,
+    refusal, route,
 };
 
 /// A gateway with one upstream of `catalogue` in each failure domain.
@@ -26,19 +26,12 @@
     gate
 }
 
-fn refusal(decision: &Decision) -> Option<Refusal> {
-    match decision {
-        Decision::Refuse { refusal, .. } => Some(*refusal),
-        Decision::NoRoute | Decision::Unauthorized | Decision::Forward(_) => None,
-    }
-}
-
 #[test]
 fn without_a_plan_every_request_is_refused_as_not_run() {
     let mut gate = gate();
     let decision = gate.handle_arrival(&arrival("/browse/1"), at_ms(1));
     assert_eq!(refusal(&decision), Some(Refusal::NoPlan));
-    assert!(!gate.is_ready());
+    assert!(!gate.is_ready(at_ms(1)));
 }
 
 #[test]
@@ -149,15 +142,15 @@
     gate.handle_poll_answer(REPLICA, without_large(), at_ms(10));
     let asked = gate.tick(at_ms(10));
     assert!(asked.iter().any(|replica| replica == REPLICA));
-    assert!(gate.poll_request(REPLICA).wants_large);
+    assert!(gate.poll_request(REPLICA, at_ms(10)).wants_large);
     gate.handle_poll_answer("10.1.0.2", without_large(), at_ms(20));
     assert!(
-        !gate.poll_request("10.1.0.2").wants_large,
+        !gate.poll_request("10.1.0.2", at_ms(20)).wants_large,
         "another replica is being asked"
     );
     gate.handle_poll_answer("10.1.0.2", without_large(), at_ms(1_500));
     assert!(
-        gate.poll_request("10.1.0.2").wants_large,
+        gate.poll_request("10.1.0.2", at_ms(1_500)).wants_large,
         "the first one did not answer"
     );
     let routes = vec![route(
@@ -172,7 +165,7 @@
         at_ms(1_600)
     ));
     assert_eq!((gate.plan_version(), gate.revision()), (2, 30));
-    assert!(!gate.poll_request("10.1.0.2").wants_large);
+    assert!(!gate.poll_request("10.1.0.2", at_ms(1_600)).wants_large);
 }
 
 #[test]
@@ -354,8 +347,8 @@
 fn a_stopping_gateway_takes_requests_for_a_while_and_is_not_ready() {
     let mut gate = serving(RetrySafety::Idempotent);
     gate.stop(at_ms(100));
-    assert!(!gate.is_ready());
-    assert!(!gate.poll_request(REPLICA).report.takes_clients);
+    assert!(!gate.is_ready(at_ms(100)));
+    assert!(!gate.poll_request(REPLICA, at_ms(100)).report.takes_clients);
     forwarded(gate.handle_arrival(&arrival("/browse/1"), at_ms(1_000)));
     let late = gate.handle_arrival(&arrival("/browse/1"), at_ms(4_000));
     assert_eq!(refusal(&late), Some(Refusal::Stopping));
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -3,10 +3,10 @@
 #![allow(dead_code)]
 
 use control::GatewayPollAnswer;
-use gate::{Arrival, Decision, Gate, GateBounds, GateConfig, Target};
+use gate::{Arrival, Decision, Gate, GateBounds, GateConfig, Refusal, Target};
 use plan::{
-    Instance, InstanceState, Limits, Plan, PlanChanges, RetrySafety, Route, ServiceTerms,
-    SteeringChanges, WeightedService,
+    Instance, InstanceState, KeyDigest, Limits, Plan, PlanChanges, RetrySafety, Route,
+    ServiceTerms, SteeringChanges, Tenant, WeightedService,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -44,11 +44,20 @@
 
 /// A gateway of region east, in `domain`, which is one of these failure domains with their regions.
 pub fn gate_among(domains: &[(&str, &str)], domain: &str) -> Gate {
+    Gate::new(config(domains, domain, None), at_ms(0))
+}
+
+/// A gateway in the failure domain east-a where a withdrawn key must stop working within 5 s.
+pub fn strict_gate() -> Gate {
+    Gate::new(config(&DOMAINS, "east-a", Some(5_000)), at_ms(0))
+}
+
+fn config(domains: &[(&str, &str)], domain: &str, revoke_ms: Option<u64>) -> GateConfig {
     let regions: BTreeMap<_, _> = domains
         .iter()
         .map(|(domain, region)| (name(domain), name(region)))
         .collect();
-    let config = GateConfig {
+    GateConfig {
         name: name("10.1.0.15"),
         address: name("10.1.0.15:8080"),
         region: name("east"),
@@ -61,9 +70,9 @@
             retry_window_ms: 10_000,
             region_shift_max: 0.15,
             grace_ms: 6_000,
+            revoke_ms,
         },
-    };
-    Gate::new(config, at_ms(0))
+    }
 }
 
 pub const fn at_ms(ms: u64) -> TimeUs {
@@ -113,6 +122,18 @@
     }
 }
 
+/// A tenant with these keys and nothing else.
+pub fn tenant(name: &str, keys: &[&str]) -> Tenant {
+    Tenant {
+        name: name.to_owned(),
+        keys: keys.iter().map(|key| KeyDigest::of(key)).collect(),
+        priority: None,
+        rate_milli_per_s: 0,
+        burst: 0,
+        home_regions: Vec::new(),
+    }
+}
+
 pub fn instance(id: &str, service: &str, domain: &str, revision: u64) -> Instance {
     // The port follows from the name's length and the revision, which together differ between the
     // instances of a test, so that they have different addresses.
@@ -142,6 +163,7 @@
         knows_leader: true,
         is_current: true,
         is_certain: true,
+        number: 0,
         members: vec!["10.1.0.1".to_owned()],
         gateways: 4,
         interval_ms: 400,
@@ -174,6 +196,22 @@
     }
 }
 
+/// An arrival with a key.
+pub fn arrival_with_key<'a>(path: &'a str, key: &str) -> Arrival<'a> {
+    Arrival {
+        key: Some(KeyDigest::of(key)),
+        ..arrival(path)
+    }
+}
+
+/// Why a request is refused; none when it is not.
+pub fn refusal(decision: &Decision) -> Option<Refusal> {
+    match decision {
+        Decision::Refuse { refusal, .. } => Some(*refusal),
+        Decision::NoRoute | Decision::Unauthorized | Decision::Forward(_) => None,
+    }
+}
+
 pub fn forwarded(decision: Decision) -> Target {
     match decision {
         Decision::Forward(target) => target,
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -34,7 +34,7 @@
 
 /// The keys of `[bounds]` with their defaults in thousandths. A default is the value that both of
 /// today's deployments use, or the stricter one where they differ.
-const BOUND_DEFAULTS: [(&str, u64); 7] = [
+const BOUND_DEFAULTS: [(&str, u64); 8] = [
     ("heartbeat_s", 1_500),
     ("grace_s", 6_000),
     ("lookup_lifetime_s", 5_000),
@@ -42,13 +42,18 @@
     ("retry_window_s", 10_000),
     ("retry_slack", 60_000),
     ("region_shift_max", 150),
+    (REVOKE, 5_000),
 ];
 
+const REVOKE: &str = "revoke_s";
+
+const STRICT_REVOKE: &str = "strict_revoke";
+
 /// The keys of `[bounds]`.
-pub(crate) const BOUND_KEYS: [&str; 7] = {
-    let mut keys = [""; 7];
+pub(crate) const BOUND_KEYS: [&str; 9] = {
+    let mut keys = [STRICT_REVOKE; 9];
     let mut index = 0;
-    while index < keys.len() {
+    while index < BOUND_DEFAULTS.len() {
         keys[index] = BOUND_DEFAULTS[index].0;
         index += 1;
     }
@@ -115,9 +120,26 @@
         retry_window_ms: parse_milli(section, "retry_window_s")?,
         retry_slack_milli: parse_milli(section, "retry_slack")?,
         region_shift_max_milli: parse_milli(section, "region_shift_max")?,
+        revoke_ms: parse_revoke_ms(section)?,
     })
 }
 
+/// The time in which a withdrawn key must stop working; none unless revocation is strict.
+fn parse_revoke_ms(section: &Section<'_>) -> Result<Option<u64>, SettingsError> {
+    let revoke_ms = parse_milli(section, REVOKE)?;
+    let given: Option<String> = section.optional(STRICT_REVOKE, Expected::Flag)?;
+    let is_strict = match given.as_deref() {
+        None | Some("") => false,
+        Some(text) => text
+            .parse()
+            .map_err(|_| section.invalid(STRICT_REVOKE, text, Expected::Flag))?,
+    };
+    if is_strict && revoke_ms == 0 {
+        return Err(section.invalid(REVOKE, "0", Expected::Decimal));
+    }
+    Ok(is_strict.then_some(revoke_ms))
+}
+
 pub(crate) fn parse_regions(
     section: &Section<'_>,
     declared: &[DomainName],
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -196,6 +196,9 @@
     /// The largest fraction of a region's requests that may change region within two seconds, in
     /// thousandths.
     pub region_shift_max_milli: u64,
+    /// How long after its withdrawal was confirmed a key may still work, in milliseconds, also at a
+    /// gateway that is cut off; none when revocation isn't strict.
+    pub revoke_ms: Option<u64>,
 }
 
 /// A line of `[replicas]`: one control replica.
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -60,6 +60,24 @@
     );
 }
 
+// The platform's template renders a field that it lacks as empty text.
+#[test]
+fn revocation_is_strict_only_where_the_settings_say_so() {
+    for (lines, revoke_ms) in [
+        ("", None),
+        ("revoke_s =\nstrict_revoke =", None),
+        ("revoke_s = 3\nstrict_revoke =", None),
+        ("revoke_s = 3\nstrict_revoke = false", None),
+        ("revoke_s = 3\nstrict_revoke = true", Some(3_000)),
+        ("revoke_s =\nstrict_revoke = true", Some(5_000)),
+        ("strict_revoke = true", Some(5_000)),
+    ] {
+        let text = GATEWAY.replace("grace_s = 2.5", lines);
+        let bounds = parse(&text).map(|it| it.bounds.and_then(|it| it.revoke_ms));
+        assert_eq!(bounds, Ok(revoke_ms), "{lines}");
+    }
+}
+
 #[test]
 fn the_command_line_overrides_a_key_and_is_checked_like_the_file() {
     let with = |text: &str| {
@@ -100,6 +118,16 @@
         ("grace_s = 2.5", "grace_s = soon", "[bounds] grace_s"),
         ("grace_s = 2.5", "grace_s = -1", "[bounds] grace_s"),
         ("grace_s = 2.5", "grace_s = NaN", "[bounds] grace_s"),
+        (
+            "grace_s = 2.5",
+            "revoke_s = 0\nstrict_revoke = true",
+            "[bounds] revoke_s",
+        ),
+        (
+            "grace_s = 2.5",
+            "strict_revoke = perhaps",
+            "[bounds] strict_revoke",
+        ),
         ("10.2.0.43:8649", "10.2.0.43", "[discovery] seeds"),
         ("founds = true", "founds = perhaps", "[discovery] founds"),
         (
