--- a/crates/plan/src/change.rs
+++ b/crates/plan/src/change.rs
@@ -3,11 +3,12 @@
 
 use crate::{instance::Registration, model::Plan, validate::InvalidPlan};
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use thiserror::Error;
 use types::{DomainName, UpstreamName, fnv1a};
 
 /// The text by which an operator declared a plan.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Document {
     /// The JSON form of [`Plan`], which is not kept since the plan can be encoded again.
@@ -16,6 +17,16 @@
     Foreign(String),
 }
 
+impl fmt::Debug for Document {
+    /// Shows no text, since it holds the keys of tenants.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Own => f.write_str("Own"),
+            Self::Foreign(text) => write!(f, "Foreign({} bytes)", text.len()),
+        }
+    }
+}
+
 impl Document {
     /// A hash that tells a resend of a declaration from another declaration of the same version.
     ///
--- a/crates/plan/src/tenant.rs
+++ b/crates/plan/src/tenant.rs
@@ -72,7 +72,8 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let mut digest = [0; DIGEST_BYTES];
-        if text.len() != 2 * DIGEST_BYTES || !text.is_ascii() {
+        let is_hexadecimal = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if text.len() != 2 * DIGEST_BYTES || !is_hexadecimal {
             return Err(InvalidDigest);
         }
         for (index, byte) in digest.iter_mut().enumerate() {
