Count requests by tenant, and log whose request was refused and why

Cause: neither metrics nor log told whose requests a gateway refuses, and a 401 left no trace.

Change: `tenant_requests` counts requests with a known key by tenant and decision. The 100 largest tenants (those without a limit, then by rate) have counters of their own, the others share `other`. A request answered with 401 is counted and logged as no-key or unknown-key, and the response names the scheme. The lines on refusals, failed attempts and their ends name the tenant. A request refused before the first lease on keys is told to come back after 0.3 s, later after 1 s.

--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -1,7 +1,11 @@
 //! The actor that owns a gateway's core. HTTP tasks report each request and the end of each
 //! attempt; the actor polls the control replicas over links and publishes the limits of the plan.
 
-use crate::{clock::Clock, gateway::metrics::GatewayMetrics, replicas::ReplicaLinks};
+use crate::{
+    clock::Clock,
+    gateway::{metrics::GatewayMetrics, tenants::TenantCounters},
+    replicas::ReplicaLinks,
+};
 use gate::{Arrival, Decision, Ending, Gate, Load, NextStep, Notices, StateChange};
 use kameo::{
     Actor, Reply,
@@ -43,6 +47,7 @@
 #[derive(Debug)]
 pub struct GatewayActor {
     args: GatewayArgs,
+    tenants: TenantCounters,
     /// Names of the control replicas that were dialed last.
     dialed: BTreeSet<String>,
 }
@@ -53,6 +58,7 @@
 
     async fn on_start(args: Self::Args, _: ActorRef<Self>) -> Result<Self, Self::Error> {
         Ok(Self {
+            tenants: TenantCounters::new(args.metrics.tenant_requests.clone()),
             args,
             dialed: BTreeSet::new(),
         })
@@ -95,7 +101,12 @@
 
 /// Whether and where a client's request is forwarded.
 #[derive(Debug, Reply)]
-pub struct DecisionReply(pub Decision);
+pub struct DecisionReply {
+    /// The core's decision.
+    pub decision: Decision,
+    /// The name of the tenant that holds the request's key, if one does.
+    pub tenant: Option<String>,
+}
 
 /// An attempt ended. The reply says what to do next.
 #[derive(Debug)]
@@ -274,6 +285,7 @@
                 "version" => core.plan_version(), "revision" => core.revision());
             let version = i64::try_from(core.plan_version()).unwrap_or(i64::MAX);
             self.args.metrics.plan_version.set(version);
+            self.tenants.set_tenants(core.tenants());
             if let Some(limits) = core.limits() {
                 let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
                 self.args.idle_timeout.send_replace(idle_timeout);
@@ -336,7 +348,13 @@
         let now_us = self.now_us();
         let decision = self.args.core.handle_arrival(&arrival, now_us);
         self.log_state_changes();
-        DecisionReply(decision)
+        let key = arrived.key.as_ref();
+        let tenant = key.and_then(|key| self.args.core.tenant_of(key));
+        let tenant = tenant.map(str::to_owned);
+        if let Some(tenant) = &tenant {
+            self.tenants.count(tenant, &decision);
+        }
+        DecisionReply { decision, tenant }
     }
 }
 
--- a/crates/daemon/src/gateway/guard.rs
+++ b/crates/daemon/src/gateway/guard.rs
@@ -32,10 +32,10 @@
     }
 
     /// Submits the request to the core and returns its decision; `None` when the actor has ended.
-    pub async fn admit(&mut self, arrival: RequestArrived) -> Option<Decision> {
-        let DecisionReply(decision) = self.actor.ask(arrival).await.ok()?;
-        self.is_open = matches!(decision, Decision::Forward(_));
-        Some(decision)
+    pub async fn admit(&mut self, arrival: RequestArrived) -> Option<DecisionReply> {
+        let reply = self.actor.ask(arrival).await.ok()?;
+        self.is_open = matches!(reply.decision, Decision::Forward(_));
+        Some(reply)
     }
 
     /// Reports what the upstream of the current attempt asks for in its answer.
--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -4,7 +4,7 @@
 use crate::{
     clock::Clock,
     gateway::{
-        actor::{GatewayActor, QueryStatus, RequestArrived},
+        actor::{DecisionReply, GatewayActor, QueryStatus, RequestArrived},
         attempt::{AttemptRunner, Call, UpstreamAnswer},
         bodies::{Bodies, ReadError},
         guard::RequestGuard,
@@ -18,7 +18,7 @@
 use hyper::{
     Request, Response, StatusCode, Uri,
     body::Incoming,
-    header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER},
+    header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE},
     http::request::Parts,
 };
 use kameo::actor::ActorRef;
@@ -101,7 +101,7 @@
         let client_timeout = timeout_ms.map(Duration::from_millis);
         let read = self.bodies.read(body, body_max_bytes, client_timeout);
         let refuse = |refusal, retry_after_ms| {
-            self.log_refusal(&head.headers, refusal, retry_after_ms, None);
+            self.log_refusal(&head.headers, refusal, retry_after_ms, None, None);
             not_run_response(retry_after_ms)
         };
         let body = match self.until_stop_ends(read).await {
@@ -115,18 +115,23 @@
         let request = self.next_request.fetch_add(1, Ordering::Relaxed);
         let mut guard = RequestGuard::new(self.actor.clone(), request);
         let arrival = arrival(guard.request(), &head.headers, &head.uri);
-        let Some(decision) = guard.admit(arrival).await else {
+        let has_key = arrival.key.is_some();
+        let Some(DecisionReply { decision, tenant }) = guard.admit(arrival).await else {
             return not_run_response(STOPPED_RETRY_MS);
         };
         let target = match decision {
             Decision::NoRoute => return empty(StatusCode::NOT_FOUND),
-            Decision::Unauthorized => return empty(StatusCode::UNAUTHORIZED),
+            Decision::Unauthorized => {
+                self.log_unauthorized(&head.headers, has_key);
+                return unauthorized();
+            }
             Decision::Refuse {
                 refusal,
                 retry_after_ms,
                 best,
             } => {
-                self.log_refusal(&head.headers, refusal, retry_after_ms, best.as_ref());
+                let (headers, tenant) = (&head.headers, tenant.as_deref());
+                self.log_refusal(headers, refusal, retry_after_ms, best.as_ref(), tenant);
                 return not_run_response(retry_after_ms);
             }
             Decision::Forward(target) => target,
@@ -144,6 +149,7 @@
             None => {
                 info!(self.log, "request ended";
                     "request" => attempt_id(&call.headers),
+                    "tenant" => tenant,
                     "status" => StatusCode::GATEWAY_TIMEOUT.as_u16(),
                     "cause" => Refusal::Stopping.as_str(),
                     "elapsed_ms" => self.clock.now_us().since_us(arrived_us) / 1_000);
@@ -220,6 +226,7 @@
         if failed {
             info!(self.log, "request ended";
                 "request" => attempt_id(&call.headers),
+                "tenant" => target.caller.tenant(),
                 "status" => response.status().as_u16(),
                 "attempts" => target.attempt,
                 "elapsed_ms" => elapsed_us / 1_000);
@@ -254,10 +261,12 @@
         refusal: Refusal,
         retry_after_ms: u64,
         best: Option<&BusyUpstream>,
+        tenant: Option<&str>,
     ) {
         self.metrics.count_refused(refusal);
         info!(self.log, "request refused";
             "request" => attempt_id(headers),
+            "tenant" => tenant,
             "cause" => refusal.as_str(),
             "retry_after_ms" => retry_after_ms,
             "upstream" => best.map(|best| best.upstream.to_string()),
@@ -265,9 +274,20 @@
             "wait_max_ms" => best.map(|best| best.wait_max_ms));
     }
 
+    /// Counts and logs a request that is answered with 401. Nothing of its key is written.
+    fn log_unauthorized(&self, headers: &hyper::HeaderMap, has_key: bool) {
+        let cause = match has_key {
+            true => "unknown-key",
+            false => "no-key",
+        };
+        self.metrics.count_unauthorized(cause);
+        info!(self.log, "request refused"; "request" => attempt_id(headers), "cause" => cause);
+    }
+
     fn log_failed_attempt(&self, call: &Call, target: &Target, ending: Ending, arrived_us: TimeUs) {
         info!(self.log, "attempt failed";
             "request" => attempt_id(&call.headers),
+            "tenant" => target.caller.tenant(),
             "ending" => ending.as_str(),
             "upstream" => target.upstream.as_str(),
             "address" => %target.address,
@@ -366,6 +386,13 @@
     with_body(status, "text/plain", Vec::new())
 }
 
+fn unauthorized() -> Response<Body> {
+    let mut response = empty(StatusCode::UNAUTHORIZED);
+    let scheme = HeaderValue::from_static("Bearer");
+    response.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+    response
+}
+
 /// The response for a request that did not run and won't be retried here: 503 with `retry-after`.
 fn not_run_response(retry_after_ms: u64) -> Response<Body> {
     let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of a gateway.
 
+use crate::gateway::tenants::TenantRequests;
 use gate::{Ending, Refusal, Target};
 use prometheus_client::{
     encoding::EncodeLabelSet,
@@ -49,6 +50,8 @@
     pub fetch_timeouts: Counter,
     /// Version of the plan in force.
     pub plan_version: Gauge,
+    /// Requests of tenants by name.
+    pub tenant_requests: TenantRequests,
     /// 1 while the gateway holds the lease on keys, else 0.
     pub holds_keys: Gauge,
     /// How often the lease on keys ended.
@@ -69,6 +72,7 @@
             connections: Counter::default(),
             fetch_timeouts: Counter::default(),
             plan_version: Gauge::default(),
+            tenant_requests: TenantRequests::default(),
             holds_keys: Gauge::default(),
             key_leases_lost: Counter::default(),
             small_body_room: Gauge::default(),
@@ -99,6 +103,11 @@
             "Version of the plan that runs",
             metrics.plan_version.clone(),
         );
+        registry.register(
+            "tenant_requests",
+            "Requests with a known key, by tenant and decision",
+            metrics.tenant_requests.clone(),
+        );
         registry.register(
             "key_lease_held",
             "Whether the gateway may rely on the keys that it knows",
@@ -145,6 +154,11 @@
         self.refused.get_or_create(&CauseLabel { cause }).inc();
     }
 
+    /// Counts a request that is answered with 401.
+    pub fn count_unauthorized(&self, cause: &'static str) {
+        self.refused.get_or_create(&CauseLabel { cause }).inc();
+    }
+
     /// Counts an attempt by how it ended.
     pub fn count_attempt_end(&self, ending: Ending) {
         let cause = ending.as_str();
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -9,5 +9,6 @@
 mod metrics;
 mod start;
 mod stream;
+mod tenants;
 
 pub use self::start::{Gateway, start};
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -48,6 +48,7 @@
         } else {
             info!(self.log, "answer broken off";
                 "request" => &self.attempt_id,
+                "tenant" => self.target.caller.tenant(),
                 "ending" => ending.as_str(),
                 "upstream" => self.target.upstream.as_str(),
                 "attempt" => self.target.attempt,
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -35,6 +35,17 @@
     Tenant(String),
 }
 
+impl Caller {
+    /// The name of the tenant, if there is one.
+    #[must_use]
+    pub const fn tenant(&self) -> Option<&str> {
+        match self {
+            Self::Untracked | Self::Anonymous => None,
+            Self::Tenant(name) => Some(name.as_str()),
+        }
+    }
+}
+
 /// A change of what a gateway knows about its upstreams, to be logged.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StateChange {
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -8,7 +8,9 @@
     split::Split, stopping::Stopping, times::RunTimes, upstream::Upstream, withheld::WithheldRuns,
 };
 use control::{GatewayPoll, GatewayPollAnswer, GatewayReport};
-use plan::{Instance, Limits, PlanChanges, RouteTable, ServiceTerms, TenantTable};
+use plan::{
+    Instance, KeyDigest, Limits, PlanChanges, RouteTable, ServiceTerms, Tenant, TenantTable,
+};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use types::{DomainName, RegionName, ServiceName, TimeUs, UpstreamName};
 
@@ -147,6 +149,17 @@
         self.revision
     }
 
+    /// The tenants of the plan, in the order of their names.
+    pub fn tenants(&self) -> impl Iterator<Item = &Tenant> {
+        self.tenants.tenants()
+    }
+
+    /// The name of the tenant that holds a key, as far as is known here.
+    #[must_use]
+    pub fn tenant_of(&self, key: &KeyDigest) -> Option<&str> {
+        self.tenants.find(key).map(|tenant| tenant.name.as_str())
+    }
+
     /// Returns the changes to log since the last call, and clears them.
     pub fn take_state_changes(&mut self) -> Vec<StateChange> {
         std::mem::take(&mut self.state_changes)
@@ -177,8 +190,13 @@
             self.rebalance_regions(now_us);
         }
         self.report_key_lease(now_us);
-        let hurries = !self.hurries_until_us.reached(now_us) && self.has_stale_keys(now_us);
-        self.polls.due(self.table.is_some() && !hurries, now_us)
+        let has_all = self.table.is_some() && !self.awaits_first_lease(now_us);
+        self.polls.due(has_all, now_us)
+    }
+
+    /// Whether the gateway has had its first plan for a short time only and lacks the lease on keys.
+    pub(crate) fn awaits_first_lease(&self, now_us: TimeUs) -> bool {
+        !self.hurries_until_us.reached(now_us) && self.has_stale_keys(now_us)
     }
 
     /// Reports a change of the lease on keys. Its end is noticed by the first request or tick after it.
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -19,8 +19,8 @@
 /// The shortest time after which a refused client may retry, in milliseconds.
 const RETRY_AFTER_MIN_MS: u64 = 100;
 
-/// The time after which a client may retry when the gateway has no plan yet, in milliseconds; a
-/// plan has usually arrived by then.
+/// The time after which a client may retry when the gateway has no plan or no lease on keys yet, in
+/// milliseconds; they have usually arrived by then.
 const RETRY_AFTER_START_MS: u64 = 300;
 
 /// The longest time after which a refused client may retry, in milliseconds.
@@ -118,7 +118,11 @@
         let needs_key = arrival.key.is_some() || !route.allow_anonymous;
         if needs_key && self.has_stale_keys(now_us) {
             self.report_key_lease(now_us);
-            return refuse(Refusal::StaleKeys, RETRY_AFTER_MAX_MS);
+            let retry_after_ms = match self.awaits_first_lease(now_us) {
+                true => RETRY_AFTER_START_MS,
+                false => RETRY_AFTER_MAX_MS,
+            };
+            return refuse(Refusal::StaleKeys, retry_after_ms);
         }
         let identity = Identity::of(arrival, route, &self.tenants);
         let Some(caller) = identity.caller() else {
