--- a/crates/plan/src/tenant.rs
+++ b/crates/plan/src/tenant.rs
@@ -110,10 +110,13 @@
     pub priority: Option<u32>,
     /// The requests it may send to all gateways together, in thousandths of a request per second; 0
     /// when there is no limit.
+    #[serde(default)]
     pub rate_milli_per_s: u64,
     /// The requests that it may send at once after a time without any, beside the rate.
+    #[serde(default)]
     pub burst: u64,
     /// The only regions that may run its requests; empty when any may. Those of a route bind too.
+    #[serde(default)]
     pub home_regions: Vec<RegionName>,
 }
 
--- a/crates/plan/tests/tenants.rs
+++ b/crates/plan/tests/tenants.rs
@@ -102,6 +102,14 @@
     assert!(changes.tenants.is_empty() && changes.removed_tenants.is_empty());
 }
 
+#[test]
+fn a_tenant_in_json_needs_no_more_than_its_name_and_digests() {
+    let digest = KeyDigest::of("k1").to_string();
+    let json = serde_json::json!({"name": "acme", "keys": [digest]});
+    let read: Tenant = serde_json::from_value(json).expect("a valid tenant");
+    assert_eq!(read, tenant("acme", &["k1"]));
+}
+
 // The replicas would differ if a part of a rejected plan were applied.
 #[test]
 fn nothing_of_a_plan_with_an_empty_duplicate_or_shared_key_is_applied() {
