--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -1,7 +1,11 @@
 //! The actor that owns a gateway's core. HTTP tasks report each request and the end of each
 //! attempt; the actor polls the control replicas over links and publishes the limits of the plan.
 
-use crate::{clock::Clock, gateway::metrics::GatewayMetrics, replicas::ReplicaLinks};
+use crate::{
+    clock::Clock,
+    gateway::{metrics::GatewayMetrics, tenants::TenantCounters},
+    replicas::ReplicaLinks,
+};
 use gate::{Arrival, Decision, Ending, Gate, Load, NextStep, Notices, StateChange};
 use kameo::{
     Actor, Reply,
@@ -14,6 +18,7 @@
 use slog::{Logger, info, warn};
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 use tokio::sync::watch;
+use types::TimeUs;
 use wire::{
     WireError, follow_answer_from_wire,
     peer::{Follow, FollowAnswer, Frame, frame::Body},
@@ -42,6 +47,7 @@
 #[derive(Debug)]
 pub struct GatewayActor {
     args: GatewayArgs,
+    tenants: TenantCounters,
     /// Names of the control replicas that were dialed last.
     dialed: BTreeSet<String>,
 }
@@ -52,6 +58,7 @@
 
     async fn on_start(args: Self::Args, _: ActorRef<Self>) -> Result<Self, Self::Error> {
         Ok(Self {
+            tenants: TenantCounters::new(args.metrics.tenant_requests.clone()),
             args,
             dialed: BTreeSet::new(),
         })
@@ -94,7 +101,12 @@
 
 /// Whether and where a client's request is forwarded.
 #[derive(Debug, Reply)]
-pub struct DecisionReply(pub Decision);
+pub struct DecisionReply {
+    /// The core's decision.
+    pub decision: Decision,
+    /// The name of the tenant that holds the request's key, if one does.
+    pub tenant: Option<String>,
+}
 
 /// An attempt ended. The reply says what to do next.
 #[derive(Debug)]
@@ -181,12 +193,20 @@
 }
 
 impl GatewayActor {
+    /// The current time, after the core was told for how long the machine was suspended.
+    fn now_us(&mut self) -> TimeUs {
+        let suspended_us = self.args.clock.suspended_us();
+        self.args.core.set_suspended_us(suspended_us);
+        self.args.clock.now_us()
+    }
+
     fn poll_replicas(&mut self) {
-        let now_us = self.args.clock.now_us();
+        let now_us = self.now_us();
         let due = self.args.core.tick(now_us);
+        self.log_state_changes();
         self.dial_replicas();
         for replica in due {
-            let poll = self.args.core.poll_request(&replica);
+            let poll = self.args.core.poll_request(&replica, now_us);
             let Ok(question_json) = serde_json::to_vec(&poll) else {
                 warn!(
                     self.args.log,
@@ -240,6 +260,15 @@
                     info!(self.args.log, "evacuations changed";
                         "domains" => domains.join(","));
                 }
+                StateChange::KeyLeaseGained => {
+                    self.args.metrics.holds_keys.set(1);
+                    info!(self.args.log, "key lease held");
+                }
+                StateChange::KeyLeaseLost => {
+                    self.args.metrics.holds_keys.set(0);
+                    self.args.metrics.key_leases_lost.inc();
+                    warn!(self.args.log, "key lease lost");
+                }
                 StateChange::FetchTimedOut { replica } => {
                     self.args.metrics.fetch_timeouts.inc();
                     warn!(self.args.log, "large changes did not come in time"; "replica" => replica);
@@ -257,7 +286,7 @@
                 return;
             }
         };
-        let now_us = self.args.clock.now_us();
+        let now_us = self.now_us();
         let before = self.args.core.plan_version();
         let changed = self.args.core.handle_poll_answer(replica, answer, now_us);
         self.log_state_changes();
@@ -270,6 +299,7 @@
                 "version" => core.plan_version(), "revision" => core.revision());
             let version = i64::try_from(core.plan_version()).unwrap_or(i64::MAX);
             self.args.metrics.plan_version.set(version);
+            self.tenants.set_tenants(core.tenants());
             if let Some(limits) = core.limits() {
                 let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
                 self.args.idle_timeout.send_replace(idle_timeout);
@@ -329,8 +359,16 @@
             object: arrived.object,
             key: arrived.key,
         };
-        let now_us = self.args.clock.now_us();
-        DecisionReply(self.args.core.handle_arrival(&arrival, now_us))
+        let now_us = self.now_us();
+        let decision = self.args.core.handle_arrival(&arrival, now_us);
+        self.log_state_changes();
+        let key = arrived.key.as_ref();
+        let tenant = key.and_then(|key| self.args.core.tenant_of(key));
+        let tenant = tenant.map(str::to_owned);
+        if let Some(tenant) = &tenant {
+            self.tenants.count(tenant, &decision);
+        }
+        DecisionReply { decision, tenant }
     }
 }
 
@@ -343,7 +381,7 @@
         _: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
         self.args.metrics.count_attempt_end(ended.ending);
-        let now_us = self.args.clock.now_us();
+        let now_us = self.now_us();
         let core = &mut self.args.core;
         let next = core.attempt_ended(ended.request, ended.ending, ended.load, now_us);
         self.log_state_changes();
@@ -356,7 +394,7 @@
 
     async fn handle(&mut self, received: NoticesReceived, _: &mut Context<Self, Self::Reply>) {
         let NoticesReceived { request, notices } = received;
-        let now_us = self.args.clock.now_us();
+        let now_us = self.now_us();
         self.args.core.record_notices(request, notices, now_us);
         self.log_state_changes();
     }
@@ -380,7 +418,7 @@
 
     async fn handle(&mut self, ended: DeliveryEnded, _: &mut Context<Self, Self::Reply>) {
         self.args.metrics.count_attempt_end(ended.ending);
-        let now_us = self.args.clock.now_us();
+        let now_us = self.now_us();
         let core = &mut self.args.core;
         core.delivery_ended(ended.request, ended.ending, ended.load, now_us);
         self.log_state_changes();
@@ -395,7 +433,7 @@
         ClientLeft { request }: ClientLeft,
         _: &mut Context<Self, Self::Reply>,
     ) {
-        let now_us = self.args.clock.now_us();
+        let now_us = self.now_us();
         if self.args.core.client_left(request, now_us) {
             self.args.metrics.count_attempt_end(Ending::Left);
         }
@@ -406,7 +444,7 @@
     type Reply = ();
 
     async fn handle(&mut self, _: Stop, _: &mut Context<Self, Self::Reply>) {
-        let now_us = self.args.clock.now_us();
+        let now_us = self.now_us();
         self.args.core.stop(now_us);
         self.poll_replicas();
     }
@@ -416,7 +454,7 @@
     type Reply = ();
 
     async fn handle(&mut self, SetSeeds(seeds): SetSeeds, _: &mut Context<Self, Self::Reply>) {
-        let now_us = self.args.clock.now_us();
+        let now_us = self.now_us();
         self.args.core.set_seeds(&seeds, now_us);
     }
 }
@@ -425,9 +463,10 @@
     type Reply = GatewayStatus;
 
     async fn handle(&mut self, _: QueryStatus, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let now_us = self.now_us();
         let core = &self.args.core;
         GatewayStatus {
-            is_ready: core.is_ready(),
+            is_ready: core.is_ready(now_us),
             in_flight: core.in_flight(),
             plan_version: core.plan_version(),
             revision: core.revision(),
