Add a ledger and stocks of tokens for tenants' quotas

Cause: nothing limits what a tenant sends. A rate over all gateways needs tokens that one process grants, since static parts give a tenant at two of 34 gateways a seventeenth of its rate.

Change: share has a Ledger for the leader, a Stock for a gateway, and the messages between them. The page of the module works out the bound: tokens in hand are part of the bucket's size, at most two thirds of it, so that overage and slack enlarge the bucket instead of standing beside it. Gateways in touch pledge to take no static tokens, and the leader grants those parts too.

--- a/crates/share/src/lib.rs
+++ b/crates/share/src/lib.rs
@@ -1,5 +1,5 @@
-//! Divides the configured capacities of regions and links among entries as leased shares, without
-//! input or output.
+//! Divides the configured capacities of regions and links among entries as leased shares, and the quotas
+//! of tenants among gateways as tokens, without input or output.
 //!
 //! The leading control replica owns an [`Allocator`], each entry a [`Holder`]. A holder sends its
 //! [`Want`]s with its polls of the replica that it takes for the leader, or of every replica while
@@ -13,12 +13,17 @@
 mod fair;
 mod holder;
 mod pool;
+mod quota;
 
 pub use crate::{
     allocator::{Allocator, HolderRow, PoolRow},
     fair::{Participant, fair_shares},
     holder::{HeldRow, Holder},
     pool::{Grant, GrantId, HolderId, Pool, Want},
+    quota::{
+        Ledger, PLEDGE_MS, QuotaLimit, QuotaTerms, ReturnedTokens, STATIC_LIFE_MS, Stock,
+        TOKEN_LIFE_MS, Taken, TenantRow, Token, TokenAnswer, TokenGrant, TokenReport, TokenWant,
+    },
 };
 
 /// How long a holder may admit work under a grant, from when it sent the want.
