Limit tenants to their quotas over all gateways

Cause: rate_per_s and burst of a tenant were declared but not kept.

Change: the poll of a gateway to the leader carries what it wants and holds, the answer what the leader grants, if it is certain of being it. The ledger begins and ends with the leadership. A request takes a token after the choice of its upstream and admission. Without one it waits for up to 300 ms while the gateway polls the leader at once, then it is refused with 429 and Retry-After. The bound is set by quota_window_s, quota_overage and quota_slack of [bounds]. Nothing is sent, held or counted where no tenant has a limit.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -5,7 +5,7 @@
 use plan::{Change, Document, Plan, Registration, SteeringChanges};
 use raft::{Membership, Message, Persist, RaftConfig, ReplicaId, Role, Status};
 use serde::{Deserialize, Serialize};
-use share::{Grant, Want};
+use share::{Grant, QuotaTerms, TokenAnswer, TokenReport, Want};
 use state::{
     Applied, Changes, CommandError, Operation, ResourceItem, ResourceList, SnapshotError,
     WatchAnswer,
@@ -43,6 +43,8 @@
     pub replica_losses: usize,
     /// An instance that sends no heartbeat for this long expires.
     pub instance_timeout_us: u64,
+    /// The bound that tenants' quotas keep.
+    pub quota_terms: QuotaTerms,
 }
 
 impl ControlConfig {
@@ -240,6 +242,9 @@
     pub revision: u64,
     /// Whether to send large changes too; a gateway asks only one replica for them.
     pub wants_large: bool,
+    /// For the replica that the gateway takes for the leader: its tokens, and the ones that it wants.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tokens: Option<TokenReport>,
 }
 
 const fn always() -> bool {
@@ -278,6 +283,9 @@
     pub interval_ms: u64,
     /// The changes from the gateway's `revision` to the one in this answer.
     pub changes: SteeringChanges,
+    /// The tokens that a leader that is certain grants.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tokens: Option<TokenAnswer>,
 }
 
 /// An event for the control replica.
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -67,7 +67,7 @@
             entries: Entries::new(now_us),
             pending: Pending::default(),
             watches: Watches::default(),
-            shares: Shares::new(config.raft.election_timeout_min_us),
+            shares: Shares::new(config.raft.election_timeout_min_us, config.quota_terms),
             gateways: Gateways::default(),
             heartbeats: Heartbeats::new(config.instance_timeout_us, now_us),
             large_answers: LargeAnswers::default(),
--- a/crates/control/src/dump.rs
+++ b/crates/control/src/dump.rs
@@ -3,7 +3,7 @@
 use crate::{core::Control, entries::EntryDump, snapshots::LogSizes};
 use raft::Status;
 use serde::Serialize;
-use share::PoolRow;
+use share::{PoolRow, TenantRow};
 use std::collections::BTreeMap;
 use types::{Kind, Resource};
 
@@ -40,6 +40,8 @@
     pub entries: Vec<EntryDump>,
     /// The pools of capacities and links and their shares; empty unless this replica leads.
     pub shares: Vec<PoolRow>,
+    /// The tenants with a quota, and their tokens; empty unless this replica leads.
+    pub quotas: Vec<TenantRow>,
     /// The declared resources as of `applied_index`, by kind.
     pub resources: BTreeMap<Kind, Vec<Resource>>,
 }
@@ -70,6 +72,7 @@
             expired_gateway_polls: self.gateways.expired_polls(),
             entries: self.entries.dump(self.now_us),
             shares: self.shares.rows(),
+            quotas: self.shares.quota_rows(),
             resources,
         }
     }
--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -16,6 +16,9 @@
 /// A gateway is dropped after this many intervals without a poll.
 const MISSED_PERIODS: u64 = 3;
 
+/// How long a gateway that polls no longer may have a static part of quotas, in milliseconds.
+const SEEN_MS: u64 = share::STATIC_LIFE_MS;
+
 /// The most gateways in one answer.
 const LOCATED_MAX: usize = 16;
 
@@ -52,6 +55,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Gateways {
     last_reports: BTreeMap<EntryName, LastReport>,
+    /// Until when each gateway that ever polled counts as one that may have a static part of quotas.
+    seen_until_us: BTreeMap<EntryName, TimeUs>,
     /// The number of answers given to clients; rotates which gateways the next one starts with.
     located_count: usize,
     /// Polls that were not answered because they had waited for too long.
@@ -67,6 +72,8 @@
             expiry_us: now_us.after_ms(timeout_ms),
         };
         self.last_reports.insert(name.clone(), last_report);
+        let seen_until_us = now_us.after_ms(SEEN_MS);
+        self.seen_until_us.insert(name.clone(), seen_until_us);
     }
 
     /// Counts a poll that is not answered because it has waited for too long.
@@ -83,12 +90,20 @@
     pub(crate) fn expire(&mut self, now_us: TimeUs) {
         self.last_reports
             .retain(|_, last_report| !last_report.expiry_us.reached(now_us));
+        self.seen_until_us
+            .retain(|_, until_us| !until_us.reached(now_us));
     }
 
     pub(crate) fn len(&self) -> usize {
         self.last_reports.len()
     }
 
+    /// The number of gateways that polled within the time for which they may have a static part of
+    /// quotas.
+    pub(crate) fn seen_count(&self) -> usize {
+        self.seen_until_us.len()
+    }
+
     /// The gateways for a client: those of its failure domain first, then those of its region.
     /// Where neither has one, any gateway. Successive answers start at different gateways, so that
     /// each is named where one answer can't hold them all.
--- a/crates/control/src/shares.rs
+++ b/crates/control/src/shares.rs
@@ -1,14 +1,18 @@
-//! Grants shares of capacities and links, only while this replica is certain to be the leader.
+//! Grants shares of capacities and links, and tokens of tenants, only while this replica is certain to be the leader.
 //!
 //! A leader confirms its leadership by a read: a majority answers a round of the leader's messages
 //! that began after the read was requested. Those replicas refuse to vote for another candidate
 //! until the election timeout has passed, so that there can be no other leader until then.
 
+use plan::Steering;
 use raft::Status;
-use share::{Allocator, Grant, HolderId, Pool, PoolRow, Want};
+use share::{
+    Allocator, Grant, HolderId, Ledger, Pool, PoolRow, QuotaLimit, QuotaTerms, TenantRow,
+    TokenAnswer, TokenReport, Want,
+};
 use state::State;
 use std::collections::BTreeSet;
-use types::{Key, Kind, RegionName, Resource, ResourceName, Spec, TimeUs};
+use types::{EntryName, Key, Kind, RegionName, Resource, ResourceName, Spec, TimeUs};
 
 /// The request number of the reads that confirm leadership; no other request uses it.
 pub(crate) const LEADERSHIP_READ: u64 = 0;
@@ -37,21 +41,26 @@
     confirmed_until_us: TimeUs,
     /// The revision whose limits the allocator has; 0 before the first.
     limits_revision: u64,
+    ledger: Ledger,
+    /// The version of the plan whose quotas the ledger has; none before the first.
+    quotas_version: Option<u64>,
 }
 
 /// The shares of the current leadership, if this replica leads.
 #[derive(Debug)]
 pub(crate) struct Shares {
     election_timeout_min_us: u64,
+    quota_terms: QuotaTerms,
     leadership: Option<Leadership>,
 }
 
 impl Shares {
     /// A replica that does not lead. `election_timeout_min_us` is the time for which followers
     /// refuse votes.
-    pub(crate) const fn new(election_timeout_min_us: u64) -> Self {
+    pub(crate) const fn new(election_timeout_min_us: u64, quota_terms: QuotaTerms) -> Self {
         Self {
             election_timeout_min_us,
+            quota_terms,
             leadership: None,
         }
     }
@@ -75,6 +84,8 @@
                     demand_until_us: now_us,
                     confirmed_until_us: TimeUs::default(),
                     limits_revision: 0,
+                    ledger: Ledger::new(status.term, self.quota_terms, now_us),
+                    quotas_version: None,
                 });
             }
             (false, _) => self.leadership = None,
@@ -157,6 +168,36 @@
         wants.iter().filter_map(answer).collect()
     }
 
+    /// Grants tokens for a gateway's wants; none unless leadership is confirmed and every log entry that
+    /// earlier leaders committed is applied here. `gateways` is the number of gateways that may have a
+    /// static part.
+    pub(crate) fn grant_tokens(
+        &mut self,
+        now_us: TimeUs,
+        steering: &Steering,
+        applied_term: Option<u64>,
+        gateways: usize,
+        gateway: EntryName,
+        report: &TokenReport,
+    ) -> Option<TokenAnswer> {
+        let is_certain = self.is_certain(now_us, applied_term);
+        let leadership = self.leadership.as_mut().filter(|_| is_certain)?;
+        leadership.update_quotas(steering, now_us);
+        let holder = HolderId {
+            entry: gateway,
+            incarnation: report.incarnation,
+        };
+        leadership.ledger.answer(&holder, gateways, report, now_us)
+    }
+
+    /// The quotas of all tenants, for the dump; empty unless this replica leads.
+    pub(crate) fn quota_rows(&self) -> Vec<TenantRow> {
+        self.leadership
+            .iter()
+            .flat_map(|leadership| leadership.ledger.rows())
+            .collect()
+    }
+
     /// Every pool, for the dump; empty unless this replica leads.
     pub(crate) fn rows(&self) -> Vec<PoolRow> {
         self.leadership
@@ -167,6 +208,25 @@
 }
 
 impl Leadership {
+    /// Passes the tenants' limits to the ledger when the plan has changed.
+    fn update_quotas(&mut self, steering: &Steering, now_us: TimeUs) {
+        let plan = steering.plan();
+        let version = plan.map(|plan| plan.version);
+        if self.quotas_version == version {
+            return;
+        }
+        self.quotas_version = version;
+        let tenants = plan.iter().flat_map(|plan| &plan.tenants);
+        let limited = tenants.filter(|tenant| tenant.is_limited()).map(|tenant| {
+            let limit = QuotaLimit {
+                rate_milli_per_s: tenant.rate_milli_per_s,
+                burst: tenant.burst,
+            };
+            (tenant.name.as_str(), limit)
+        });
+        self.ledger.set_limits(limited, now_us);
+    }
+
     /// Passes the declared limits and deadlines to the allocator when the revision has changed.
     fn update_limits(&mut self, state: &State) {
         if self.limits_revision == state.revision() && self.limits_revision != 0 {
--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -8,6 +8,7 @@
     heartbeats::Verdict,
 };
 use plan::{Change, Registration, RegistrationStatus, SteeringChanges};
+use share::TokenAnswer;
 use state::Operation;
 use std::sync::Arc;
 use types::{ApiError, TimeUs, UpstreamName};
@@ -47,6 +48,12 @@
     /// Answers a gateway's poll for changes. Large changes are held back unless it asks for them, and
     /// then shared with other gateways that ask for the same ones.
     fn answer_gateway_poll(&mut self, poll: u64, body: &GatewayPoll, outputs: &mut Vec<Output>) {
+        // A shared answer carries no tokens. The gateway asks again with its next poll.
+        let is_shared = body.wants_large && self.has_large_changes_since(body.revision);
+        let tokens = match is_shared {
+            true => None,
+            false => self.grant_tokens(body),
+        };
         let steering = self.state.steering();
         let count = steering.count_changes_since(body.revision);
         let is_large = count > SMALL_CHANGES_MAX;
@@ -56,18 +63,22 @@
                 let answer = self.answer_to(body.revision, SteeringChanges::default());
                 Arc::new(GatewayPollAnswer {
                     held_back: count,
+                    tokens,
                     ..answer
                 })
             }
             (false, _) => {
                 let changes = steering.changes_since(body.revision);
-                Arc::new(self.answer_to(steering.revision(), changes))
+                Arc::new(GatewayPollAnswer {
+                    tokens,
+                    ..self.answer_to(steering.revision(), changes)
+                })
             }
         };
         outputs.push(Output::GatewayPollAnswer {
             poll,
             answer,
-            is_shared: is_large && body.wants_large,
+            is_shared,
         });
     }
 
@@ -103,9 +114,30 @@
             gateways: self.gateways.len(),
             interval_ms: gateway_poll_interval_ms(self.gateways.len()),
             changes,
+            tokens: None,
         }
     }
 
+    fn has_large_changes_since(&self, index: u64) -> bool {
+        self.state.steering().count_changes_since(index) > SMALL_CHANGES_MAX
+    }
+
+    /// Grants a gateway tokens, if this replica certainly leads.
+    fn grant_tokens(&mut self, body: &GatewayPoll) -> Option<TokenAnswer> {
+        let report = body.tokens.as_ref()?;
+        let applied_term = self.raft.term_at(self.state.applied_index());
+        let gateways = self.gateways.seen_count();
+        let steering = self.state.steering();
+        self.shares.grant_tokens(
+            self.now_us,
+            steering,
+            applied_term,
+            gateways,
+            body.gateway.clone(),
+            report,
+        )
+    }
+
     /// Whether this replica certainly leads, so that its state holds all that was ever confirmed.
     fn is_certain_leader(&self) -> bool {
         let applied_term = self.raft.term_at(self.state.applied_index());
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -11,7 +11,7 @@
 use raft::{
     Entry, HardState, Membership, Message, Persist, RaftConfig, ReplicaId, Restored, Role, Snapshot,
 };
-use share::Want;
+use share::{QuotaTerms, TokenAnswer, TokenReport, Want};
 use state::{Command, Declaration, Operation, ResourceItem};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -94,6 +94,8 @@
     initial_membership: Membership,
     in_flight: VecDeque<InFlight>,
     next_request: u64,
+    /// Sent with the next poll of a gateway.
+    pub next_token_report: Option<TokenReport>,
 }
 
 pub fn id(name: &str, incarnation: u64) -> ReplicaId {
@@ -141,6 +143,7 @@
             },
             in_flight: VecDeque::new(),
             next_request: 0,
+            next_token_report: None,
         };
         for replica in cluster.initial_membership.voters.clone() {
             cluster.start(&replica);
@@ -182,6 +185,7 @@
             open_membership: self.open_membership,
             replica_losses: 2,
             instance_timeout_us: 10_000_000,
+            quota_terms: QuotaTerms::default(),
         };
         let control = Control::new(config, restored, TimeUs(self.now_us));
         self.replicas.insert(replica.clone(), control);
@@ -383,6 +387,7 @@
             },
             revision,
             wants_large,
+            tokens: self.next_token_report.take(),
         };
         let received_us = TimeUs(self.now_us);
         let input = Input::GatewayPoll {
@@ -395,6 +400,18 @@
         answer.expect("polls of gateways are answered at once")
     }
 
+    /// Polls as a gateway that has everything and reports its tokens.
+    pub fn report_tokens(
+        &mut self,
+        replica: &ReplicaId,
+        gateway: &str,
+        report: TokenReport,
+    ) -> Option<TokenAnswer> {
+        self.next_token_report = Some(report);
+        let answer = self.poll_as_gateway_for(replica, gateway, u64::MAX, false);
+        answer.tokens.clone()
+    }
+
     pub fn poll(&mut self, replica: &ReplicaId, entry: &str, applied_index: u64) -> PollAnswer {
         self.poll_with_rejection(replica, entry, applied_index, None)
     }
--- a/crates/control/tests/restart_of_gateways.rs
+++ b/crates/control/tests/restart_of_gateways.rs
@@ -155,6 +155,7 @@
         report,
         revision: 0,
         wants_large: true,
+        tokens: None,
     };
     let input = Input::GatewayPoll {
         poll: 1,
--- a/crates/ctl/tests/replica/mod.rs
+++ b/crates/ctl/tests/replica/mod.rs
@@ -133,6 +133,7 @@
         open_membership: false,
         replica_losses: 2,
         instance_timeout_us: 10_000_000,
+        quota_terms: share::QuotaTerms::default(),
     };
     let restored = Restored {
         initial_membership: Some(membership),
--- a/crates/daemon/src/control/start.rs
+++ b/crates/daemon/src/control/start.rs
@@ -12,6 +12,7 @@
     },
     feed::{forward_events, tick},
     http::{Server, ServerLimits, serve},
+    quota::quota_terms,
     replicas::{ReplicaLinks, seed_names},
 };
 use control::{Control, ControlConfig};
@@ -23,6 +24,7 @@
 use prometheus_client::registry::Registry;
 use raft::{RaftConfig, ReplicaId};
 use settings::{ControlSettings, Interface, Settings};
+use share::QuotaTerms;
 use slog::{Logger, info};
 use std::{
     sync::Arc,
@@ -234,6 +236,9 @@
         instance_timeout_us: settings.bounds.map_or(INSTANCE_SILENCE_US, |it| {
             SILENT_HEARTBEATS * it.heartbeat_ms * 1_000
         }),
+        quota_terms: settings
+            .bounds
+            .map_or_else(QuotaTerms::default, |it| quota_terms(&it)),
     })
 }
 
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -12,8 +12,12 @@
 use link::Event;
 use plan::{KeyDigest, Limits};
 use slog::{Logger, info, warn};
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
-use tokio::sync::watch;
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::sync::{oneshot, watch};
 use wire::{
     WireError, follow_answer_from_wire,
     peer::{Follow, FollowAnswer, Frame, frame::Body},
@@ -44,6 +48,8 @@
     args: GatewayArgs,
     /// Names of the control replicas that were dialed last.
     dialed: BTreeSet<String>,
+    /// Where the decisions on requests go that wait for a token, by the ID of the request.
+    undecided: HashMap<u64, oneshot::Sender<Decision>>,
 }
 
 impl Actor for GatewayActor {
@@ -54,6 +60,7 @@
         Ok(Self {
             args,
             dialed: BTreeSet::new(),
+            undecided: HashMap::new(),
         })
     }
 }
@@ -90,6 +97,8 @@
     pub object: Option<u64>,
     /// The digest of the key that the client sent, if it sent one.
     pub key: Option<KeyDigest>,
+    /// Where the decision goes when the reply is [`Decision::Wait`].
+    pub decided: Option<oneshot::Sender<Decision>>,
 }
 
 /// Whether and where a client's request is forwarded.
@@ -172,7 +181,8 @@
         let due = self.args.core.tick(now_us);
         self.dial_replicas();
         for replica in due {
-            let poll = self.args.core.poll_request(&replica);
+            let mut poll = self.args.core.poll_request(&replica);
+            poll.tokens = self.args.core.token_report(&replica, now_us);
             let Ok(question_json) = serde_json::to_vec(&poll) else {
                 warn!(
                     self.args.log,
@@ -197,6 +207,18 @@
         self.dialed = names;
     }
 
+    /// Sends the decisions on requests that waited for a token to their connections.
+    fn send_decisions(&mut self) {
+        let now_us = self.args.clock.now_us();
+        for (request, decision) in self.args.core.take_decided(now_us) {
+            let sender = self.undecided.remove(&request);
+            let is_sent = sender.is_some_and(|sender| sender.send(decision).is_ok());
+            if !is_sent {
+                self.args.core.withdraw(request, now_us);
+            }
+        }
+    }
+
     /// Logs each change of upstream state and of evacuations that the core reports.
     fn log_state_changes(&mut self) {
         for change in self.args.core.take_state_changes() {
@@ -247,6 +269,9 @@
         let before = self.args.core.plan_version();
         let changed = self.args.core.handle_poll_answer(replica, answer, now_us);
         self.log_state_changes();
+        let granted = self.args.core.take_granted_tokens();
+        self.args.metrics.granted_tokens.inc_by(granted);
+        self.send_decisions();
         let core = &self.args.core;
         if !changed {
             return;
@@ -274,6 +299,7 @@
     type Reply = ();
 
     async fn handle(&mut self, _: Tick, _: &mut Context<Self, Self::Reply>) {
+        self.send_decisions();
         self.poll_replicas();
     }
 }
@@ -316,7 +342,13 @@
             key: arrived.key,
         };
         let now_us = self.args.clock.now_us();
-        DecisionReply(self.args.core.handle_arrival(&arrival, now_us))
+        let decision = self.args.core.handle_arrival(&arrival, now_us);
+        if let (Decision::Wait, Some(decided)) = (&decision, arrived.decided) {
+            self.args.metrics.token_waits.inc();
+            self.undecided.insert(arrived.request, decided);
+            self.poll_replicas();
+        }
+        DecisionReply(decision)
     }
 }
 
@@ -369,6 +401,7 @@
         _: &mut Context<Self, Self::Reply>,
     ) {
         let now_us = self.args.clock.now_us();
+        self.undecided.remove(&request);
         if self.args.core.client_left(request, now_us) {
             self.args.metrics.count_attempt_end(Ending::Left);
         }
--- a/crates/daemon/src/gateway/guard.rs
+++ b/crates/daemon/src/gateway/guard.rs
@@ -6,6 +6,7 @@
 };
 use gate::{Decision, Ending, Failure, Load, NextStep, Notices};
 use kameo::actor::ActorRef;
+use tokio::sync::oneshot;
 
 /// A client's request that the core may hold as in flight. Dropping it, as when the client closes
 /// its connection, sends [`ClientLeft`] unless the request has ended.
@@ -31,9 +32,16 @@
         self.request
     }
 
-    /// Submits the request to the core and returns its decision; `None` when the actor has ended.
-    pub async fn admit(&mut self, arrival: RequestArrived) -> Option<Decision> {
+    /// Submits the request to the core and returns its decision, which may take some time; `None` when
+    /// the actor has ended.
+    pub async fn admit(&mut self, mut arrival: RequestArrived) -> Option<Decision> {
+        let (sender, decided) = oneshot::channel();
+        arrival.decided = Some(sender);
         let DecisionReply(decision) = self.actor.ask(arrival).await.ok()?;
+        let decision = match decision {
+            Decision::Wait => decided.await.ok()?,
+            decision => decision,
+        };
         self.is_open = matches!(decision, Decision::Forward(_));
         Some(decision)
     }
--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -101,7 +101,7 @@
         let client_timeout = timeout_ms.map(Duration::from_millis);
         let read = self.bodies.read(body, body_max_bytes, client_timeout);
         let refuse = |refusal, retry_after_ms| {
-            self.log_refusal(&head.headers, refusal, retry_after_ms, None);
+            self.log_refusal(&head.headers, refusal, retry_after_ms, (None, None));
             not_run_response(retry_after_ms)
         };
         let body = match self.until_stop_ends(read).await {
@@ -125,10 +125,14 @@
                 refusal,
                 retry_after_ms,
                 best,
+                tenant,
             } => {
-                self.log_refusal(&head.headers, refusal, retry_after_ms, best.as_ref());
-                return not_run_response(retry_after_ms);
+                let about = (best.as_ref(), tenant.as_deref());
+                self.log_refusal(&head.headers, refusal, retry_after_ms, about);
+                return refusal_response(refusal, retry_after_ms);
             }
+            // The guard waits for the decision that follows.
+            Decision::Wait => return not_run_response(STOPPED_RETRY_MS),
             Decision::Forward(target) => target,
         };
         strip_hop_by_hop_headers(&mut head.headers);
@@ -253,13 +257,14 @@
         headers: &hyper::HeaderMap,
         refusal: Refusal,
         retry_after_ms: u64,
-        best: Option<&BusyUpstream>,
+        (best, tenant): (Option<&BusyUpstream>, Option<&str>),
     ) {
         self.metrics.count_refused(refusal);
         info!(self.log, "request refused";
             "request" => attempt_id(headers),
             "cause" => refusal.as_str(),
             "retry_after_ms" => retry_after_ms,
+            "tenant" => tenant,
             "upstream" => best.map(|best| best.upstream.to_string()),
             "wait_ms" => best.map(|best| best.wait_ms),
             "wait_max_ms" => best.map(|best| best.wait_max_ms));
@@ -329,6 +334,7 @@
         timeout_ms: request_headers.timeout_ms,
         object: request_headers.object,
         key: request_headers.key,
+        decided: None,
     }
 }
 
@@ -368,7 +374,20 @@
 
 /// The response for a request that did not run and won't be retried here: 503 with `retry-after`.
 fn not_run_response(retry_after_ms: u64) -> Response<Body> {
-    let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
+    with_retry_after(StatusCode::SERVICE_UNAVAILABLE, retry_after_ms)
+}
+
+/// The response for a request that the core refuses.
+fn refusal_response(refusal: Refusal, retry_after_ms: u64) -> Response<Body> {
+    let status = match refusal {
+        Refusal::Quota => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    with_retry_after(status, retry_after_ms)
+}
+
+fn with_retry_after(status: StatusCode, retry_after_ms: u64) -> Response<Body> {
+    let mut response = empty(status);
     let seconds = format!("{:.3}", retry_after_ms as f64 / 1e3);
     if let Ok(seconds) = HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(RETRY_AFTER, seconds);
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -47,6 +47,10 @@
     pub connections: Counter,
     /// Control replicas that did not send large changes in time.
     pub fetch_timeouts: Counter,
+    /// Tokens of tenants' quotas that the leader granted.
+    pub granted_tokens: Counter,
+    /// Requests that waited for a token.
+    pub token_waits: Counter,
     /// Version of the plan in force.
     pub plan_version: Gauge,
     small_body_room: Gauge,
@@ -64,6 +68,8 @@
             retries: Counter::default(),
             connections: Counter::default(),
             fetch_timeouts: Counter::default(),
+            granted_tokens: Counter::default(),
+            token_waits: Counter::default(),
             plan_version: Gauge::default(),
             small_body_room: Gauge::default(),
             large_body_room: Gauge::default(),
@@ -88,6 +94,16 @@
             "Control replicas that did not send large changes in time",
             metrics.fetch_timeouts.clone(),
         );
+        registry.register(
+            "granted_tokens",
+            "Tokens of quotas that the leader granted",
+            metrics.granted_tokens.clone(),
+        );
+        registry.register(
+            "token_waits",
+            "Requests that waited for a token of a quota",
+            metrics.token_waits.clone(),
+        );
         registry.register(
             "plan_version",
             "Version of the plan that runs",
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -12,6 +12,7 @@
         metrics::GatewayMetrics,
     },
     http::{HEAD_TIMEOUT, Pool, Server, ServerLimits, serve},
+    quota::quota_terms,
     replicas::{ReplicaLinks, seed_names},
 };
 use gate::{Gate, GateBounds, GateConfig, STOP_ANSWER_FRACTION};
@@ -92,6 +93,7 @@
     log: &Logger,
 ) -> anyhow::Result<Gateway> {
     let clock = Clock::new();
+    let now_us = clock.now_us();
     let bounds = settings.bounds.ok_or(MissingBounds)?;
     let (inbox, events) = mpsc::channel(LINK_EVENTS);
     let mut registry = Registry::with_prefix("oleanderwell_gateway");
@@ -100,7 +102,11 @@
     let (limits, client_limits) = watch::channel(None);
     let actor = GatewayActor::spawn_with_mailbox(
         GatewayArgs {
-            core: Gate::new(config(settings, role_settings, &bounds)?, clock.now_us()),
+            core: Gate::new(config(settings, role_settings, &bounds)?, now_us).with_quotas(
+                identity.incarnation,
+                quota_terms(&bounds),
+                now_us,
+            ),
             clock,
             links: ReplicaLinks::new(settings, identity, inbox),
             metrics: Arc::clone(&metrics),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod http;
 mod log;
 mod options;
+mod quota;
 mod replicas;
 mod run;
 
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -123,6 +123,8 @@
     Deadline,
     /// The process has no memory left for the request's body.
     Memory,
+    /// The request's tenant is over its quota, or the gateway hears of no leader that could tell.
+    Quota,
 }
 
 impl Refusal {
@@ -136,6 +138,7 @@
             Self::Overloaded => "overloaded",
             Self::Deadline => "deadline",
             Self::Memory => "memory",
+            Self::Quota => "quota",
         }
     }
 }
@@ -166,7 +169,12 @@
         retry_after_ms: u64,
         /// The best upstream; set for [`Refusal::Overloaded`] only.
         best: Option<BusyUpstream>,
+        /// The tenant; set for [`Refusal::Quota`] only.
+        tenant: Option<String>,
     },
+    /// It waits for a token of its tenant's quota.
+    /// [`Gate::take_decided`](crate::Gate::take_decided) returns the decision within 300 ms.
+    Wait,
     /// It is sent to an upstream.
     Forward(Target),
 }
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -3,12 +3,13 @@
 //! The handling of client requests is in `requests.rs`.
 
 use crate::{
-    api::StateChange, config::GateConfig, poll_schedule::PollSchedule, regions::RebalanceParams,
-    requests::PendingRequest, service::Service, slack::Slack, split::Split, stopping::Stopping,
-    times::RunTimes, upstream::Upstream, withheld::WithheldRuns,
+    api::StateChange, config::GateConfig, poll_schedule::PollSchedule, quota::Quotas,
+    regions::RebalanceParams, requests::PendingRequest, service::Service, slack::Slack,
+    split::Split, stopping::Stopping, times::RunTimes, upstream::Upstream, withheld::WithheldRuns,
 };
 use control::{GatewayPoll, GatewayPollAnswer, GatewayReport};
 use plan::{Instance, Limits, PlanChanges, RouteTable, ServiceTerms, TenantTable};
+use share::QuotaTerms;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use types::{DomainName, RegionName, ServiceName, TimeUs, UpstreamName};
 
@@ -49,6 +50,7 @@
     pub(crate) pending: HashMap<u64, PendingRequest>,
     next_rebalance_us: TimeUs,
     pub(crate) slack: Slack,
+    pub(crate) quotas: Quotas,
     /// Changes for the log that [`Self::take_state_changes`] has not returned yet.
     pub(crate) state_changes: Vec<StateChange>,
     /// Set once the gateway is stopping.
@@ -78,6 +80,7 @@
             pending: HashMap::new(),
             next_rebalance_us: now_us,
             slack: Slack::new(now_us),
+            quotas: Quotas::new(0, QuotaTerms::default(), now_us),
             state_changes: Vec::new(),
             stopping: None,
         }
@@ -90,10 +93,10 @@
         self.table.is_some() && self.stopping.is_none()
     }
 
-    /// Counts the forwarded requests whose last attempt has not ended.
+    /// Counts the requests that wait for a token, and the forwarded ones whose last attempt has not ended.
     #[must_use]
     pub fn in_flight(&self) -> usize {
-        self.pending.len()
+        self.pending.len() + self.quotas.held_count()
     }
 
     /// The version of the plan that the gateway applies, 0 before the first.
@@ -143,10 +146,18 @@
             self.next_rebalance_us = now_us.after_ms(REBALANCE_INTERVAL_MS);
             self.rebalance_regions(now_us);
         }
-        self.polls.due(self.table.is_some(), now_us)
+        let mut due = self.polls.due(self.table.is_some(), now_us);
+        let for_tokens = self.quotas.due_polls(self.polls.names(), now_us);
+        due.extend(
+            for_tokens
+                .into_iter()
+                .filter(|it| !due.contains(it))
+                .collect::<Vec<_>>(),
+        );
+        due
     }
 
-    /// Builds the poll request for a replica.
+    /// Builds the poll request for a replica, without [`Self::token_report`].
     #[must_use]
     pub fn poll_request(&self, replica: &str) -> GatewayPoll {
         GatewayPoll {
@@ -159,6 +170,7 @@
             },
             revision: self.revision,
             wants_large: self.polls.is_fetching_from(replica),
+            tokens: None,
         }
     }
 
@@ -174,6 +186,7 @@
             self.polls.record_members(members, interval_ms, now_us);
             self.gateway_count = answer.gateways.max(1);
         }
+        self.quotas.handle_answer(replica, &answer, now_us);
         let may_be_old = !answer.is_current && self.table.is_none();
         if may_be_old && !self.waits_for_current_until_us.reached(now_us) {
             return false;
@@ -210,6 +223,7 @@
         }
         if let Some(plan) = changes.plan {
             self.apply_plan(&plan);
+            self.quotas.set_limits(&self.tenants, now_us);
         }
         self.rebalance_regions(now_us);
         true
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -13,6 +13,7 @@
 mod identity;
 mod mean_load;
 mod poll_schedule;
+mod quota;
 mod rank;
 mod regions;
 mod requests;
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -7,6 +7,7 @@
     },
     gate::Gate,
     identity::{Homes, Identity},
+    quota::{QuotaClaim, TokenState},
     service::{Choice, Criteria},
     split::Split,
     stopping::Stopping,
@@ -56,6 +57,7 @@
     had_free_slot: bool,
     /// Whether an upstream may have run any attempt that ended.
     may_have_run: bool,
+    pub(crate) quota: QuotaClaim,
 }
 
 impl PendingRequest {
@@ -85,6 +87,7 @@
             has_affinity: false,
             had_free_slot: false,
             may_have_run: false,
+            quota: QuotaClaim::new(tenant),
         }
     }
 
@@ -144,11 +147,18 @@
 
     /// Ends a request whose client closed the connection; returns false when it was not in flight.
     pub fn client_left(&mut self, request: u64, now_us: TimeUs) -> bool {
-        let Some(pending) = self.pending.remove(&request) else {
-            return false;
-        };
+        if self.end_unsent(request, now_us).is_some() {
+            return true;
+        }
+        self.quotas.drop_held(request);
+        false
+    }
+
+    /// Removes a request in flight whose client has left.
+    pub(crate) fn end_unsent(&mut self, request: u64, now_us: TimeUs) -> Option<PendingRequest> {
+        let pending = self.pending.remove(&request)?;
         self.record_ending(&pending, Ending::Left, None, now_us);
-        true
+        Some(pending)
     }
 
     /// Handles what the upstream of a request's current attempt asks for in its answer. To be called
@@ -232,22 +242,32 @@
         }
         match ending {
             Ending::Failed => NextStep::Deliver,
-            _ if !pending.may_have_run => NextStep::GiveUp(Failure::NotRun {
-                retry_after_ms: RETRY_AFTER_MIN_MS,
-            }),
+            _ if !pending.may_have_run => {
+                self.quotas.give_back(&pending.quota, now_us);
+                NextStep::GiveUp(Failure::NotRun {
+                    retry_after_ms: RETRY_AFTER_MIN_MS,
+                })
+            }
             _ => NextStep::GiveUp(Failure::Unknown),
         }
     }
 
     /// Chooses the upstream of a request's first attempt; refuses the request when it would queue
-    /// longer there than its target and other routes allow.
-    fn admit(&mut self, request: u64, pending: PendingRequest, now_us: TimeUs) -> Decision {
+    /// longer there than its target and other routes allow, or when its tenant is over its quota.
+    pub(crate) fn admit(
+        &mut self,
+        request: u64,
+        mut pending: PendingRequest,
+        now_us: TimeUs,
+    ) -> Decision {
         let times = self.route_times(&pending.route);
         let Some(service) = self.services.get_mut(&pending.service) else {
             return refuse(Refusal::NoUpstream, RETRY_AFTER_MAX_MS);
         };
-        self.slack.record_request();
-        service.record_request(&self.config.bounds, self.gateway_count);
+        if !pending.quota.was_held() {
+            self.slack.record_request();
+            service.record_request(&self.config.bounds, self.gateway_count);
+        }
         let criteria = pending.criteria(&self.config.failure_domain, times, now_us);
         let Some(choice) = service.choose(criteria, self.gateway_count, now_us) else {
             let backoff_end_us = service.backoff_end_us(now_us);
@@ -277,12 +297,22 @@
                     wait_ms: (choice.wait_us / 1e3) as u64,
                     wait_max_ms: (wait_max_us / 1e3) as u64,
                 }),
+                tenant: None,
             };
         }
         if !self.ends_before_stop(&pending, &choice, now_us) {
             return refuse(Refusal::Stopping, RETRY_AFTER_MIN_MS);
         }
-        Decision::Forward(self.start_attempt(request, pending, choice, now_us))
+        match self.quotas.take(&mut pending.quota, now_us) {
+            TokenState::Ready => {
+                Decision::Forward(self.start_attempt(request, pending, choice, now_us))
+            }
+            TokenState::Wait => {
+                let remaining_ms = pending.deadline_us.since_us(now_us) / 1_000;
+                self.quotas.hold(request, pending, remaining_ms, now_us)
+            }
+            TokenState::Refused(decision) => decision,
+        }
     }
 
     /// Whether an attempt at the chosen upstream ends before this gateway, if it is stopping. The
@@ -400,5 +430,6 @@
         refusal,
         retry_after_ms,
         best: None,
+        tenant: None,
     }
 }
--- a/crates/gate/tests/loads.rs
+++ b/crates/gate/tests/loads.rs
@@ -76,7 +76,9 @@
                     assert_eq!(refusal, Refusal::Overloaded);
                     served.refused += 1;
                 }
-                Decision::NoRoute | Decision::Unauthorized => panic!("no route matches"),
+                Decision::NoRoute | Decision::Unauthorized | Decision::Wait => {
+                    panic!("no route matches")
+                }
             }
         }
         for target in targets {
--- a/crates/gate/tests/notices.rs
+++ b/crates/gate/tests/notices.rs
@@ -51,7 +51,7 @@
             Some(target.upstream.to_string())
         }
         Decision::Refuse { .. } => None,
-        Decision::NoRoute | Decision::Unauthorized => panic!("no route matches"),
+        Decision::NoRoute | Decision::Unauthorized | Decision::Wait => panic!("no route matches"),
     }
 }
 
--- a/crates/gate/tests/overflow.rs
+++ b/crates/gate/tests/overflow.rs
@@ -44,7 +44,9 @@
                 used.insert(target.upstream.to_string());
             }
             Decision::Refuse { .. } => refused += 1,
-            Decision::NoRoute | Decision::Unauthorized => panic!("no route matches"),
+            Decision::NoRoute | Decision::Unauthorized | Decision::Wait => {
+                panic!("no route matches")
+            }
         }
     }
     (used, refused)
--- a/crates/gate/tests/requests.rs
+++ b/crates/gate/tests/requests.rs
@@ -29,7 +29,7 @@
 fn refusal(decision: &Decision) -> Option<Refusal> {
     match decision {
         Decision::Refuse { refusal, .. } => Some(*refusal),
-        Decision::NoRoute | Decision::Unauthorized | Decision::Forward(_) => None,
+        Decision::NoRoute | Decision::Unauthorized | Decision::Wait | Decision::Forward(_) => None,
     }
 }
 
@@ -313,13 +313,16 @@
                 refusal,
                 retry_after_ms,
                 best,
+                ..
             } => {
                 let best = best.expect("a refusal for overload names the best upstream");
                 assert!(best.wait_ms > best.wait_max_ms);
                 refused = Some(refusal);
                 assert!(retry_after_ms >= 100);
             }
-            Decision::NoRoute | Decision::Unauthorized => panic!("no route matches"),
+            Decision::NoRoute | Decision::Unauthorized | Decision::Wait => {
+                panic!("no route matches")
+            }
         }
     }
     assert_eq!(refused, Some(Refusal::Overloaded));
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -151,6 +151,7 @@
             evacuated: None,
             instances,
         },
+        tokens: None,
     }
 }
 
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -34,7 +34,7 @@
 
 /// The keys of `[bounds]` with their defaults in thousandths. A default is the value that both of
 /// today's deployments use, or the stricter one where they differ.
-const BOUND_DEFAULTS: [(&str, u64); 7] = [
+const BOUND_DEFAULTS: [(&str, u64); 10] = [
     ("heartbeat_s", 1_500),
     ("grace_s", 6_000),
     ("lookup_lifetime_s", 5_000),
@@ -42,11 +42,14 @@
     ("retry_window_s", 10_000),
     ("retry_slack", 60_000),
     ("region_shift_max", 150),
+    ("quota_window_s", 5_000),
+    ("quota_overage", 0),
+    ("quota_slack", 0),
 ];
 
 /// The keys of `[bounds]`.
-pub(crate) const BOUND_KEYS: [&str; 7] = {
-    let mut keys = [""; 7];
+pub(crate) const BOUND_KEYS: [&str; 10] = {
+    let mut keys = [""; 10];
     let mut index = 0;
     while index < keys.len() {
         keys[index] = BOUND_DEFAULTS[index].0;
@@ -115,6 +118,9 @@
         retry_window_ms: parse_milli(section, "retry_window_s")?,
         retry_slack_milli: parse_milli(section, "retry_slack")?,
         region_shift_max_milli: parse_milli(section, "region_shift_max")?,
+        quota_window_ms: parse_milli(section, "quota_window_s")?,
+        quota_overage_milli: parse_milli(section, "quota_overage")?,
+        quota_slack_milli: parse_milli(section, "quota_slack")?,
     })
 }
 
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -196,6 +196,13 @@
     /// The largest fraction of a region's requests that may change region within two seconds, in
     /// thousandths.
     pub region_shift_max_milli: u64,
+    /// The window over which a tenant's requests are counted.
+    pub quota_window_ms: u64,
+    /// By how much the requests of a tenant in a window may exceed its rate and burst, in thousandths,
+    /// over all gateways.
+    pub quota_overage_milli: u64,
+    /// How many requests more than that may run in a window, in thousandths, over all gateways.
+    pub quota_slack_milli: u64,
 }
 
 /// A line of `[replicas]`: one control replica.
