--- a/crates/share/src/quota/stock.rs
+++ b/crates/share/src/quota/stock.rs
@@ -251,6 +251,8 @@
     /// Until when a leader is taken to be there; after the start also before the first has answered.
     touch_until_us: TimeUs,
     refresh_us: Option<TimeUs>,
+    /// Requests of all tenants that wait for a token.
+    waiting: u64,
 }
 
 impl Stock {
@@ -269,6 +271,7 @@
             stamp_us: 0,
             touch_until_us: now_us.after_ms(TOUCH_MS),
             refresh_us: None,
+            waiting: 0,
         }
     }
 
@@ -292,6 +295,7 @@
             tenants.insert(name, stock);
         }
         self.tenants = tenants;
+        self.waiting = self.tenants.values().map(|stock| stock.waiting).sum();
     }
 
     /// Records an answer of a replica that certainly leads, or knows who does, and the number of gateways
@@ -419,13 +423,17 @@
     pub fn begin_wait(&mut self, tenant: &str) {
         if let Some(stock) = self.tenants.get_mut(tenant) {
             stock.waiting += 1;
+            self.waiting += 1;
         }
     }
 
     /// Counts a request that no longer waits.
     pub fn end_wait(&mut self, tenant: &str) {
         if let Some(stock) = self.tenants.get_mut(tenant) {
-            stock.waiting = stock.waiting.saturating_sub(1);
+            // A tenant whose limit came back meanwhile has a new count.
+            let before = stock.waiting;
+            stock.waiting = before.saturating_sub(1);
+            self.waiting -= before - stock.waiting;
         }
     }
 
@@ -439,6 +447,9 @@
         if self.refresh_us.is_some_and(|at| at.reached(now_us)) {
             return true;
         }
+        if self.waiting == 0 {
+            return false;
+        }
         let waits = |stock: &TenantStock| {
             stock.waiting > stock.tokens() && stock.empty_until_us.reached(now_us)
         };
