--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod group;
 pub mod page;
 pub mod process;
+pub mod quotas;
 pub mod report;
 pub mod shares;
 pub mod upstreams;
--- a/crates/bench/tests/cost.rs
+++ b/crates/bench/tests/cost.rs
@@ -4,6 +4,7 @@
 use bench::{
     entries::SettledEntry,
     frames::{link_bytes, poll, poll_answer, sync_all, sync_renewals, sync_request},
+    quotas::QuotaLoad,
     report::fit_line,
     upstreams::members,
 };
@@ -72,3 +73,45 @@
     println!("idle second of an entry: {fixed:.1} + {each:.2} messages a declared entry");
     assert!(each <= SYNCS_PER_S + 0.5);
 }
+
+/// The most reports of a gateway in a second, whatever the number of tenants.
+const REPORTS_MAX_PER_S: u64 = 20;
+
+/// Prints what a second costs with limits of so many percent of what the tenants send. Checks the number
+/// of reports, and that hardly anything is refused below the limits.
+fn check_quota_cost(gateways: usize, tenants: usize, per_s: u64, limit_percent: u64) {
+    const SECONDS: u64 = 2;
+    /// The leader's buckets start empty.
+    const SETTLE_SECONDS: u64 = 12;
+    let mut load = QuotaLoad::new(gateways, tenants, per_s, limit_percent);
+    load.run(SETTLE_SECONDS, per_s);
+    let cost = load.run(SECONDS, per_s);
+    let per_gateway_s = SECONDS * gateways as u64;
+    let percent = |count: u64| count as f64 * 100.0 / cost.requests as f64;
+    println!(
+        "{gateways} gateways, {tenants} tenants with limits of {limit_percent}% of {per_s} requests/s: \
+         {:.1} reports and {} bytes a second and gateway, {} reports/s at the leader, {:.1}% waited, \
+         {:.2}% refused",
+        cost.reports as f64 / per_gateway_s as f64,
+        cost.bytes / per_gateway_s,
+        cost.reports / SECONDS,
+        percent(cost.waited),
+        percent(cost.refused),
+    );
+    assert!(cost.reports <= REPORTS_MAX_PER_S * per_gateway_s);
+    if limit_percent > 100 {
+        assert!(cost.refused * 1_000 <= cost.requests, "{cost:?}");
+    }
+}
+
+// A leader has 0.6 of a core and a gateway some Mbit/s: a report for each request would be too many.
+#[test]
+fn reports_on_quotas_are_bounded_at_118_gateways_with_86_tenants() {
+    check_quota_cost(118, 86, 7_000, 125);
+    check_quota_cost(118, 86, 7_000, 10);
+}
+
+#[test]
+fn reports_on_quotas_are_bounded_at_1_000_gateways_with_1_000_tenants() {
+    check_quota_cost(1_000, 1_000, 20_000, 125);
+}
--- a/crates/share/src/quota/holders.rs
+++ b/crates/share/src/quota/holders.rs
@@ -9,6 +9,9 @@
 /// Gateways tell their wants at least this often.
 const WANT_LIFE_MS: u64 = 1_000;
 
+/// How often wants that no longer count are dropped, in milliseconds.
+const SWEEP_INTERVAL_MS: u64 = 250;
+
 #[derive(Clone, Copy, Debug)]
 struct OutstandingGrant {
     /// The serial of the report that it answers.
@@ -16,7 +19,6 @@
     granted: u64,
     /// Those of `granted` that the gateway may have in hand.
     outstanding: u64,
-    until_us: TimeUs,
 }
 
 /// What the leader knows of one gateway.
@@ -24,16 +26,14 @@
 struct Holder {
     /// In the order of their serials, and so of their expiry.
     grants: VecDeque<OutstandingGrant>,
+    /// The sum of what was granted.
+    granted: u64,
     /// What the gateway still wants after its latest grant.
     unserved: u64,
     unserved_until_us: TimeUs,
 }
 
 impl Holder {
-    fn granted(&self) -> u64 {
-        self.grants.iter().map(|grant| grant.granted).sum()
-    }
-
     /// Takes back what the gateway returns, and stops counting what it no longer holds. Returns how many
     /// tokens came back.
     fn settle(&mut self, applied: u64, want: &TokenWant) -> u64 {
@@ -56,8 +56,8 @@
         back
     }
 
-    fn is_idle(&self, now_us: TimeUs) -> bool {
-        self.grants.is_empty() && self.unserved_until_us.reached(now_us)
+    fn outstanding(&self) -> u64 {
+        self.grants.iter().map(|grant| grant.outstanding).sum()
     }
 }
 
@@ -65,33 +65,54 @@
 #[derive(Debug, Default)]
 pub(super) struct Holders {
     holders: BTreeMap<HolderId, Holder>,
+    /// When each grant expires, in that order.
+    expiries: VecDeque<(TimeUs, HolderId)>,
     /// The sum of what all of them may have in hand.
     outstanding: u64,
+    /// The sum of what all of them were granted and has not expired.
+    granted: u64,
+    /// The sum of what all of them still want; some of it may no longer count.
+    unserved: u64,
+    next_sweep_us: TimeUs,
 }
 
 impl Holders {
-    pub fn outstanding(&self) -> u64 {
+    pub const fn outstanding(&self) -> u64 {
         self.outstanding
     }
 
     /// When the next outstanding tokens expire.
     pub fn next_expiry_us(&self) -> Option<TimeUs> {
-        let first = |holder: &Holder| holder.grants.front().map(|grant| grant.until_us);
-        self.holders.values().filter_map(first).min()
+        self.expiries.front().map(|(until_us, _)| *until_us)
     }
 
     /// Stops counting the tokens that have expired, and forgets gateways that hold and want nothing.
     pub fn expire(&mut self, now_us: TimeUs) {
-        for holder in self.holders.values_mut() {
-            while let Some(grant) = holder.grants.front() {
-                if !grant.until_us.reached(now_us) {
-                    break;
-                }
+        while let Some((until_us, _)) = self.expiries.front() {
+            if !until_us.reached(now_us) {
+                break;
+            }
+            let expired = self.expiries.pop_front();
+            let holder = expired.and_then(|(_, gateway)| self.holders.get_mut(&gateway));
+            if let Some((holder, grant)) =
+                holder.and_then(|it| it.grants.pop_front().map(|grant| (it, grant)))
+            {
+                holder.granted -= grant.granted;
+                self.granted -= grant.granted;
                 self.outstanding -= grant.outstanding;
-                holder.grants.pop_front();
             }
         }
-        self.holders.retain(|_, holder| !holder.is_idle(now_us));
+        if self.next_sweep_us.reached(now_us) {
+            self.next_sweep_us = now_us.after_ms(SWEEP_INTERVAL_MS);
+            for holder in self.holders.values_mut() {
+                if holder.unserved_until_us.reached(now_us) {
+                    self.unserved -= holder.unserved;
+                    holder.unserved = 0;
+                }
+            }
+            self.holders
+                .retain(|_, it| !it.grants.is_empty() || it.unserved > 0);
+        }
     }
 
     /// Applies what a gateway says of the grants up to the serial `applied`; returns how many tokens it
@@ -100,31 +121,23 @@
         let Some(holder) = self.holders.get_mut(gateway) else {
             return 0;
         };
-        let before: u64 = holder.grants.iter().map(|it| it.outstanding).sum();
+        let before = holder.outstanding();
         let back = holder.settle(applied, want);
-        let after: u64 = holder.grants.iter().map(|it| it.outstanding).sum();
-        self.outstanding -= before - after;
+        self.outstanding -= before - holder.outstanding();
         back
     }
 
     /// The part of `available` tokens that a gateway gets which wants `wanted` of them. Where there are
     /// too few for all, the tokens of the last second are divided max-min among the gateways that wanted
     /// some in it, so that asking more often brings no more.
-    pub fn offer(&self, gateway: &HolderId, wanted: u64, available: u64, now_us: TimeUs) -> u64 {
-        let others = self.holders.iter().filter(|(id, _)| *id != gateway);
-        let unserved = |holder: &Holder| match holder.unserved_until_us.reached(now_us) {
-            true => 0,
-            false => holder.unserved,
-        };
-        let others: Vec<(u64, u64)> = others
-            .map(|(_, holder)| (holder.granted(), unserved(holder)))
-            .collect();
-        let wanted_by_others: u64 = others.iter().map(|(_, unserved)| unserved).sum();
-        if wanted + wanted_by_others <= available {
+    pub fn offer(&self, gateway: &HolderId, wanted: u64, available: u64) -> u64 {
+        let own = self.holders.get(gateway);
+        let (own_granted, own_unserved) = own.map_or((0, 0), |own| (own.granted, own.unserved));
+        if wanted + self.unserved - own_unserved <= available {
             return wanted;
         }
-        let own_granted = self.holders.get(gateway).map_or(0, Holder::granted);
-        let demands = others.iter().map(|(granted, unserved)| granted + unserved);
+        let others = self.holders.iter().filter(|(id, _)| *id != gateway);
+        let demands = others.map(|(_, holder)| holder.granted + holder.unserved);
         let participants: Vec<Participant> = std::iter::once(own_granted + wanted)
             .chain(demands)
             .map(|demand| Participant {
@@ -132,9 +145,7 @@
                 local: true,
             })
             .collect();
-        let granted: u64 = others.iter().map(|(granted, _)| granted).sum();
-        let limit = available + own_granted + granted;
-        let shares = crate::fair_shares(limit, &participants);
+        let shares = crate::fair_shares(available + self.granted, &participants);
         let share = shares
             .first()
             .map_or(0, |it| it.saturating_sub(own_granted));
@@ -153,22 +164,26 @@
         now_us: TimeUs,
     ) {
         let holder = self.holders.entry(gateway.clone()).or_default();
+        self.unserved = self.unserved - holder.unserved + unserved;
         holder.unserved = unserved;
         holder.unserved_until_us = now_us.after_ms(WANT_LIFE_MS);
         if tokens > 0 {
             self.outstanding += tokens;
+            self.granted += tokens;
+            holder.granted += tokens;
             holder.grants.push_back(OutstandingGrant {
                 serial,
                 granted: tokens,
                 outstanding: tokens,
-                until_us: now_us.after_ms(OUTSTANDING_MS),
             });
+            let until_us = now_us.after_ms(OUTSTANDING_MS);
+            self.expiries.push_back((until_us, gateway.clone()));
         }
     }
 
     /// The number of gateways that wanted more than they got lately.
-    pub fn unserved_count(&self, now_us: TimeUs) -> usize {
-        let is_unserved = |it: &&Holder| it.unserved > 0 && !it.unserved_until_us.reached(now_us);
+    pub fn unserved_count(&self) -> usize {
+        let is_unserved = |holder: &&Holder| holder.unserved > 0;
         self.holders.values().filter(is_unserved).count()
     }
 }
--- a/crates/share/src/quota/ledger.rs
+++ b/crates/share/src/quota/ledger.rs
@@ -116,7 +116,7 @@
         now_us: TimeUs,
     ) -> TokenGrant {
         let available = self.available(part);
-        let tokens = self.holders.offer(gateway, want.wanted, available, now_us);
+        let tokens = self.holders.offer(gateway, want.wanted, available);
         self.tokens -= tokens as f64;
         let unserved = want.wanted - tokens;
         // Then there will be more as soon as gateways report what they have used.
@@ -127,15 +127,15 @@
             tenant: want.tenant.clone(),
             tokens,
             retry_after_ms: match unserved > 0 && !is_room_short {
-                true => self.retry_after_ms(part, now_us),
+                true => self.retry_after_ms(part),
                 false => 0,
             },
         }
     }
 
     /// When there is a token for each gateway that wants some.
-    fn retry_after_ms(&self, part: f64, now_us: TimeUs) -> u64 {
-        let missing = self.holders.unserved_count(now_us) as f64 - self.tokens;
+    fn retry_after_ms(&self, part: f64) -> u64 {
+        let missing = self.holders.unserved_count() as f64 - self.tokens;
         let wait_ms = missing.max(0.0) / (self.budget.per_s * part) * 1e3;
         // Without a rate the wait is infinite or undefined; both become the longest.
         match wait_ms.is_nan() {
@@ -173,7 +173,12 @@
     /// bucket that fills by one token per second has filled since the start.
     filled_s: f64,
     last_reports: BTreeMap<HolderId, LastReport>,
+    next_serial_check_us: TimeUs,
     pledges: BTreeMap<EntryName, Pledge>,
+    /// The sum of the parts that are pledged.
+    pledged: f64,
+    /// No pledge ends before.
+    next_pledge_end_us: TimeUs,
     tenants: BTreeMap<String, TenantBucket>,
 }
 
@@ -188,7 +193,10 @@
             now_us,
             filled_s: 0.0,
             last_reports: BTreeMap::new(),
+            next_serial_check_us: now_us,
             pledges: BTreeMap::new(),
+            pledged: 0.0,
+            next_pledge_end_us: now_us,
             tenants: BTreeMap::new(),
         }
     }
@@ -244,8 +252,7 @@
                 parts: report.parts.max(gateways).max(1),
                 until_us: TimeUs(report.stamp_us).after_ms(PLEDGE_COUNTED_MS),
             };
-            self.pledges.insert(gateway.entry.clone(), pledge);
-            self.expire(now_us);
+            self.add_pledge(&gateway.entry, pledge, now_us);
         }
         let part = self.part();
         let mut grants = Vec::new();
@@ -285,7 +292,7 @@
             burst: bucket.limit.burst,
             tokens: bucket.tokens as u64,
             outstanding: bucket.holders.outstanding(),
-            unserved_gateways: bucket.holders.unserved_count(self.now_us),
+            unserved_gateways: bucket.holders.unserved_count(),
         })
     }
 
@@ -297,17 +304,33 @@
         self.filled_s += elapsed_us as f64 / 1e6 * self.part();
     }
 
+    fn add_pledge(&mut self, gateway: &EntryName, pledge: Pledge, now_us: TimeUs) {
+        if pledge.until_us.reached(now_us) {
+            return;
+        }
+        let part = |pledge: Pledge| 1.0 / pledge.parts as f64;
+        let earlier = self.pledges.insert(gateway.clone(), pledge);
+        self.pledged += part(pledge) - earlier.map_or(0.0, part);
+        self.next_pledge_end_us = self.next_pledge_end_us.min(pledge.until_us);
+    }
+
     fn expire(&mut self, now_us: TimeUs) {
-        self.pledges
-            .retain(|_, pledge| !pledge.until_us.reached(now_us));
-        self.last_reports
-            .retain(|_, report| !report.expires_us.reached(now_us));
+        if self.next_pledge_end_us.reached(now_us) {
+            self.pledges.retain(|_, it| !it.until_us.reached(now_us));
+            let pledges = || self.pledges.values();
+            self.pledged = pledges().map(|it| 1.0 / it.parts as f64).sum();
+            let end_us = pledges().map(|it| it.until_us).min();
+            self.next_pledge_end_us = end_us.unwrap_or(TimeUs(u64::MAX));
+        }
+        if self.next_serial_check_us.reached(now_us) {
+            self.next_serial_check_us = now_us.after_ms(GATEWAY_LIFE_MS);
+            self.last_reports
+                .retain(|_, report| !report.expires_us.reached(now_us));
+        }
     }
 
     /// The part of every budget that the leader has: all but the static parts that are not pledged.
     fn part(&self) -> f64 {
-        let pledges = self.pledges.values();
-        let pledged: f64 = pledges.map(|it| 1.0 / it.parts as f64).sum();
-        1.0 - STATIC_FRACTION * (1.0 - pledged).clamp(0.0, 1.0)
+        1.0 - STATIC_FRACTION * (1.0 - self.pledged).clamp(0.0, 1.0)
     }
 }
--- a/crates/share/src/quota/stock.rs
+++ b/crates/share/src/quota/stock.rs
@@ -214,6 +214,10 @@
         (term, serial): (u64, u64),
         now_us: TimeUs,
     ) -> Option<TokenWant> {
+        let is_idle = self.waiting == 0 && self.batches.is_empty() && !self.is_unreported;
+        if is_idle && self.demand_per_s < PREFETCH_MIN_PER_S {
+            return None;
+        }
         self.expire(now_us);
         self.update_demand(0.0, now_us);
         let returned = self.take_surplus(term, now_us);
@@ -447,15 +451,17 @@
         if self.refresh_us.is_some_and(|at| at.reached(now_us)) {
             return true;
         }
-        if self.waiting == 0 {
+        if self.waiting == 0 || !self.may_fetch(now_us) {
             return false;
         }
         let waits = |stock: &TenantStock| {
             stock.waiting > stock.tokens() && stock.empty_until_us.reached(now_us)
         };
-        if !self.tenants.values().any(waits) {
-            return false;
-        }
+        self.tenants.values().any(waits)
+    }
+
+    /// Whether the last report is so long ago that there may be one for requests that wait.
+    fn may_fetch(&self, now_us: TimeUs) -> bool {
         let Some((serial, sent_us)) = self.sent.back().copied() else {
             return true;
         };
