--- a/crates/control/tests/restart_of_gateways.rs
+++ b/crates/control/tests/restart_of_gateways.rs
@@ -156,6 +156,7 @@
         revision: 0,
         wants_large: true,
         number: 1,
+        tokens: None,
     };
     let input = Input::GatewayPoll {
         poll: 1,
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -16,8 +16,12 @@
 use link::Event;
 use plan::{KeyDigest, Limits};
 use slog::{Logger, info, warn};
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
-use tokio::sync::watch;
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::sync::{oneshot, watch};
 use types::TimeUs;
 use wire::{
     WireError, follow_answer_from_wire,
@@ -50,6 +54,9 @@
     tenants: TenantCounters,
     /// Names of the control replicas that were dialed last.
     dialed: BTreeSet<String>,
+    /// The tenants of the requests that wait for a token, and where the decisions on them go, by the ID of
+    /// the request.
+    undecided: HashMap<u64, (Option<String>, oneshot::Sender<Decision>)>,
 }
 
 impl Actor for GatewayActor {
@@ -61,6 +68,7 @@
             tenants: TenantCounters::new(args.metrics.tenant_requests.clone()),
             args,
             dialed: BTreeSet::new(),
+            undecided: HashMap::new(),
         })
     }
 }
@@ -97,6 +105,8 @@
     pub object: Option<u64>,
     /// The digest of the key that the client sent, if it sent one.
     pub key: Option<KeyDigest>,
+    /// Where the decision goes when the reply is [`Decision::Wait`].
+    pub decided: Option<oneshot::Sender<Decision>>,
 }
 
 /// Whether and where a client's request is forwarded.
@@ -206,7 +216,8 @@
         self.log_state_changes();
         self.dial_replicas();
         for replica in due {
-            let poll = self.args.core.poll_request(&replica, now_us);
+            let mut poll = self.args.core.poll_request(&replica, now_us);
+            poll.tokens = self.args.core.token_report(&replica, now_us);
             let Ok(question_json) = serde_json::to_vec(&poll) else {
                 warn!(
                     self.args.log,
@@ -231,6 +242,23 @@
         self.dialed = names;
     }
 
+    /// Sends the decisions on requests that waited for a token to their connections.
+    fn send_decisions(&mut self) {
+        let now_us = self.now_us();
+        for (request, decision) in self.args.core.take_decided(now_us) {
+            let waiting = self.undecided.remove(&request);
+            let is_sent = waiting.is_some_and(|(tenant, sender)| {
+                if let Some(tenant) = &tenant {
+                    self.tenants.count(tenant, &decision);
+                }
+                sender.send(decision).is_ok()
+            });
+            if !is_sent {
+                self.args.core.withdraw(request, now_us);
+            }
+        }
+    }
+
     /// Logs each change of upstream state and of evacuations that the core reports.
     fn log_state_changes(&mut self) {
         for change in self.args.core.take_state_changes() {
@@ -290,6 +318,9 @@
         let before = self.args.core.plan_version();
         let changed = self.args.core.handle_poll_answer(replica, answer, now_us);
         self.log_state_changes();
+        let granted = self.args.core.take_granted_tokens();
+        self.args.metrics.granted_tokens.inc_by(granted);
+        self.send_decisions();
         let core = &self.args.core;
         if !changed {
             return;
@@ -318,6 +349,7 @@
     type Reply = ();
 
     async fn handle(&mut self, _: Tick, _: &mut Context<Self, Self::Reply>) {
+        self.send_decisions();
         self.poll_replicas();
     }
 }
@@ -368,6 +400,12 @@
         if let Some(tenant) = &tenant {
             self.tenants.count(tenant, &decision);
         }
+        if let (Decision::Wait, Some(decided)) = (&decision, arrived.decided) {
+            self.args.metrics.token_waits.inc();
+            let waiting = (tenant.clone(), decided);
+            self.undecided.insert(arrived.request, waiting);
+            self.poll_replicas();
+        }
         DecisionReply { decision, tenant }
     }
 }
@@ -434,6 +472,7 @@
         _: &mut Context<Self, Self::Reply>,
     ) {
         let now_us = self.now_us();
+        self.undecided.remove(&request);
         if self.args.core.client_left(request, now_us) {
             self.args.metrics.count_attempt_end(Ending::Left);
         }
--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -132,8 +132,10 @@
             } => {
                 let (headers, tenant) = (&head.headers, tenant.as_deref());
                 self.log_refusal(headers, refusal, retry_after_ms, best.as_ref(), tenant);
-                return not_run_response(retry_after_ms);
+                return refusal_response(refusal, retry_after_ms);
             }
+            // The guard waits for the decision that follows.
+            Decision::Wait => return not_run_response(STOPPED_RETRY_MS),
             Decision::Forward(target) => target,
         };
         strip_hop_by_hop_headers(&mut head.headers);
@@ -274,7 +276,7 @@
                     );
                     return Checked::Refused(not_run_response(retry_after_ms));
                 }
-                Some(Decision::NoRoute | Decision::Unauthorized) | None => break,
+                Some(Decision::NoRoute | Decision::Unauthorized | Decision::Wait) | None => break,
             }
         }
         Checked::Send(target)
@@ -315,6 +317,7 @@
             "tenant" => tenant,
             "cause" => refusal.as_str(),
             "retry_after_ms" => retry_after_ms,
+            "tenant" => tenant,
             "upstream" => best.map(|best| best.upstream.to_string()),
             "wait_ms" => best.map(|best| best.wait_ms),
             "wait_max_ms" => best.map(|best| best.wait_max_ms));
@@ -406,6 +409,7 @@
         timeout_ms: request_headers.timeout_ms,
         object: request_headers.object,
         key: request_headers.key,
+        decided: None,
     }
 }
 
@@ -452,7 +456,20 @@
 
 /// The response for a request that did not run and won't be retried here: 503 with `retry-after`.
 fn not_run_response(retry_after_ms: u64) -> Response<Body> {
-    let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
+    with_retry_after(StatusCode::SERVICE_UNAVAILABLE, retry_after_ms)
+}
+
+/// The response for a request that the core refuses.
+fn refusal_response(refusal: Refusal, retry_after_ms: u64) -> Response<Body> {
+    let status = match refusal {
+        Refusal::Quota => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    with_retry_after(status, retry_after_ms)
+}
+
+fn with_retry_after(status: StatusCode, retry_after_ms: u64) -> Response<Body> {
+    let mut response = empty(status);
     let seconds = format!("{:.3}", retry_after_ms as f64 / 1e3);
     if let Ok(seconds) = HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(RETRY_AFTER, seconds);
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -50,6 +50,10 @@
     pub health_checks: Counter,
     /// Control replicas that did not send large changes in time.
     pub fetch_timeouts: Counter,
+    /// Tokens of tenants' quotas that the leader granted.
+    pub granted_tokens: Counter,
+    /// Requests that waited for a token.
+    pub token_waits: Counter,
     /// Version of the plan in force.
     pub plan_version: Gauge,
     /// Requests of tenants by name.
@@ -74,6 +78,8 @@
             connections: Counter::default(),
             health_checks: Counter::default(),
             fetch_timeouts: Counter::default(),
+            granted_tokens: Counter::default(),
+            token_waits: Counter::default(),
             plan_version: Gauge::default(),
             tenant_requests: TenantRequests::default(),
             holds_keys: Gauge::default(),
@@ -106,6 +112,16 @@
             "Control replicas that did not send large changes in time",
             metrics.fetch_timeouts.clone(),
         );
+        registry.register(
+            "granted_tokens",
+            "Tokens of quotas that the leader granted",
+            metrics.granted_tokens.clone(),
+        );
+        registry.register(
+            "token_waits",
+            "Requests that waited for a token of a quota",
+            metrics.token_waits.clone(),
+        );
         registry.register(
             "plan_version",
             "Version of the plan that runs",
--- a/crates/daemon/src/gateway/tenants.rs
+++ b/crates/daemon/src/gateway/tenants.rs
@@ -90,6 +90,8 @@
                 .get_or_insert_with(|| decisions(&self.requests, OTHER)),
         };
         match decision {
+            // Counted once it is decided.
+            Decision::Wait => return,
             Decision::Forward(_) => counters.forwarded.inc(),
             Decision::NoRoute | Decision::Unauthorized | Decision::Refuse { .. } => {
                 counters.refused.inc()
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -4,13 +4,15 @@
 
 use crate::{
     api::StateChange, config::GateConfig, key_lease::KeyLease, poll_schedule::PollSchedule,
-    regions::RebalanceParams, requests::PendingRequest, service::Service, slack::Slack,
-    split::Split, stopping::Stopping, times::RunTimes, upstream::Upstream, withheld::WithheldRuns,
+    quota::Quotas, regions::RebalanceParams, requests::PendingRequest, service::Service,
+    slack::Slack, split::Split, stopping::Stopping, times::RunTimes, upstream::Upstream,
+    withheld::WithheldRuns,
 };
 use control::{GatewayPoll, GatewayPollAnswer, GatewayReport};
 use plan::{
     Instance, KeyDigest, Limits, PlanChanges, RouteTable, ServiceTerms, Tenant, TenantTable,
 };
+use share::QuotaTerms;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use types::{DomainName, RegionName, ServiceName, TimeUs, UpstreamName};
 
@@ -62,6 +64,7 @@
     pub(crate) pending: HashMap<u64, PendingRequest>,
     next_rebalance_us: TimeUs,
     pub(crate) slack: Slack,
+    pub(crate) quotas: Quotas,
     /// Changes for the log that [`Self::take_state_changes`] has not returned yet.
     pub(crate) state_changes: Vec<StateChange>,
     /// Set once the gateway is stopping.
@@ -95,6 +98,7 @@
             pending: HashMap::new(),
             next_rebalance_us: now_us,
             slack: Slack::new(now_us),
+            quotas: Quotas::new(0, QuotaTerms::default(), now_us),
             state_changes: Vec::new(),
             stopping: None,
         }
@@ -109,7 +113,7 @@
     }
 
     /// The time of a clock that counts the time in which the machine was suspended.
-    const fn with_suspension(&self, now_us: TimeUs) -> TimeUs {
+    pub(crate) const fn with_suspension(&self, now_us: TimeUs) -> TimeUs {
         now_us.after_us(self.suspended_us)
     }
 
@@ -125,10 +129,10 @@
         !self.tenants.is_empty() && self.key_lease.is_over(self.with_suspension(now_us))
     }
 
-    /// Counts the forwarded requests whose last attempt has not ended.
+    /// Counts the requests that wait for a token, and the forwarded ones whose last attempt has not ended.
     #[must_use]
     pub fn in_flight(&self) -> usize {
-        self.pending.len()
+        self.pending.len() + self.quotas.held_count()
     }
 
     /// The version of the plan that the gateway applies, 0 before the first.
@@ -191,7 +195,16 @@
         }
         self.report_key_lease(now_us);
         let has_all = self.table.is_some() && !self.awaits_first_lease(now_us);
-        self.polls.due(has_all, now_us)
+        let mut due = self.polls.due(has_all, now_us);
+        let on_quota_clock_us = self.with_suspension(now_us);
+        let for_tokens = self.quotas.due_polls(self.polls.names(), on_quota_clock_us);
+        due.extend(
+            for_tokens
+                .into_iter()
+                .filter(|it| !due.contains(it))
+                .collect::<Vec<_>>(),
+        );
+        due
     }
 
     /// Whether the gateway has had its first plan for a short time only and lacks the lease on keys.
@@ -213,7 +226,8 @@
         }
     }
 
-    /// Builds the poll request for a replica. It is to be sent at `now_us` or later.
+    /// Builds the poll request for a replica, without [`Self::token_report`]. It is to be sent at `now_us`
+    /// or later.
     #[must_use]
     pub fn poll_request(&mut self, replica: &str, now_us: TimeUs) -> GatewayPoll {
         let sent_us = self.with_suspension(now_us);
@@ -228,6 +242,7 @@
             number: self.key_lease.record_poll(sent_us),
             revision: self.revision,
             wants_large: self.polls.is_fetching_from(replica),
+            tokens: None,
         }
     }
 
@@ -258,6 +273,9 @@
             self.polls.record_members(members, interval_ms, now_us);
             self.gateway_count = answer.gateways.max(1);
         }
+        let on_quota_clock_us = self.with_suspension(now_us);
+        self.quotas
+            .handle_answer(replica, &answer, on_quota_clock_us);
         let may_be_old = !answer.is_current && self.table.is_none();
         if may_be_old && !self.waits_for_current_until_us.reached(now_us) {
             return false;
@@ -294,6 +312,8 @@
         }
         if let Some(plan) = changes.plan {
             self.apply_plan(&plan);
+            let on_quota_clock_us = self.with_suspension(now_us);
+            self.quotas.set_limits(&self.tenants, on_quota_clock_us);
         }
         self.rebalance_regions(now_us);
         true
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -15,6 +15,7 @@
 mod mean_load;
 mod objects;
 mod poll_schedule;
+mod quota;
 mod rank;
 mod regions;
 mod requests;
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -8,6 +8,7 @@
     config::GateConfig,
     gate::Gate,
     identity::{Homes, Identity},
+    quota::{QuotaClaim, TokenState},
     service::{Choice, Criteria},
     split::Split,
     stopping::Stopping,
@@ -63,6 +64,7 @@
     health_checks_left: u32,
     /// Whether an upstream may have run any attempt that ended.
     may_have_run: bool,
+    pub(crate) quota: QuotaClaim,
 }
 
 impl PendingRequest {
@@ -93,6 +95,7 @@
             had_free_slot: false,
             health_checks_left: HEALTH_CHECKS_MAX,
             may_have_run: false,
+            quota: QuotaClaim::new(tenant),
         }
     }
 
@@ -162,11 +165,18 @@
 
     /// Ends a request whose client closed the connection; returns false when it was not in flight.
     pub fn client_left(&mut self, request: u64, now_us: TimeUs) -> bool {
-        let Some(pending) = self.pending.remove(&request) else {
-            return false;
-        };
+        if self.end_unsent(request, now_us).is_some() {
+            return true;
+        }
+        self.quotas.drop_held(request);
+        false
+    }
+
+    /// Removes a request in flight whose client has left.
+    pub(crate) fn end_unsent(&mut self, request: u64, now_us: TimeUs) -> Option<PendingRequest> {
+        let pending = self.pending.remove(&request)?;
         self.record_ending(&pending, Ending::Left, None, now_us);
-        true
+        Some(pending)
     }
 
     /// Handles what the upstream of a request's current attempt asks for in its answer. To be called
@@ -235,7 +245,10 @@
                 let target = self.start_attempt(request, pending, choice, now_us);
                 Some(Decision::Forward(target))
             }
-            None if is_new => Some(refuse(Refusal::NoUpstream, RETRY_AFTER_MAX_MS)),
+            None if is_new => {
+                self.give_back_token(&pending, now_us);
+                Some(refuse(Refusal::NoUpstream, RETRY_AFTER_MAX_MS))
+            }
             // A retry has no other upstream either: it is sent where it was to go.
             None => {
                 pending.tried.push(id);
@@ -293,22 +306,32 @@
         }
         match ending {
             Ending::Failed => NextStep::Deliver,
-            _ if !pending.may_have_run => NextStep::GiveUp(Failure::NotRun {
-                retry_after_ms: RETRY_AFTER_MIN_MS,
-            }),
+            _ if !pending.may_have_run => {
+                self.give_back_token(&pending, now_us);
+                NextStep::GiveUp(Failure::NotRun {
+                    retry_after_ms: RETRY_AFTER_MIN_MS,
+                })
+            }
             _ => NextStep::GiveUp(Failure::Unknown),
         }
     }
 
     /// Chooses the upstream of a request's first attempt; refuses the request when it would queue
-    /// longer there than its target and other routes allow.
-    fn admit(&mut self, request: u64, pending: PendingRequest, now_us: TimeUs) -> Decision {
+    /// longer there than its target and other routes allow, or when its tenant is over its quota.
+    pub(crate) fn admit(
+        &mut self,
+        request: u64,
+        pending: PendingRequest,
+        now_us: TimeUs,
+    ) -> Decision {
         let times = self.route_times(&pending.route);
         let Some(service) = self.services.get_mut(&pending.service) else {
             return refuse(Refusal::NoUpstream, RETRY_AFTER_MAX_MS);
         };
-        self.slack.record_request();
-        service.record_request(&self.config.bounds, self.gateway_count);
+        if !pending.quota.was_held() {
+            self.slack.record_request();
+            service.record_request(&self.config.bounds, self.gateway_count);
+        }
         let criteria = pending.criteria(&self.config, times, now_us);
         let Some(choice) = service.choose(criteria, self.gateway_count, now_us) else {
             let backoff_end_us = service.backoff_end_us(now_us);
@@ -324,7 +347,7 @@
     fn admit_to(
         &mut self,
         request: u64,
-        pending: PendingRequest,
+        mut pending: PendingRequest,
         choice: Choice,
         now_us: TimeUs,
     ) -> Decision {
@@ -343,6 +366,7 @@
             let over_ms = ((choice.wait_us - wait_max_us) / 1e3) as u64;
             let retry_after_ms = over_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
             let best = service.upstreams[choice.index].instance.id.clone();
+            self.give_back_token(&pending, now_us);
             return Decision::Refuse {
                 refusal: Refusal::Overloaded,
                 retry_after_ms,
@@ -354,9 +378,21 @@
             };
         }
         if !self.ends_before_stop(&pending, &choice, now_us) {
+            self.give_back_token(&pending, now_us);
             return refuse(Refusal::Stopping, RETRY_AFTER_MIN_MS);
         }
-        Decision::Forward(self.start_attempt(request, pending, choice, now_us))
+        let on_quota_clock_us = self.with_suspension(now_us);
+        match self.quotas.take(&mut pending.quota, on_quota_clock_us) {
+            TokenState::Ready => {
+                Decision::Forward(self.start_attempt(request, pending, choice, now_us))
+            }
+            TokenState::Wait => {
+                let remaining_ms = pending.deadline_us.since_us(now_us) / 1_000;
+                self.quotas
+                    .hold(request, pending, remaining_ms, on_quota_clock_us)
+            }
+            TokenState::Refused(decision) => decision,
+        }
     }
 
     /// Whether an attempt at the chosen upstream ends before this gateway, if it is stopping. The
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -174,6 +174,7 @@
             evacuated: None,
             instances,
         },
+        tokens: None,
     }
 }
 
@@ -209,7 +210,7 @@
 pub fn refusal(decision: &Decision) -> Option<Refusal> {
     match decision {
         Decision::Refuse { refusal, .. } => Some(*refusal),
-        Decision::NoRoute | Decision::Unauthorized | Decision::Forward(_) => None,
+        Decision::NoRoute | Decision::Unauthorized | Decision::Wait | Decision::Forward(_) => None,
     }
 }
 
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -34,7 +34,7 @@
 
 /// The keys of `[bounds]` with their defaults in thousandths. A default is the value that both of
 /// today's deployments use, or the stricter one where they differ.
-const BOUND_DEFAULTS: [(&str, u64); 8] = [
+const BOUND_DEFAULTS: [(&str, u64); 11] = [
     ("heartbeat_s", 1_500),
     ("grace_s", 6_000),
     ("lookup_lifetime_s", 5_000),
@@ -43,6 +43,9 @@
     ("retry_slack", 60_000),
     ("region_shift_max", 150),
     (REVOKE, 5_000),
+    ("quota_window_s", 5_000),
+    ("quota_overage", 0),
+    ("quota_slack", 0),
 ];
 
 const REVOKE: &str = "revoke_s";
@@ -50,8 +53,8 @@
 const STRICT_REVOKE: &str = "strict_revoke";
 
 /// The keys of `[bounds]`.
-pub(crate) const BOUND_KEYS: [&str; 9] = {
-    let mut keys = [STRICT_REVOKE; 9];
+pub(crate) const BOUND_KEYS: [&str; 12] = {
+    let mut keys = [STRICT_REVOKE; 12];
     let mut index = 0;
     while index < BOUND_DEFAULTS.len() {
         keys[index] = BOUND_DEFAULTS[index].0;
@@ -121,6 +124,9 @@
         retry_slack_milli: parse_milli(section, "retry_slack")?,
         region_shift_max_milli: parse_milli(section, "region_shift_max")?,
         revoke_ms: parse_revoke_ms(section)?,
+        quota_window_ms: parse_milli(section, "quota_window_s")?,
+        quota_overage_milli: parse_milli(section, "quota_overage")?,
+        quota_slack_milli: parse_milli(section, "quota_slack")?,
     })
 }
 
