Fill upstreams that started or recovered at the pace of their answers

After two failures an upstream was the last choice for good, although it had recovered.

Change: pace.rs keeps, for an upstream that has started, was paused, fails often or comes back cold, a window of what it may have from all gateways. An answer in time widens it by one for a window's worth of all gateways' answers, which the stated load stands for, faster below half of where there was trouble last; a late answer, a refusal or a failure halves it, once for all that was sent before. A gateway's part of the window is its part of the stated load; without a recent report it sends one at a time, at intervals and phases that give the first ones of all gateways a slot each. Beyond the window an upstream costs three more runs, so that nothing is refused or starved for a pace. While it is paced, an upstream that fails often is kept away by pauses that double, not by the cost of failing. All this holds only where upstreams state the fourth figure. Begin and end are logged, halvings counted.

--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -2,7 +2,7 @@
 //! attempt; the actor polls the control replicas over links and publishes the limits of the plan.
 
 use crate::{clock::Clock, gateway::metrics::GatewayMetrics, replicas::ReplicaLinks};
-use gate::{Arrival, Decision, Ending, Gate, Load, NextStep, Notices, StateChange};
+use gate::{Arrival, Decision, Ending, Gate, Load, NextStep, Notices, PaceChange, StateChange};
 use kameo::{
     Actor, Reply,
     actor::ActorRef,
@@ -14,6 +14,7 @@
 use slog::{Logger, info, warn};
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 use tokio::sync::watch;
+use types::UpstreamName;
 use wire::{
     WireError, follow_answer_from_wire,
     peer::{Follow, FollowAnswer, Frame, frame::Body},
@@ -221,6 +222,7 @@
                     backoff_ms,
                 } => info!(self.args.log, "upstream asked for a backoff";
                     "upstream" => upstream.as_str(), "backoff_ms" => backoff_ms),
+                StateChange::Pace { upstream, change } => self.report_pace(&upstream, change),
                 StateChange::Evacuated { domains } => {
                     let domains: Vec<&str> = domains.iter().map(|it| it.as_str()).collect();
                     info!(self.args.log, "evacuations changed";
@@ -234,6 +236,18 @@
         }
     }
 
+    /// Counts each change of an upstream's pace; logs the begin and the end.
+    fn report_pace(&self, upstream: &UpstreamName, change: PaceChange) {
+        self.args.metrics.count_pace_change(change);
+        match change {
+            PaceChange::Began(cause) => info!(self.args.log, "pace of an upstream began";
+                "upstream" => upstream.as_str(), "cause" => cause.as_str()),
+            PaceChange::Halved => {}
+            PaceChange::Ended => info!(self.args.log, "pace of an upstream ended";
+                "upstream" => upstream.as_str()),
+        }
+    }
+
     fn handle_answer(&mut self, replica: &str, answer: &FollowAnswer) {
         let answer = match decode_answer(answer) {
             Ok(answer) => answer,
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -1,6 +1,6 @@
 //! Prometheus metrics of a gateway.
 
-use gate::{Ending, Refusal, Target};
+use gate::{Ending, PaceChange, Refusal, Target};
 use prometheus_client::{
     encoding::EncodeLabelSet,
     metrics::{
@@ -34,6 +34,12 @@
     service: String,
 }
 
+/// Label of the counter of pace changes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PaceLabel {
+    change: &'static str,
+}
+
 /// Metrics of a gateway; the prefix of their names is `oleanderwell_gateway`.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -53,6 +59,7 @@
     large_body_room: Gauge,
     refused: Family<CauseLabel, Counter>,
     ended: Family<CauseLabel, Counter>,
+    pace_changes: Family<PaceLabel, Counter>,
 }
 
 impl GatewayMetrics {
@@ -69,6 +76,7 @@
             large_body_room: Gauge::default(),
             refused: Family::default(),
             ended: Family::default(),
+            pace_changes: Family::default(),
         };
         let (requests, retries) = (metrics.requests.clone(), metrics.retries.clone());
         let (refused, ended) = (metrics.refused.clone(), metrics.ended.clone());
@@ -83,6 +91,11 @@
         registry.register("connections", "Connections to upstreams", connections);
         registry.register("refused", "Requests not forwarded, by cause", refused);
         registry.register("attempts", "Attempts, by how they ended", ended);
+        registry.register(
+            "pace_changes",
+            "Changes of the pace of upstreams that started or recovered",
+            metrics.pace_changes.clone(),
+        );
         registry.register(
             "fetch_timeouts",
             "Control replicas that did not send large changes in time",
@@ -129,6 +142,12 @@
         self.refused.get_or_create(&CauseLabel { cause }).inc();
     }
 
+    /// Counts a change of an upstream's pace.
+    pub fn count_pace_change(&self, change: PaceChange) {
+        let change = change.as_str();
+        self.pace_changes.get_or_create(&PaceLabel { change }).inc();
+    }
+
     /// Counts an attempt by how it ended.
     pub fn count_attempt_end(&self, ending: Ending) {
         let cause = ending.as_str();
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -35,7 +35,53 @@
     Tenant(String),
 }
 
-/// A change of what a gateway knows about its upstreams, to be logged.
+/// Why an upstream is paced: it gets few requests at first, and more by its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PaceCause {
+    /// It is a new instance or a new run of one.
+    Started,
+    /// It was paused after failures.
+    Paused,
+    /// It registered as cold again.
+    Cold,
+}
+
+impl PaceCause {
+    /// The name of the cause in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Started => "started",
+            Self::Paused => "paused",
+            Self::Cold => "cold",
+        }
+    }
+}
+
+/// A change of the pace of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PaceChange {
+    /// The first attempt at an upstream that is paced has ended.
+    Began(PaceCause),
+    /// It may have half as many requests as before; counted, not logged.
+    Halved,
+    /// It may have as many requests as it has slots, and is no longer paced.
+    Ended,
+}
+
+impl PaceChange {
+    /// The name of the change in metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Began(_) => "began",
+            Self::Halved => "halved",
+            Self::Ended => "ended",
+        }
+    }
+}
+
+/// A change of what a gateway knows about its upstreams, to be logged or counted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StateChange {
     /// An instance has registered, changed or left.
@@ -68,6 +114,13 @@
         /// For how many milliseconds it gets none; less than asked for when that is out of range.
         backoff_ms: u64,
     },
+    /// The pace of an upstream changed.
+    Pace {
+        /// The name of the upstream.
+        upstream: UpstreamName,
+        /// The change.
+        change: PaceChange,
+    },
     /// The evacuated failure domains changed.
     Evacuated {
         /// All failure domains that are evacuated now.
@@ -230,6 +283,14 @@
         }
     }
 
+    /// Whether it counts as a failure of the upstream.
+    pub(crate) const fn is_failure(self) -> bool {
+        matches!(
+            self,
+            Self::Failed | Self::NotSent | Self::Broken | Self::TimedOut
+        )
+    }
+
     /// Whether the upstream certainly did not run the request.
     #[must_use]
     pub const fn has_not_run(self) -> bool {
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -3,9 +3,19 @@
 //! The handling of client requests is in `requests.rs`.
 
 use crate::{
-    api::StateChange, config::GateConfig, poll_schedule::PollSchedule, regions::RebalanceParams,
-    requests::PendingRequest, service::Service, slack::Slack, split::Split, stopping::Stopping,
-    times::RunTimes, upstream::Upstream, withheld::WithheldRuns,
+    api::{PaceCause, StateChange},
+    config::GateConfig,
+    poll_schedule::PollSchedule,
+    rank::phase,
+    regions::RebalanceParams,
+    requests::PendingRequest,
+    service::Service,
+    slack::Slack,
+    split::Split,
+    stopping::Stopping,
+    times::RunTimes,
+    upstream::Upstream,
+    withheld::WithheldRuns,
 };
 use control::{GatewayPoll, GatewayPollAnswer, GatewayReport};
 use plan::{Instance, Limits, PlanChanges, RouteTable, ServiceTerms, TenantTable};
@@ -20,6 +30,10 @@
 /// better than none.
 const CURRENT_PLAN_WAIT_MS: u64 = 2_000;
 
+/// An upstream whose run started less than this before a gateway hears of it is paced, in milliseconds.
+/// A start may be as far ahead of the leader's clock.
+const YOUNG_MS: u64 = 10_000;
+
 /// The state of a gateway. Every call that depends on time is given the current time.
 #[derive(Debug)]
 pub struct Gate {
@@ -241,6 +255,10 @@
             .get(&instance.service)
             .and_then(|service| Some((service, service.position(&instance.id)?)))
             .map(|(service, index)| service.upstreams[index].instance.born_ms);
+        // Other gateways have filled an upstream that started long ago, when this one has restarted.
+        let is_young = instance.born_ms.saturating_add(YOUNG_MS) > clock_ms;
+        let is_new_run = known.is_some_and(|born_ms| born_ms != instance.born_ms);
+        let has_started = is_young || is_new_run || cold_ms > 0;
         if known != Some(instance.born_ms) {
             self.remove_upstream(&instance.id);
         }
@@ -248,10 +266,15 @@
             return self.remove_upstream(&instance.id);
         }
         let withheld = self.withheld_runs.get(&instance.id, instance.born_ms);
+        let phase = phase(self.config.name.as_str(), instance.id.as_str());
         let service = self.service_mut(&instance.service, now_us);
+        let slots = f64::from(instance.slots);
         match service.position(&instance.id) {
             Some(index) => {
                 let upstream = &mut service.upstreams[index];
+                if cold_ms > 0 && !upstream.is_cold(now_us) {
+                    upstream.start_pace(PaceCause::Cold, slots, now_us);
+                }
                 upstream.instance = instance;
                 upstream.region = region;
                 upstream.cold_until_us = cold_until_us;
@@ -259,6 +282,10 @@
             None => {
                 let mut upstream = Upstream::new(instance, region, cold_until_us, now_us);
                 upstream.withheld = withheld;
+                upstream.phase = phase;
+                if has_started {
+                    upstream.start_pace(PaceCause::Started, slots, now_us);
+                }
                 service.upstreams.push(upstream);
             }
         }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -12,6 +12,7 @@
 mod gate;
 mod identity;
 mod mean_load;
+mod pace;
 mod poll_schedule;
 mod rank;
 mod regions;
@@ -28,8 +29,8 @@
 
 pub use crate::{
     api::{
-        Arrival, BusyUpstream, Caller, Decision, Ending, Failure, Load, NextStep, Notices, Refusal,
-        StateChange, Target,
+        Arrival, BusyUpstream, Caller, Decision, Ending, Failure, Load, NextStep, Notices,
+        PaceCause, PaceChange, Refusal, StateChange, Target,
     },
     config::{GateBounds, GateConfig},
     gate::Gate,
--- a/crates/gate/src/rank.rs
+++ b/crates/gate/src/rank.rs
@@ -11,3 +11,9 @@
     // FNV-1a mixes its last input bytes poorly into the high bits, but those decide the order.
     (hash ^ (hash >> 29)).wrapping_mul(MIX_MULTIPLIER)
 }
+
+/// A number from 0 to 1 that differs between the gateways of an upstream, and between the upstreams of
+/// a gateway.
+pub(crate) fn phase(gateway: &str, upstream: &str) -> f64 {
+    rank(upstream, fnv1a(gateway.bytes())) as f64 / u64::MAX as f64
+}
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -7,6 +7,7 @@
     },
     gate::Gate,
     identity::{Homes, Identity},
+    pace::PacedAttempt,
     service::{Choice, Criteria},
     split::Split,
     stopping::Stopping,
@@ -371,7 +372,8 @@
         };
         let upstream = &mut service.upstreams[index];
         upstream.own_requests = upstream.own_requests.saturating_sub(1);
-        if upstream.record_ending(ending, now_us) {
+        let pauses = upstream.record_ending(ending, now_us);
+        if pauses {
             let upstream = id.clone();
             self.state_changes
                 .push(StateChange::Paused { upstream, ending });
@@ -379,6 +381,20 @@
         if let Some(load) = load {
             service.record_load(index, load, now_us);
         }
+        let times = self.run_times.get(&pending.route);
+        let attempt = PacedAttempt {
+            ending,
+            sent_us: pending.sent_us,
+            usual_us: times.map_or(f64::MAX, |it| it.run_us(pending.object.is_none())),
+            pauses,
+        };
+        let changes = service.record_paced(index, attempt, self.gateway_count, now_us);
+        let pace_change = |change| StateChange::Pace {
+            upstream: id.clone(),
+            change,
+        };
+        self.state_changes
+            .extend(changes.into_iter().map(pace_change));
         if ending != Ending::Answered {
             return;
         }
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -10,6 +10,7 @@
     config::GateBounds,
     identity::Homes,
     mean_load::MeanLoad,
+    pace::PaceTerms,
     regions::{RebalanceParams, RegionLoad, RegionShares},
     times::RunTimes,
     upstream::Upstream,
@@ -44,6 +45,10 @@
 /// The cost of an upstream that fails often, in microseconds.
 const FAILING_COST_US: f64 = 2_000_000.0;
 
+/// The cost of a request beyond the pace of an upstream, in runs without affinity: the request rather
+/// queues elsewhere for two such runs and runs there without affinity.
+const OVER_PACE_COST: f64 = 3.0;
+
 /// The fraction of `retry_slack` that gateways use, so that their sum stays below the bound while
 /// some of them don't know of each other yet.
 const SLACK_USED: f64 = 0.6;
@@ -53,7 +58,7 @@
 const RATIO_USED: f64 = 0.85;
 
 /// The factor by which requests run longer at a cold upstream.
-const COLD_RATIO: f64 = 2.0;
+pub(crate) const COLD_RATIO: f64 = 2.0;
 
 /// The request, route and gateway properties that the choice of an upstream depends on.
 #[derive(Clone, Copy, Debug)]
@@ -95,6 +100,10 @@
     /// Requests per second that all gateways together may send to one cold upstream.
     pub(crate) cold_per_s: f64,
     pub(crate) active_routes: ActiveRoutes,
+    /// Whether any of its upstreams has stated how long work takes there. Only then are they paced.
+    pub(crate) states_slowness: bool,
+    /// Gateways of the deployment at the latest choice.
+    gateway_count: usize,
     /// Retries that this gateway may still send.
     retry_budget: TokenBucket,
     /// The moving average of the run time, over all routes and upstreams.
@@ -110,6 +119,8 @@
             regions: RegionShares::new(own_region, now_us),
             cold_per_s,
             active_routes: ActiveRoutes::default(),
+            states_slowness: false,
+            gateway_count: 1,
             retry_budget: TokenBucket::new(1.0, now_us),
             mean_time_us: INITIAL_TIME_US,
             mean_load: MeanLoad::new(now_us),
@@ -200,6 +211,9 @@
             upstream.record_object(object);
         }
         upstream.own_requests += 1;
+        if let Some(pace) = &mut upstream.pace {
+            pace.record_sent(now_us);
+        }
         if upstream.is_cold(now_us) {
             upstream.cold_bucket.take_one();
         }
@@ -223,6 +237,7 @@
 
     /// Records the load that an upstream reported.
     pub(crate) fn record_load(&mut self, index: usize, load: crate::Load, now_us: TimeUs) {
+        self.states_slowness |= load.slowness_percent.is_some();
         let other_requests = self.upstreams[index].record_load(load, now_us);
         self.mean_load.record(other_requests, now_us);
     }
@@ -242,6 +257,7 @@
     }
 
     fn refill_cold(&mut self, gateway_count: usize, now_us: TimeUs) {
+        self.gateway_count = gateway_count;
         let per_s = self.cold_per_s / gateway_count.max(1) as f64;
         for upstream in &mut self.upstreams {
             if upstream.is_cold(now_us) {
@@ -302,7 +318,17 @@
         if upstream.instance.failure_domain != *criteria.own_domain {
             cost += DOMAIN_COST_US;
         }
-        if upstream.is_failing() {
+        // While it is paced, failures bound its requests by pauses and by the window.
+        if self.states_slowness && upstream.pace.is_some() {
+            let terms = PaceTerms {
+                gateway_count: self.gateway_count,
+                run_us: self.mean_time_us,
+                now_us,
+            };
+            if upstream.is_over_pace(terms) {
+                cost += OVER_PACE_COST * criteria.run_times.run_us(false);
+            }
+        } else if upstream.is_failing() {
             cost += FAILING_COST_US;
         }
         // An answer after the deadline is of no use to the client.
--- a/crates/gate/src/upstream.rs
+++ b/crates/gate/src/upstream.rs
@@ -1,8 +1,9 @@
 //! One upstream: its load, speed and failures, as a gateway estimates them.
 
 use crate::{
-    api::{Ending, Load},
+    api::{Ending, Load, PaceCause},
     bucket::TokenBucket,
+    pace::{OtherLoad, Pace, PaceTerms},
     slowness::Slowness,
     withheld::Withheld,
 };
@@ -26,10 +27,10 @@
 
 /// The first pause after failures, in milliseconds; each further one is twice as long until an
 /// attempt is answered.
-const PAUSE_MIN_MS: u64 = 500;
+pub(crate) const PAUSE_MIN_MS: u64 = 500;
 
 /// The longest pause after failures, in milliseconds.
-const PAUSE_MAX_MS: u64 = 8_000;
+pub(crate) const PAUSE_MAX_MS: u64 = 8_000;
 
 /// How many recent objects are remembered for each upstream.
 const RECENT_OBJECTS_MAX: usize = 16;
@@ -52,6 +53,8 @@
     pub(crate) own_requests: u32,
     /// Requests that it had from other gateways when it last reported its load.
     other_requests: f64,
+    /// Whether requests were queued there when it last reported its load.
+    is_queueing: bool,
     /// When it last reported its load; 0 before the first report.
     reported_us: TimeUs,
     /// The moving average of failed attempts, from 0 to 1.
@@ -59,9 +62,14 @@
     consecutive_failures: u32,
     /// The length of the next pause.
     pause_ms: u64,
-    paused_until_us: TimeUs,
+    pub(crate) paused_until_us: TimeUs,
     /// How long work takes here, compared with the usual time.
     pub(crate) slowness: Slowness,
+    /// Limits its requests after a start or a pause; none once it is filled.
+    pub(crate) pace: Option<Pace>,
+    /// From 0 to 1, different at each gateway: when within an interval this one sends its first
+    /// request to a paced upstream.
+    pub(crate) phase: f64,
     /// Limits the requests that are sent while it is cold.
     pub(crate) cold_bucket: TokenBucket,
     /// The objects of the latest requests that this gateway sent there, the latest at the end.
@@ -83,12 +91,15 @@
             cold_until_us,
             own_requests: 0,
             other_requests: 0.0,
+            is_queueing: false,
             reported_us: TimeUs(0),
             failure_rate: 0.0,
             consecutive_failures: 0,
             pause_ms: PAUSE_MIN_MS,
             paused_until_us: now_us,
             slowness: Slowness::new(now_us),
+            pace: None,
+            phase: 0.0,
             cold_bucket: TokenBucket::new(0.0, now_us),
             recent_objects: VecDeque::new(),
         }
@@ -129,6 +140,30 @@
             + (1.0 - freshness) * mean_other_requests
     }
 
+    /// What it last stated of its requests from other gateways; none before the first report.
+    pub(crate) fn other_load(&self) -> Option<OtherLoad> {
+        let other_load = OtherLoad {
+            requests: self.other_requests,
+            is_queueing: self.is_queueing,
+            reported_us: self.reported_us,
+        };
+        (self.reported_us != TimeUs(0)).then_some(other_load)
+    }
+
+    /// Paces it from now on, unless it is paced already. `trouble` is the load at which it had
+    /// trouble.
+    pub(crate) fn start_pace(&mut self, cause: PaceCause, trouble: f64, now_us: TimeUs) {
+        let pace = Pace::new(cause, trouble, self.phase, now_us);
+        self.pace.get_or_insert(pace);
+    }
+
+    /// Whether its pace allows no further request of this gateway now.
+    pub(crate) fn is_over_pace(&self, terms: PaceTerms) -> bool {
+        let (own, others, slots) = (self.own_requests, self.other_load(), self.instance.slots);
+        let pace = self.pace.as_ref();
+        pace.is_some_and(|it| !it.allows(own, others, slots, terms))
+    }
+
     /// Records a load report; returns how many requests it has from other gateways, as far as its
     /// slots make that credible.
     pub(crate) fn record_load(&mut self, load: Load, now_us: TimeUs) -> f64 {
@@ -138,6 +173,7 @@
         // counts, so the estimate may be one too high.
         let other_requests = (reported - f64::from(self.own_requests)).clamp(0.0, credible_max);
         self.other_requests = other_requests;
+        self.is_queueing = load.waiting > 0;
         self.reported_us = now_us;
         if let Some(percent) = load.slowness_percent {
             self.slowness.record_stated(percent, now_us);
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use control::GatewayPollAnswer;
 use gate::{Arrival, Decision, Gate, GateBounds, GateConfig, Target};
 use plan::{
@@ -37,6 +39,11 @@
     gate_in("east-a")
 }
 
+/// One of the gateways of the failure domain east-a.
+pub fn gate_number(number: usize) -> Gate {
+    gate_named(&format!("10.1.0.{number}"), &DOMAINS, "east-a")
+}
+
 /// A gateway in one of the failure domains of region east.
 pub fn gate_in(domain: &str) -> Gate {
     gate_among(&DOMAINS, domain)
@@ -44,12 +51,16 @@
 
 /// A gateway of region east, in `domain`, which is one of these failure domains with their regions.
 pub fn gate_among(domains: &[(&str, &str)], domain: &str) -> Gate {
+    gate_named("10.1.0.15", domains, domain)
+}
+
+fn gate_named(gateway: &str, domains: &[(&str, &str)], domain: &str) -> Gate {
     let regions: BTreeMap<_, _> = domains
         .iter()
         .map(|(domain, region)| (name(domain), name(region)))
         .collect();
     let config = GateConfig {
-        name: name("10.1.0.15"),
+        name: name(gateway),
         address: name("10.1.0.15:8080"),
         region: name("east"),
         failure_domain: name(domain),
