Count runs at upstreams that know the object, and show how slow upstreams say they are

Cause: nothing told how many requests ran at an upstream that had likely handled their object, on which the target times rest, nor what upstreams state as their momentary slowness.

Change: an attempt's target says whether the upstream likely knows the object, as the choice saw it; a gateway counts answered requests by that, route and service, and keeps a histogram of the stated figures.

That the counter of object runs moves in a real gateway has no test.

--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -343,6 +343,7 @@
         _: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
         self.args.metrics.count_attempt_end(ended.ending);
+        self.args.metrics.observe_load(ended.load);
         let now_us = self.args.clock.now_us();
         let core = &mut self.args.core;
         let next = core.attempt_ended(ended.request, ended.ending, ended.load, now_us);
@@ -367,6 +368,7 @@
 
     async fn handle(&mut self, ended: DeliveryEnded, _: &mut Context<Self, Self::Reply>) {
         self.args.metrics.count_attempt_end(ended.ending);
+        self.args.metrics.observe_load(ended.load);
         let now_us = self.args.clock.now_us();
         let core = &mut self.args.core;
         core.delivery_ended(ended.request, ended.ending, ended.load, now_us);
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -1,6 +1,6 @@
 //! Prometheus metrics of a gateway.
 
-use gate::{Ending, PaceChange, Refusal, Target};
+use gate::{Ending, Load, PaceChange, Refusal, Target};
 use prometheus_client::{
     encoding::EncodeLabelSet,
     metrics::{
@@ -34,6 +34,27 @@
     service: String,
 }
 
+/// First bucket of the slowness that upstreams state; 1 is the usual time.
+const SLOWNESS_FIRST: f64 = 0.5;
+
+/// Ratio of the upper bounds of two neighbouring slowness buckets.
+const SLOWNESS_FACTOR: f64 = 1.25;
+
+/// Number of slowness buckets; the last one ends at nine times the usual time.
+const SLOWNESS_BUCKETS: u16 = 14;
+
+/// Larger figures are counted as this one, in percent, so that a nonsensical one doesn't spoil the sum.
+const SLOWNESS_MAX_PERCENT: u32 = 1_000;
+
+/// Labels of the counter of runs for objects. Routes and services are those of the plan.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ObjectRunLabels {
+    route: String,
+    service: String,
+    /// Whether the upstream had likely handled the object lately: `yes` or `no`.
+    affinity: &'static str,
+}
+
 /// Label of the counter of pace changes.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct PaceLabel {
@@ -60,6 +81,8 @@
     refused: Family<CauseLabel, Counter>,
     ended: Family<CauseLabel, Counter>,
     pace_changes: Family<PaceLabel, Counter>,
+    object_runs: Family<ObjectRunLabels, Counter>,
+    stated_slowness: Histogram,
 }
 
 impl GatewayMetrics {
@@ -77,6 +100,12 @@
             refused: Family::default(),
             ended: Family::default(),
             pace_changes: Family::default(),
+            object_runs: Family::default(),
+            stated_slowness: Histogram::new(exponential_buckets(
+                SLOWNESS_FIRST,
+                SLOWNESS_FACTOR,
+                SLOWNESS_BUCKETS,
+            )),
         };
         let (requests, retries) = (metrics.requests.clone(), metrics.retries.clone());
         let (refused, ended) = (metrics.refused.clone(), metrics.ended.clone());
@@ -96,6 +125,16 @@
             "Changes of the pace of upstreams that started or recovered",
             metrics.pace_changes.clone(),
         );
+        registry.register(
+            "object_runs",
+            "Answered requests that name an object, by whether their upstream likely knew it",
+            metrics.object_runs.clone(),
+        );
+        registry.register(
+            "stated_slowness_ratio",
+            "How long upstreams said that work takes, as a multiple of the usual time",
+            metrics.stated_slowness.clone(),
+        );
         registry.register(
             "fetch_timeouts",
             "Control replicas that did not send large changes in time",
@@ -126,8 +165,17 @@
         self.large_body_room.set(gauge(large_bytes));
     }
 
-    /// Records the latency of a successful answer, in microseconds since the request arrived.
+    /// Records the latency of a successful answer, in microseconds since the request arrived, and
+    /// whether the upstream likely knew the request's object.
     pub fn observe_answer(&self, target: &Target, latency_us: u64) {
+        if let Some(has_affinity) = target.has_affinity {
+            let labels = ObjectRunLabels {
+                route: target.route.clone(),
+                service: target.service.to_string(),
+                affinity: if has_affinity { "yes" } else { "no" },
+            };
+            self.object_runs.get_or_create(&labels).inc();
+        }
         let labels = LatencyLabels {
             route: target.route.clone(),
             service: target.service.to_string(),
@@ -142,6 +190,14 @@
         self.refused.get_or_create(&CauseLabel { cause }).inc();
     }
 
+    /// Records how long an upstream says that work takes there, if it says so.
+    pub fn observe_load(&self, load: Option<Load>) {
+        if let Some(percent) = load.and_then(|it| it.slowness_percent) {
+            let percent = percent.min(SLOWNESS_MAX_PERCENT);
+            self.stated_slowness.observe(f64::from(percent) / 100.0);
+        }
+    }
+
     /// Counts a change of an upstream's pace.
     pub fn count_pace_change(&self, change: PaceChange) {
         let change = change.as_str();
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -155,6 +155,8 @@
     pub attempt: u32,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Whether the upstream has likely handled the request's object lately; none without object.
+    pub has_affinity: Option<bool>,
     /// How long the request is expected to queue there, in milliseconds.
     pub expected_wait_ms: u64,
     /// How long it is expected to run there after that, in milliseconds.
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -346,6 +346,7 @@
             caller: pending.caller.clone(),
             attempt: u32::try_from(pending.tried.len()).unwrap_or(u32::MAX),
             idempotent: pending.idempotent,
+            has_affinity: pending.object.map(|_| choice.has_affinity),
             expected_wait_ms: (choice.wait_us / 1e3) as u64,
             expected_run_ms: (choice.run_us / 1e3) as u64,
         };
--- a/crates/gate/tests/overflow.rs
+++ b/crates/gate/tests/overflow.rs
@@ -59,6 +59,27 @@
     }
 }
 
+// The metric of runs with affinity counts by this. It must not count requests that name no object.
+#[test]
+fn an_attempt_tells_whether_its_upstream_likely_knows_the_object() {
+    let mut gate = serving("east-a");
+    let mut send = |object| {
+        let arrival = Arrival {
+            object,
+            ..arrival("/browse/1")
+        };
+        match gate.handle_arrival(&arrival, at_ms(0)) {
+            Decision::Forward(target) => (target.upstream, target.has_affinity),
+            other => panic!("not forwarded: {other:?}"),
+        }
+    };
+    let (first, has_affinity) = send(Some(7));
+    assert_eq!(has_affinity, Some(true));
+    let overflow = (0..17).map(|_| send(Some(7))).find(|it| it.0 != first);
+    assert_eq!(overflow.map(|it| it.1), Some(Some(false)));
+    assert_eq!(send(None).1, None);
+}
+
 #[test]
 fn gateways_of_a_region_let_an_object_overflow_to_the_same_upstream() {
     for object in 0..20 {
