Let requests for objects wait for no turn at a paced upstream, and describe the pace

Cause: a gateway that waited for its turn at a fresh upstream sent that upstream's objects elsewhere, where they run three times as long.

Change: turns hold only for requests that may go to any upstream; those for objects are spread by their ranks.

--- a/crates/gate/src/pace.rs
+++ b/crates/gate/src/pace.rs
@@ -76,6 +76,9 @@
     pub(crate) gateway_count: usize,
     /// The usual run time of the service's requests.
     pub(crate) run_us: f64,
+    /// Whether the request may go to any upstream, so that all gateways may choose the same one at
+    /// once. Requests for objects are spread by their ranks.
+    pub(crate) is_for_any: bool,
     pub(crate) now_us: TimeUs,
 }
 
@@ -100,8 +103,8 @@
     /// Where the upstream stated its load lately, this gateway's part of the window is its part of
     /// that load: when all gateways fill their parts, the sum is the window. Otherwise the window is
     /// divided by the number of gateways; each may have at least one request there, so that answers
-    /// come. It sends them so seldom at first that those of all gateways have a slot each, and more
-    /// often as the window widens: an answer of each run time would take a gateway of many a minute.
+    /// come. What may go to any upstream it sends there so seldom at first that the requests of all
+    /// gateways have a slot each, and more often as the window widens.
     pub(crate) fn allows(
         &self,
         own: u32,
@@ -114,8 +117,8 @@
         let Some(others) = others.filter(is_recent) else {
             let interval_us = terms.run_us * gateways / f64::from(slots.max(1)) / self.window;
             let idle_us = terms.now_us.since_us(self.sent_us) as f64;
-            return idle_us >= self.interval_part * interval_us
-                && f64::from(own) + 1.0 <= (self.window / gateways).max(1.0);
+            let is_in_turn = !terms.is_for_any || idle_us >= self.interval_part * interval_us;
+            return is_in_turn && f64::from(own) + 1.0 <= (self.window / gateways).max(1.0);
         };
         if others.requests + 1.0 > self.window {
             return false;
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -323,6 +323,7 @@
             let terms = PaceTerms {
                 gateway_count: self.gateway_count,
                 run_us: self.mean_time_us,
+                is_for_any: standing == Standing::Any,
                 now_us,
             };
             if upstream.is_over_pace(terms) {
--- a/crates/gate/tests/pace.rs
+++ b/crates/gate/tests/pace.rs
@@ -2,8 +2,13 @@
 
 mod support;
 
-use gate::{PaceChange, StateChange};
-use support::fleet::{Fleet, SLOTS};
+use gate::{Arrival, Ending, Load, PaceChange, StateChange};
+use plan::RetrySafety;
+use support::{
+    REPLICA, answer, arrival, at_ms,
+    fleet::{Fleet, SLOTS},
+    forwarded, gate, instance, plan, route,
+};
 
 /// The smaller of the two fleets that share upstreams of nine slots.
 const GATEWAYS: usize = 34;
@@ -57,6 +62,47 @@
     }
 }
 
+/// The upstreams that requests for 20 objects go to, one after the other, where all of them started at
+/// `born_ms` by a clock that shows 1,000 s, and the fleet is large.
+fn chosen_for_objects(born_ms: u64) -> Vec<String> {
+    const STATED: Load = Load {
+        running: 0,
+        waiting: 0,
+        slots: 3,
+        slowness_percent: Some(100),
+    };
+    let mut gate = gate();
+    let parts = [("catalogue", 1_000)];
+    let mut browse = route("browse", "/browse/", RetrySafety::Idempotent, &parts);
+    browse.sticky = true;
+    let instances = ["w-1", "w-22", "w-333", "w-4444"].iter().zip(10..);
+    let instances = instances.map(|(id, n)| {
+        let mut instance = instance(id, "catalogue", "east-a", n);
+        instance.born_ms = born_ms;
+        instance
+    });
+    let mut answer = answer(20, Some(plan(1, vec![browse])), instances.collect());
+    (answer.clock_ms, answer.gateways) = (1_000_000, 118);
+    gate.handle_poll_answer(REPLICA, answer, at_ms(0));
+    let chosen = (0..20).map(|object| {
+        let arrival = Arrival {
+            object: Some(object),
+            ..arrival("/browse/1")
+        };
+        let target = forwarded(gate.handle_arrival(&arrival, at_ms(object)));
+        gate.attempt_ended(target.request, Ending::Left, Some(STATED), at_ms(object));
+        target.upstream.to_string()
+    });
+    chosen.collect()
+}
+
+// Gateways that wait for their turn at a fresh upstream sent its objects elsewhere, where each ran three
+// times as long and took another object's place.
+#[test]
+fn a_request_for_an_object_waits_for_no_turn_at_a_fresh_upstream() {
+    assert_eq!(chosen_for_objects(1_000_000), chosen_for_objects(1));
+}
+
 // An upstream whose answers alone widen its window must get the first request without them.
 #[test]
 fn a_fresh_upstream_gets_requests_of_a_single_gateway_until_it_is_filled() {
