--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -6,7 +6,7 @@
     gateway::{metrics::GatewayMetrics, tenants::TenantCounters},
     replicas::ReplicaLinks,
 };
-use gate::{Arrival, Decision, Ending, Gate, Load, NextStep, Notices, StateChange};
+use gate::{Arrival, Decision, Ending, Gate, Load, NextStep, Notices, PaceChange, StateChange};
 use kameo::{
     Actor, Reply,
     actor::ActorRef,
@@ -22,7 +22,7 @@
     time::Duration,
 };
 use tokio::sync::{oneshot, watch};
-use types::TimeUs;
+use types::{TimeUs, UpstreamName};
 use wire::{
     WireError, follow_answer_from_wire,
     peer::{Follow, FollowAnswer, Frame, frame::Body},
@@ -283,6 +283,7 @@
                     backoff_ms,
                 } => info!(self.args.log, "upstream asked for a backoff";
                     "upstream" => upstream.as_str(), "backoff_ms" => backoff_ms),
+                StateChange::Pace { upstream, change } => self.report_pace(&upstream, change),
                 StateChange::Evacuated { domains } => {
                     let domains: Vec<&str> = domains.iter().map(|it| it.as_str()).collect();
                     info!(self.args.log, "evacuations changed";
@@ -305,6 +306,18 @@
         }
     }
 
+    /// Counts each change of an upstream's pace; logs the begin and the end.
+    fn report_pace(&self, upstream: &UpstreamName, change: PaceChange) {
+        self.args.metrics.count_pace_change(change);
+        match change {
+            PaceChange::Began(cause) => info!(self.args.log, "pace of an upstream began";
+                "upstream" => upstream.as_str(), "cause" => cause.as_str()),
+            PaceChange::Halved => {}
+            PaceChange::Ended => info!(self.args.log, "pace of an upstream ended";
+                "upstream" => upstream.as_str()),
+        }
+    }
+
     fn handle_answer(&mut self, replica: &str, answer: &FollowAnswer) {
         let answer = match decode_answer(answer) {
             Ok(answer) => answer,
@@ -419,6 +432,7 @@
         _: &mut Context<Self, Self::Reply>,
     ) -> Self::Reply {
         self.args.metrics.count_attempt_end(ended.ending);
+        self.args.metrics.observe_load(ended.load);
         let now_us = self.now_us();
         let core = &mut self.args.core;
         let next = core.attempt_ended(ended.request, ended.ending, ended.load, now_us);
@@ -456,6 +470,7 @@
 
     async fn handle(&mut self, ended: DeliveryEnded, _: &mut Context<Self, Self::Reply>) {
         self.args.metrics.count_attempt_end(ended.ending);
+        self.args.metrics.observe_load(ended.load);
         let now_us = self.now_us();
         let core = &mut self.args.core;
         core.delivery_ended(ended.request, ended.ending, ended.load, now_us);
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -3,9 +3,20 @@
 //! The handling of client requests is in `requests.rs`.
 
 use crate::{
-    api::StateChange, config::GateConfig, key_lease::KeyLease, poll_schedule::PollSchedule,
-    quota::Quotas, regions::RebalanceParams, requests::PendingRequest, service::Service,
-    slack::Slack, split::Split, stopping::Stopping, times::RunTimes, upstream::Upstream,
+    api::{PaceCause, StateChange},
+    config::GateConfig,
+    key_lease::KeyLease,
+    poll_schedule::PollSchedule,
+    quota::Quotas,
+    rank::phase,
+    regions::RebalanceParams,
+    requests::PendingRequest,
+    service::Service,
+    slack::Slack,
+    split::Split,
+    stopping::Stopping,
+    times::RunTimes,
+    upstream::Upstream,
     withheld::WithheldRuns,
 };
 use control::{GatewayPoll, GatewayPollAnswer, GatewayReport};
@@ -27,6 +38,9 @@
 /// How long a gateway with its first plan polls more often to get the lease on keys, in milliseconds.
 /// An answer with the whole plan is shared among gateways and gives no lease.
 const FIRST_LEASE_HURRY_MS: u64 = 2_000;
+/// An upstream whose run started less than this before a gateway hears of it is paced, in milliseconds.
+/// A start may be as far ahead of the leader's clock.
+const YOUNG_MS: u64 = 10_000;
 
 /// The state of a gateway. Every call that depends on time is given the current time.
 #[derive(Debug)]
@@ -345,6 +359,10 @@
             .get(&instance.service)
             .and_then(|service| Some((service, service.position(&instance.id)?)))
             .map(|(service, index)| service.upstreams[index].instance.born_ms);
+        // Other gateways have filled an upstream that started long ago, when this one has restarted.
+        let is_young = instance.born_ms.saturating_add(YOUNG_MS) > clock_ms;
+        let is_new_run = known.is_some_and(|born_ms| born_ms != instance.born_ms);
+        let has_started = is_young || is_new_run || cold_ms > 0;
         if known != Some(instance.born_ms) {
             self.remove_upstream(&instance.id);
         }
@@ -352,10 +370,15 @@
             return self.remove_upstream(&instance.id);
         }
         let withheld = self.withheld_runs.get(&instance.id, instance.born_ms);
+        let phase = phase(self.config.name.as_str(), instance.id.as_str());
         let service = self.service_mut(&instance.service, now_us);
+        let slots = f64::from(instance.slots);
         match service.position(&instance.id) {
             Some(index) => {
                 let upstream = &mut service.upstreams[index];
+                if cold_ms > 0 && !upstream.is_cold(now_us) {
+                    upstream.start_pace(PaceCause::Cold, slots, now_us);
+                }
                 upstream.instance = instance;
                 upstream.region = region;
                 upstream.cold_until_us = cold_until_us;
@@ -363,6 +386,10 @@
             None => {
                 let mut upstream = Upstream::new(instance, region, cold_until_us, now_us);
                 upstream.withheld = withheld;
+                upstream.phase = phase;
+                if has_started {
+                    upstream.start_pace(PaceCause::Started, slots, now_us);
+                }
                 service.upstreams.push(upstream);
             }
         }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -14,6 +14,7 @@
 mod key_lease;
 mod mean_load;
 mod objects;
+mod pace;
 mod poll_schedule;
 mod quota;
 mod rank;
@@ -31,8 +32,8 @@
 
 pub use crate::{
     api::{
-        Arrival, BusyUpstream, Caller, Decision, Ending, Failure, Load, NextStep, Notices, Refusal,
-        StateChange, Target,
+        Arrival, BusyUpstream, Caller, Decision, Ending, Failure, Load, NextStep, Notices,
+        PaceCause, PaceChange, Refusal, StateChange, Target,
     },
     config::{GateBounds, GateConfig},
     gate::Gate,
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use control::GatewayPollAnswer;
 use gate::{Arrival, Decision, Gate, GateBounds, GateConfig, Refusal, Target};
 use plan::{
@@ -37,6 +39,11 @@
     gate_in("east-a")
 }
 
+/// One of the gateways of the failure domain east-a.
+pub fn gate_number(number: usize) -> Gate {
+    gate_named(&format!("10.1.0.{number}"), &DOMAINS, "east-a")
+}
+
 /// A gateway in one of the failure domains of region east.
 pub fn gate_in(domain: &str) -> Gate {
     gate_among(&DOMAINS, domain)
@@ -44,21 +51,31 @@
 
 /// A gateway of region east, in `domain`, which is one of these failure domains with their regions.
 pub fn gate_among(domains: &[(&str, &str)], domain: &str) -> Gate {
-    Gate::new(config(domains, domain, None), at_ms(0))
+    gate_named("10.1.0.15", domains, domain)
 }
 
 /// A gateway in the failure domain east-a where a withdrawn key must stop working within 5 s.
 pub fn strict_gate() -> Gate {
-    Gate::new(config(&DOMAINS, "east-a", Some(5_000)), at_ms(0))
+    let config = config("10.1.0.15", &DOMAINS, "east-a", Some(5_000));
+    Gate::new(config, at_ms(0))
+}
+
+fn gate_named(gateway: &str, domains: &[(&str, &str)], domain: &str) -> Gate {
+    Gate::new(config(gateway, domains, domain, None), at_ms(0))
 }
 
-fn config(domains: &[(&str, &str)], domain: &str, revoke_ms: Option<u64>) -> GateConfig {
+fn config(
+    gateway: &str,
+    domains: &[(&str, &str)],
+    domain: &str,
+    revoke_ms: Option<u64>,
+) -> GateConfig {
     let regions: BTreeMap<_, _> = domains
         .iter()
         .map(|(domain, region)| (name(domain), name(region)))
         .collect();
     GateConfig {
-        name: name("10.1.0.15"),
+        name: name(gateway),
         address: name("10.1.0.15:8080"),
         region: name("east"),
         failure_domain: name(domain),
