Take no answer of an upstream whose status is no final one

Cause: hyper's parser takes statuses from 100 to 999 and, for a request that asks for no upgrade, 101 as an answer. Gateways and entries passed on 101 and 600 to 999 to the caller.

Change: the connection to an upstream, which both front ends use, reports a broken exchange for a status outside 200 to 599. Such an attempt may have run: it is retried only where the request may run more than once, else the gateway answers 502 and the entry 504 with the outcome unknown. The connection's error is a type of its own now, in place of hyper's.

--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock::Clock,
-    http::{AnswerBody, Connection, Pool, Put, Take, connect, strip_hop_by_hop_headers},
+    http::{AnswerBody, Connection, Pool, Put, SendError, Take, connect, strip_hop_by_hop_headers},
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -113,10 +113,8 @@
             response,
             connection,
         },
-        Ok(Err(mut error)) => match error.take_message() {
-            Some(_) => Attempt::Failed(Ending::NotSent),
-            None => Attempt::Failed(Ending::Broken),
-        },
+        Ok(Err(SendError::NotSent)) => Attempt::Failed(Ending::NotSent),
+        Ok(Err(SendError::Broken)) => Attempt::Failed(Ending::Broken),
         Err(_) => Attempt::Failed(Ending::Broken),
     }
 }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -3,7 +3,9 @@
 use crate::{
     clock::Clock,
     gateway::{bodies::StoredBody, metrics::GatewayMetrics, stream::StreamedBody},
-    http::{AnswerBody, Body, Connection, Pool, Put, Take, connect, strip_hop_by_hop_headers},
+    http::{
+        AnswerBody, Body, Connection, Pool, Put, SendError, Take, connect, strip_hop_by_hop_headers,
+    },
 };
 use bytes::{Bytes, BytesMut};
 use gate::{Ending, Load, Notices, Target};
@@ -113,13 +115,8 @@
         let sent = timeout_at(deadline, connection.send(request)).await;
         let response = match sent {
             Ok(Ok(response)) => response,
-            Ok(Err(mut error)) => {
-                let ending = match error.take_message() {
-                    Some(_) => Ending::NotSent,
-                    None => Ending::Broken,
-                };
-                return Outcome::without_answer(ending);
-            }
+            Ok(Err(SendError::NotSent)) => return Outcome::without_answer(Ending::NotSent),
+            Ok(Err(SendError::Broken)) => return Outcome::without_answer(Ending::Broken),
             Err(_) => return Outcome::without_answer(Ending::TimedOut),
         };
         let attempt = decode_request_headers(&call.headers).attempt;
--- a/crates/daemon/src/http/connection.rs
+++ b/crates/daemon/src/http/connection.rs
@@ -9,12 +9,9 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    Request, Response,
+    Request, Response, StatusCode,
     body::{Body, Frame, Incoming, SizeHint},
-    client::conn::{
-        TrySendError,
-        http1::{self, SendRequest},
-    },
+    client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
 use std::{
@@ -57,6 +54,23 @@
     Http(#[from] hyper::Error),
 }
 
+/// Why a request got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum SendError {
+    /// No byte of it was sent.
+    #[error("the request was not sent")]
+    NotSent,
+    /// The connection broke, or what came is no answer; the request may have run.
+    #[error("no answer came, and the request may have run")]
+    Broken,
+}
+
+/// Whether an answer with this status ends a request. The parser also accepts 600 to 999, and 101,
+/// for which no request asks.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// The upstream sent more than `IDLE_BYTES_MAX` bytes without a head or a part of a body.
 #[derive(Clone, Copy, Debug, Error)]
 #[error("too many bytes without an answer among them")]
@@ -131,13 +145,20 @@
     ///
     /// # Errors
     ///
-    /// When the connection broke; the error holds the request if no byte of it was sent.
+    /// [`SendError`]; the connection can't be used again.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<AnswerBody>, TrySendError<Request<Full<Bytes>>>> {
+    ) -> Result<Response<AnswerBody>, SendError> {
         self.progress.begin();
-        let response = self.sender.try_send_request(request).await?;
+        let sent = self.sender.try_send_request(request).await;
+        let response = sent.map_err(|mut error| match error.take_message() {
+            Some(_) => SendError::NotSent,
+            None => SendError::Broken,
+        })?;
+        if !is_final(response.status()) {
+            return Err(SendError::Broken);
+        }
         self.progress.record();
         let progress = self.progress.clone();
         if response.body().is_end_stream() {
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -11,7 +11,7 @@
 
 pub use self::{
     body::{DISCARD_MAX_BYTES, discard_body, read_body},
-    connection::{AnswerBody, Connection, connect},
+    connection::{AnswerBody, Connection, SendError, connect},
     headers::strip_hop_by_hop_headers,
     pool::{Pool, Put, Take},
     reply::{Body, error, json, metrics, with_body},
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -328,3 +328,28 @@
         assert_eq!(header(&answer, "ow-outcome"), outcome, "{path} {headers}");
     }
 }
+
+// Statuses from 600 to 999 and 101 were passed on to the caller as answers.
+#[test]
+fn an_answer_without_a_final_status_is_unknown_and_not_retried() {
+    let daemon = Daemon::start();
+    let upstream = Upstream::new();
+    let _announcing = daemon.announce("payout", upstream.address);
+    for invalid in ["000", "099", "100", "101", "600", "999", "abc", ""] {
+        let caller = call_when_ready(&daemon, "/s/payout/a");
+        let mut stream = upstream.accept();
+        read_head(&mut stream).expect("the request");
+        let answer = format!("HTTP/1.1 {invalid} Odd\r\ncontent-length: 0\r\n\r\n");
+        let written = stream.write_all(answer.as_bytes());
+        written.expect("the answer is written");
+        // Only an interim answer may be followed by another one.
+        drop(stream);
+        let response = caller.join().expect("the caller ended");
+        assert_eq!(
+            (status(&response), header(&response, "ow-outcome")),
+            (504, "unknown".to_owned()),
+            "{invalid:?}"
+        );
+        assert!(!upstream.has_connection(), "{invalid:?}");
+    }
+}
