Read limits on clients' connections from the settings

Cause: nothing lets an operator bound what the connections of clients take.

Change: an optional section [limits] for every role: the least buffer of a connection, the fields and the time of a head, how long an answer may stay unread, the memory for connections, by default 3/16 of a gateway's memory, and the part of the connections that one address may hold. All are checked.

Tests: cargo test -p settings passes, with a new test of defaults and of values out of range.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod error;
 mod gateway;
+mod limits;
 mod model;
 mod overrides;
 mod parse;
@@ -12,8 +13,8 @@
     error::{Expected, Problem, SettingsError},
     model::{
         AnnounceToken, BoundSettings, ControlSettings, DeploymentSettings, DiscoverySettings,
-        EntrySettings, GatewaySettings, Interface, LogFormat, LogLevel, LogSettings, NodeSettings,
-        ReplicaSettings, Role, Settings,
+        EntrySettings, GatewaySettings, Interface, LimitSettings, LogFormat, LogLevel, LogSettings,
+        NodeSettings, ReplicaSettings, Role, Settings,
     },
     overrides::{Override, OverrideError},
     read::KEY_MIN_BYTES,
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -28,6 +28,8 @@
     pub bounds: Option<BoundSettings>,
     /// The region of each failure domain, for gateways; empty without `[regions]`.
     pub regions: BTreeMap<DomainName, RegionName>,
+    /// Limits on the connections of clients.
+    pub limits: LimitSettings,
     /// What is logged, and how.
     pub log: LogSettings,
 }
@@ -198,6 +200,23 @@
     pub region_shift_max_milli: u64,
 }
 
+/// `[limits]`: limits on the connections of clients, for each listener that takes HTTP.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitSettings {
+    /// The least buffer of a connection for the head of a request, in bytes.
+    pub head_buffer_bytes: usize,
+    /// The most fields of a head.
+    pub head_fields_max: usize,
+    /// How long a head may take, where no plan declares it, in milliseconds.
+    pub head_timeout_ms: u64,
+    /// How long a client may take nothing of an answer, in milliseconds.
+    pub stall_timeout_ms: u64,
+    /// Memory for the connections of all listeners of a role, in bytes.
+    pub connections_memory_bytes: usize,
+    /// The part of a listener's connections that one address may hold, in hundredths.
+    pub address_percent: u8,
+}
+
 /// A line of `[replicas]`: one control replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReplicaSettings {
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -3,6 +3,7 @@
 use crate::{
     error::{Expected, Problem, SettingsError},
     gateway::{self, BOUND_KEYS, DISCOVERY_KEYS, GATEWAY_KEYS},
+    limits::{self, LIMIT_KEYS},
     model::{
         ControlSettings, DeploymentSettings, EntrySettings, GatewaySettings, LogFormat, LogLevel,
         LogSettings, NodeSettings, ReplicaSettings, Role, Settings,
@@ -26,9 +27,10 @@
 const DISCOVERY: &str = "discovery";
 const BOUNDS: &str = "bounds";
 const REGIONS: &str = "regions";
+const LIMITS: &str = "limits";
 const LOG: &str = "log";
-const SECTIONS: [&str; 10] = [
-    NODE, DEPLOYMENT, ENTRY, CONTROL, REPLICAS, GATEWAY, DISCOVERY, BOUNDS, REGIONS, LOG,
+const SECTIONS: [&str; 11] = [
+    NODE, DEPLOYMENT, ENTRY, CONTROL, REPLICAS, GATEWAY, DISCOVERY, BOUNDS, REGIONS, LIMITS, LOG,
 ];
 
 const LOOKUP_LIFETIME_DEFAULT_MS: u64 = 5_000;
@@ -135,6 +137,9 @@
             }
             None => BTreeMap::new(),
         };
+        let memory_bytes = gateway.as_ref().map(|it| it.memory_bytes);
+        let limits = self.section(LIMITS, &LIMIT_KEYS)?;
+        let limits = limits::parse_limits(limits.as_ref(), memory_bytes)?;
         let log = self.log()?;
         self.check_listeners(entry.as_ref(), control.as_ref())?;
         Ok(Settings {
@@ -147,6 +152,7 @@
             discovery,
             bounds,
             regions,
+            limits,
             log,
         })
     }
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -141,3 +141,30 @@
     assert_eq!(control.interface, Interface::Platform);
     assert!(control.lookup_listen.is_some() && settings.gateway.is_none());
 }
+
+#[test]
+fn limits_have_defaults_by_the_memory_and_are_checked() {
+    let limits = |text: &str| parse(text).map(|it| it.limits);
+    let defaults = limits(GATEWAY).expect("valid settings");
+    assert_eq!(defaults.connections_memory_bytes, 48 * 1_024 * 1_024);
+    assert_eq!(defaults.head_buffer_bytes, 24_576);
+    let small = GATEWAY.replace("[discovery]", "memory_mb = 112\n[discovery]");
+    let small = limits(&small).expect("valid settings");
+    assert_eq!(small.connections_memory_bytes, 21 * 1_024 * 1_024);
+    let given = format!("{GATEWAY}\n[limits]\naddress_percent = 20\nconnections_memory_mb = 7\n");
+    let given = limits(&given).expect("valid settings");
+    assert_eq!(given.address_percent, 20);
+    assert_eq!(given.connections_memory_bytes, 7 * 1_024 * 1_024);
+    for invalid in [
+        "head_buffer_bytes = 8191",
+        "head_fields_max = 0",
+        "head_timeout_ms = 0",
+        "stall_timeout_ms = soon",
+        "connections_memory_mb = 0",
+        "address_percent = 101",
+    ] {
+        let (key, _) = invalid.split_once(' ').expect("a key and a value");
+        let error = limits(&format!("{GATEWAY}\n[limits]\n{invalid}\n")).expect_err(invalid);
+        assert!(error.contains(&format!("[limits] {key}")), "{error}");
+    }
+}
