Bound what clients' connections take of a process

Cause: hyper buffers up to 400 KiB of a head, or of empty lines before one, on each of 8,192 connections. Answers that a client doesn't read stay in memory without an end, and reads of 64 KiB ahead of such a client took some 200 KiB more for each.

Change: each listener has a buffer for each connection (24 KiB, or the plan's largest head and 8 KiB), a number of connections by the memory for them and by descriptors, a part of them for each address, a time for a head from its first byte, a time in which a client must take something of an answer, and a pool for heads of very many fields. The acceptor owns the table of connections: when it is full it closes the one that has waited longest. Buffered answers above 16 KiB share the room of large bodies and are passed on as they come where there is none; 16 KiB are read at once from an upstream. A counter tells the connections that were cut, by listener and cause.

Tests: cargo test -p daemon -p settings -p platform passes.

--- a/crates/daemon/src/control/start.rs
+++ b/crates/daemon/src/control/start.rs
@@ -11,7 +11,7 @@
         storage::{self, Storage},
     },
     feed::{forward_events, tick},
-    http::{Server, ServerLimits, serve},
+    http::{CutCounters, Server, ServerLimits, serve},
     replicas::{ReplicaLinks, seed_names},
 };
 use control::{Control, ControlConfig};
@@ -76,6 +76,9 @@
 /// How long the answer of a look-up may be used, when the settings have no `[bounds]`.
 const LOOKUP_LIFETIME_MS: u64 = 2_000;
 
+/// Fraction of the memory for connections that each listener may use where there are two.
+const LISTENER_FRACTION: f64 = 0.5;
+
 /// How long a stopping replica waits for each listener's connections to close.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -137,6 +140,7 @@
     let listener = listen(role_settings.peer_listen, identity.clone(), inbox.clone()).await?;
     let mut registry = Registry::with_prefix("oleanderwell_control");
     let metrics = Arc::new(ControlMetrics::new(&mut registry));
+    let cuts = CutCounters::new(&mut registry);
     let config = config(settings, &id)?;
     let (storage, queue) = Storage::new();
     let (failure_sender, failure) = watch::channel(None);
@@ -172,23 +176,29 @@
             .map_or(LOOKUP_LIFETIME_MS, |it| it.lookup_lifetime_ms / 2),
         log: log.clone(),
     };
-    let limits = ServerLimits::new();
+    let listener_fraction = match role_settings.lookup_listen {
+        Some(_) => LISTENER_FRACTION,
+        None => 1.0,
+    };
+    let limits = |listener| {
+        ServerLimits::new(&settings.limits, listener, &cuts).with_memory_fraction(listener_fraction)
+    };
     let lookup_server = match role_settings.lookup_listen {
         Some(address) => {
             let platform_http = platform_http.clone();
             let look_up = move |request, _| platform_http.clone().look_up(request);
-            Some(serve(address, limits.clone(), look_up).await?)
+            Some(serve(address, limits("lookups"), look_up).await?)
         }
         None => None,
     };
     let server = match role_settings.interface {
         Interface::Native => {
             let handle = move |request, _| http.clone().handle(request);
-            serve(role_settings.listen, limits, handle).await?
+            serve(role_settings.listen, limits("operators"), handle).await?
         }
         Interface::Platform => {
             let call = move |request, _| platform_http.clone().call(request);
-            serve(role_settings.listen, limits, call).await?
+            serve(role_settings.listen, limits("operators"), call).await?
         }
     };
     info!(log, "control replica started";
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -1,7 +1,9 @@
 //! The actor that owns a gateway's core. HTTP tasks report each request and the end of each
 //! attempt; the actor polls the control replicas over links and publishes the limits of the plan.
 
-use crate::{clock::Clock, gateway::metrics::GatewayMetrics, replicas::ReplicaLinks};
+use crate::{
+    clock::Clock, gateway::metrics::GatewayMetrics, http::HeadLimits, replicas::ReplicaLinks,
+};
 use gate::{Arrival, Decision, Ending, Gate, Load, NextStep, Notices, StateChange};
 use kameo::{
     Actor, Reply,
@@ -12,7 +14,7 @@
 use link::Event;
 use plan::{KeyDigest, Limits};
 use slog::{Logger, info, warn};
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc};
 use tokio::sync::watch;
 use wire::{
     WireError, follow_answer_from_wire,
@@ -30,8 +32,8 @@
     pub links: ReplicaLinks,
     /// Metrics of the gateway.
     pub metrics: Arc<GatewayMetrics>,
-    /// Set to the plan's idle timeout of client connections.
-    pub idle_timeout: watch::Sender<Duration>,
+    /// Set to the plan's limits on the heads of requests.
+    pub heads: watch::Sender<HeadLimits>,
     /// Set to the plan's limits on client requests.
     pub limits: watch::Sender<Option<Limits>>,
     /// Logger of the process.
@@ -257,8 +259,7 @@
             let version = i64::try_from(core.plan_version()).unwrap_or(i64::MAX);
             self.args.metrics.plan_version.set(version);
             if let Some(limits) = core.limits() {
-                let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
-                self.args.idle_timeout.send_replace(idle_timeout);
+                self.args.heads.send_replace(HeadLimits::of_plan(&limits));
                 self.args.limits.send_replace(Some(limits));
             }
         }
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -2,7 +2,11 @@
 
 use crate::{
     clock::Clock,
-    gateway::{bodies::StoredBody, metrics::GatewayMetrics, stream::StreamedBody},
+    gateway::{
+        bodies::{Bodies, StoredBody},
+        metrics::GatewayMetrics,
+        stream::StreamedBody,
+    },
     http::{
         AnswerBody, Body, Connection, Pool, Put, SendError, Take, connect, strip_hop_by_hop_headers,
     },
@@ -10,13 +14,16 @@
 use bytes::{Bytes, BytesMut};
 use gate::{Ending, Load, Notices, Target};
 use http_body_util::{BodyExt, Full};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Body as _};
 use kameo::actor::ActorRef;
 use platform::{
     AnswerHeaders, NotRun, decode_answer_headers, decode_request_headers, set_attempt_headers,
 };
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::{
+    sync::OwnedSemaphorePermit,
+    time::{Instant, timeout_at},
+};
 
 /// Time for a connection to open; after it, the upstream counts as unreachable. It allows for one
 /// lost packet on the longest path between regions.
@@ -26,6 +33,9 @@
 /// earlier can still be replaced by a retry; a larger one is streamed.
 const BUFFER_MAX_BYTES: usize = 256 * 1024;
 
+/// How much of an answer is buffered without room for it: as much as the head of a request may take.
+const BUFFER_FREE_BYTES: usize = 16 * 1024;
+
 /// How long an idle connection may be reused when the upstream advertises no idle timeout or a
 /// longer one.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -95,6 +105,8 @@
 pub struct AttemptRunner {
     /// The actor that owns the idle connections.
     pub pool: ActorRef<Pool>,
+    /// The room for buffered answers.
+    pub bodies: Bodies,
     /// The clock of the core, for deadlines.
     pub clock: Clock,
     /// Metrics of the gateway.
@@ -125,7 +137,7 @@
             return Outcome::without_answer(Ending::Broken);
         }
         let status = response.status();
-        let read = timeout_at(deadline, read_response(response, deadline)).await;
+        let read = timeout_at(deadline, read_response(response, deadline, &self.bodies)).await;
         let notices = answer.notices;
         let without_body = |ending| Outcome {
             notices,
@@ -219,26 +231,59 @@
     }
 }
 
-/// Reads the answer up to [`BUFFER_MAX_BYTES`]; the rest of a larger one is streamed until the
-/// deadline. `None` when the body broke off.
+/// A buffered answer, with the room that it takes until the client has taken it.
+struct BufferedAnswer {
+    bytes: Bytes,
+    _room: Option<OwnedSemaphorePermit>,
+}
+
+impl AsRef<[u8]> for BufferedAnswer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Reads the answer up to [`BUFFER_MAX_BYTES`], or as far as there is room; the rest of a larger one is
+/// streamed until the deadline. `None` when the body broke off.
 async fn read_response(
     response: Response<AnswerBody>,
     deadline: Instant,
+    bodies: &Bodies,
 ) -> Option<UpstreamAnswer> {
     let (mut head, mut body) = response.into_parts();
     strip_hop_by_hop_headers(&mut head.headers);
+    let expected_bytes = body.size_hint().exact();
+    let expected_bytes = expected_bytes.and_then(|it| usize::try_from(it).ok());
+    let needed_bytes = expected_bytes.map_or(BUFFER_MAX_BYTES, |it| it.min(BUFFER_MAX_BYTES));
     let mut buffered = BytesMut::new();
+    let mut room = None;
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame.ok()?.into_data() {
             buffered.extend_from_slice(&data);
         }
-        if buffered.len() > BUFFER_MAX_BYTES {
-            let streamed = StreamedBody::new(buffered.freeze(), body, deadline);
+        if buffered.len() > BUFFER_FREE_BYTES && room.is_none() {
+            room = bodies.answer_room(needed_bytes);
+            // Growing by steps would take up to twice as much.
+            let capacity_bytes = room.as_ref().map_or(0, |_| needed_bytes);
+            buffered.reserve(capacity_bytes.saturating_sub(buffered.len()));
+        }
+        let is_within_room = room.is_some() || buffered.len() <= BUFFER_FREE_BYTES;
+        if buffered.len() > BUFFER_MAX_BYTES || !is_within_room {
+            let prefix = with_room(buffered, room);
+            let streamed = StreamedBody::new(prefix, body, deadline);
             let response = Response::from_parts(head, streamed);
             return Some(UpstreamAnswer::Streamed(Box::new(response)));
         }
     }
-    let whole = Full::new(buffered.freeze()).map_err(|never| match never {});
+    let whole = Full::new(with_room(buffered, room)).map_err(|never| match never {});
     let response = Response::from_parts(head, whole.boxed());
     Some(UpstreamAnswer::Whole(response))
 }
+
+fn with_room(buffered: BytesMut, room: Option<OwnedSemaphorePermit>) -> Bytes {
+    let bytes = buffered.freeze();
+    match room {
+        Some(_) => Bytes::from_owner(BufferedAnswer { bytes, _room: room }),
+        None => bytes,
+    }
+}
--- a/crates/daemon/src/gateway/bodies.rs
+++ b/crates/daemon/src/gateway/bodies.rs
@@ -1,4 +1,5 @@
-//! The memory for the bodies of clients' requests, which all requests of a gateway share.
+//! The memory for the bodies of clients' requests and for buffered answers, which all requests of a
+//! gateway share.
 //!
 //! A body is kept until its request is answered, so that the request can be sent again. Before a body is
 //! read, its size is reserved; while there is no room, the client's own sending waits. Small bodies have
@@ -24,8 +25,8 @@
 /// The fraction of the process's memory for small bodies.
 const SMALL_FRACTION: f64 = 0.125;
 
-/// The fraction of the process's memory for all others. What is left is for buffered answers,
-/// connections and the plan.
+/// The fraction of the process's memory for all others and for buffered answers. What is left is
+/// for connections and the plan.
 const LARGE_FRACTION: f64 = 0.5;
 
 /// The room that is reserved for a body of unknown size once it is larger than a small one, in bytes;
@@ -93,6 +94,13 @@
         [&self.small, &self.large].map(|it| it.available_permits() * UNIT_BYTES)
     }
 
+    /// Room for the buffer of an answer, which answers share with large bodies; `None` when there is
+    /// none now.
+    pub fn answer_room(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
+        let units = u32::try_from(bytes.div_ceil(UNIT_BYTES)).ok()?;
+        Arc::clone(&self.large).try_acquire_many_owned(units).ok()
+    }
+
     /// Reads a whole body of at most `limit_bytes`. Waits for room for a part of `client_timeout`, for
     /// which the client waits for its answer.
     ///
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -11,7 +11,7 @@
         http::{GatewayHttp, StatusHttp},
         metrics::GatewayMetrics,
     },
-    http::{HEAD_TIMEOUT, Pool, Server, ServerLimits, serve},
+    http::{CutCounters, HeadLimits, Pool, Server, ServerLimits, serve},
     replicas::{ReplicaLinks, seed_names},
 };
 use gate::{Gate, GateBounds, GateConfig, STOP_ANSWER_FRACTION};
@@ -40,6 +40,10 @@
 /// Fraction of the process's file descriptors that client connections may use.
 const CLIENT_FRACTION: f64 = 0.5;
 
+/// Fraction of the memory for connections, and of the file descriptors, that those of the status
+/// listener may use.
+const STATUS_FRACTION: f64 = 0.125;
+
 /// Fraction of the grace period after which a stopping gateway stops accepting and closes idle
 /// connections.
 const CLOSE_FRACTION: f64 = 0.5;
@@ -96,7 +100,8 @@
     let (inbox, events) = mpsc::channel(LINK_EVENTS);
     let mut registry = Registry::with_prefix("oleanderwell_gateway");
     let metrics = Arc::new(GatewayMetrics::new(&mut registry));
-    let (idle_timeout, head_timeout) = watch::channel(HEAD_TIMEOUT);
+    let cuts = CutCounters::new(&mut registry);
+    let (head_sender, heads) = watch::channel(HeadLimits::new(&settings.limits));
     let (limits, client_limits) = watch::channel(None);
     let actor = GatewayActor::spawn_with_mailbox(
         GatewayArgs {
@@ -104,7 +109,7 @@
             clock,
             links: ReplicaLinks::new(settings, identity, inbox),
             metrics: Arc::clone(&metrics),
-            idle_timeout,
+            heads: head_sender,
             limits,
             log: log.clone(),
         },
@@ -113,14 +118,16 @@
     tokio::spawn(forward_events(events, actor.clone(), LinkEvent));
     let timer = tokio::spawn(tick(actor.clone(), TICK, Tick));
     let (stopping, answers_until) = watch::channel(None);
+    let bodies = Bodies::new(role_settings.memory_bytes);
     let http = GatewayHttp {
         actor: actor.clone(),
         attempt_runner: AttemptRunner {
             pool: Pool::spawn_with_mailbox(Pool::default(), mailbox::unbounded()),
+            bodies: bodies.clone(),
             clock,
             metrics: Arc::clone(&metrics),
         },
-        bodies: Bodies::new(role_settings.memory_bytes),
+        bodies,
         clock,
         metrics,
         limits: client_limits,
@@ -128,10 +135,14 @@
         answers_until,
         log: log.clone(),
     };
-    let limits = ServerLimits {
-        connections_max: (role_settings.descriptors_max as f64 * CLIENT_FRACTION) as u32,
-        head_timeout,
-    };
+    let descriptors = |fraction: f64| (role_settings.descriptors_max as f64 * fraction) as usize;
+    let limits = ServerLimits::new(&settings.limits, "clients", &cuts)
+        .with_memory_fraction(1.0 - STATUS_FRACTION)
+        .with_connections_max(descriptors(CLIENT_FRACTION))
+        .with_heads(heads);
+    let status_limits = ServerLimits::new(&settings.limits, "status", &cuts)
+        .with_memory_fraction(STATUS_FRACTION)
+        .with_connections_max(descriptors(STATUS_FRACTION));
     let server = serve(role_settings.listen, limits, move |request, _| {
         http.clone().handle(request)
     })
@@ -142,7 +153,7 @@
     };
     let status_server = serve(
         role_settings.status_listen,
-        ServerLimits::new(),
+        status_limits,
         move |request, _| status.clone().handle(request),
     )
     .await?;
--- a/crates/daemon/src/http/connection.rs
+++ b/crates/daemon/src/http/connection.rs
@@ -32,10 +32,13 @@
     time::{Instant, timeout_at},
 };
 
-/// Size of the parser's buffer, in bytes: the largest head of an answer, and how much of a body is
-/// read at once.
+/// Size of the parser's buffer, in bytes: the largest head of an answer.
 const BUFFER_BYTES: usize = 64 * 1024;
 
+/// How much is read at once, in bytes. The parser keeps up to three reads ahead of a client that does not
+/// take its answer: reads of a whole buffer took 200 kB for each such client.
+const READ_MAX_BYTES: usize = 16 * 1024;
+
 /// How many bytes may arrive in a row without a head or a part of a body among them. The parser
 /// reads up to three buffers ahead of the part of a body that its user is handling.
 const IDLE_BYTES_MAX: u64 = 8 * BUFFER_BYTES as u64;
@@ -226,9 +229,12 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        let counted = self.progress.count(buffer.filled().len() - before);
+        let length = buffer.remaining().min(READ_MAX_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
+        std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+        let read_bytes = part.filled().len();
+        buffer.advance(read_bytes);
+        let counted = self.progress.count(read_bytes);
         Poll::Ready(counted.map_err(io::Error::other))
     }
 }
--- /dev/null
+++ b/crates/daemon/src/http/limits.rs
@@ -0,0 +1,205 @@
+//! Limits on the connections of a listener, and the counters of connections that are cut for them.
+
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioTimer;
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family},
+    registry::Registry,
+};
+use settings::LimitSettings;
+use std::time::Duration;
+use strum::IntoStaticStr;
+use tokio::sync::watch;
+
+/// What a buffer holds beyond the largest declared head, in bytes: empty lines before a request and
+/// white space that the size of a head doesn't count. A head that is a little too large is read whole
+/// and rejected with 431.
+const HEAD_EXTRA_BYTES: usize = 8 * 1_024;
+
+/// How much longer than declared a head may take, as a fraction of the declared time: the client and
+/// the listener see its first byte at different times.
+const HEAD_TIME_EXTRA: f64 = 0.5;
+
+/// The fraction of the memory for connections that is for their buffers. The rest is for heads of very
+/// many fields.
+const BUFFER_FRACTION: f64 = 0.75;
+
+/// Why a connection was cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Cut {
+    /// The listener was full, and this connection had waited longest for a request.
+    Full,
+    /// The client's address had its share of the connections.
+    Address,
+    /// The head was larger than the buffer or had too many fields.
+    HeadSize,
+    /// The head took too long.
+    HeadTime,
+    /// Heads of very many fields took all the memory for them.
+    HeadRoom,
+    /// The client took nothing of an answer for too long.
+    Stalled,
+}
+
+/// Labels of the counter of cut connections.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CutLabels {
+    listener: &'static str,
+    cause: &'static str,
+}
+
+/// Counters of the connections that the listeners of a process cut.
+#[derive(Clone, Debug, Default)]
+pub struct CutCounters(Family<CutLabels, Counter>);
+
+impl CutCounters {
+    /// Creates the counters and registers them in `registry`.
+    pub fn new(registry: &mut Registry) -> Self {
+        let counters = Self::default();
+        let help = "Connections of clients that were cut, by cause";
+        registry.register("cut_connections", help, counters.0.clone());
+        counters
+    }
+
+    /// Counts a connection of a listener.
+    pub fn count(&self, listener: &'static str, cut: Cut) {
+        let cause = cut.into();
+        let labels = CutLabels { listener, cause };
+        self.0.get_or_create(&labels).inc();
+    }
+}
+
+/// What the plan declares about the heads of requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeadLimits {
+    /// The largest head, in bytes.
+    pub head_max_bytes: usize,
+    /// Time for a head to arrive, from its first byte.
+    pub head_timeout: Duration,
+    /// Time for a complete head to arrive from the opening of the connection or the previous answer.
+    pub idle_timeout: Duration,
+}
+
+impl HeadLimits {
+    /// The limits of a process that has no plan.
+    pub fn new(settings: &LimitSettings) -> Self {
+        let head_timeout = Duration::from_millis(settings.head_timeout_ms);
+        Self {
+            head_max_bytes: 0,
+            head_timeout,
+            idle_timeout: head_timeout,
+        }
+    }
+
+    /// The limits that a plan declares.
+    pub fn of_plan(limits: &plan::Limits) -> Self {
+        let head_timeout = Duration::from_millis(limits.header_timeout_ms);
+        Self {
+            head_max_bytes: usize::try_from(limits.header_max_bytes).unwrap_or(usize::MAX),
+            head_timeout: head_timeout.mul_f64(1.0 + HEAD_TIME_EXTRA),
+            idle_timeout: Duration::from_millis(limits.idle_timeout_ms),
+        }
+    }
+}
+
+/// Limits on the connections of one listener.
+#[derive(Clone, Debug)]
+pub struct ServerLimits {
+    /// The listener's name in the counters.
+    pub listener: &'static str,
+    /// Largest number of open connections, whatever memory they take.
+    pub connections_max: usize,
+    /// Memory for the connections, in bytes.
+    pub memory_bytes: usize,
+    /// The part of the connections that one address may hold, in hundredths.
+    pub address_percent: usize,
+    /// The least buffer of a connection, in bytes.
+    pub buffer_min_bytes: usize,
+    /// The most fields of a head.
+    pub fields_max: usize,
+    /// How long a client may take nothing of an answer.
+    pub stall_timeout: Duration,
+    /// The limits of heads. A change applies to connections accepted later.
+    pub heads: watch::Receiver<HeadLimits>,
+    /// Counters of the process.
+    pub cuts: CutCounters,
+}
+
+impl ServerLimits {
+    /// The limits of a listener to which all of the memory for connections belongs, and whose limits of
+    /// heads don't change.
+    pub fn new(settings: &LimitSettings, listener: &'static str, cuts: &CutCounters) -> Self {
+        let (_, heads) = watch::channel(HeadLimits::new(settings));
+        Self {
+            listener,
+            connections_max: usize::MAX,
+            memory_bytes: settings.connections_memory_bytes,
+            address_percent: usize::from(settings.address_percent),
+            buffer_min_bytes: settings.head_buffer_bytes,
+            fields_max: settings.head_fields_max,
+            stall_timeout: Duration::from_millis(settings.stall_timeout_ms),
+            heads,
+            cuts: cuts.clone(),
+        }
+    }
+
+    /// A fraction of the memory for connections in place of all of it.
+    pub fn with_memory_fraction(mut self, fraction: f64) -> Self {
+        self.memory_bytes = (self.memory_bytes as f64 * fraction) as usize;
+        self
+    }
+
+    /// At most so many connections, also when there is memory for more.
+    pub fn with_connections_max(mut self, connections_max: usize) -> Self {
+        self.connections_max = connections_max;
+        self
+    }
+
+    /// Limits of heads that may change.
+    pub fn with_heads(mut self, heads: watch::Receiver<HeadLimits>) -> Self {
+        self.heads = heads;
+        self
+    }
+
+    /// The buffer of a connection that is accepted now, in bytes.
+    pub fn buffer_bytes(&self) -> usize {
+        let declared_bytes = self.heads.borrow().head_max_bytes;
+        let needed_bytes = declared_bytes.saturating_add(HEAD_EXTRA_BYTES);
+        self.buffer_min_bytes.max(needed_bytes)
+    }
+
+    /// How many connections may be open now, at least one.
+    pub fn connections(&self) -> usize {
+        let buffers_bytes = (self.memory_bytes as f64 * BUFFER_FRACTION) as usize;
+        let by_memory = buffers_bytes / self.buffer_bytes();
+        by_memory.min(self.connections_max).max(1)
+    }
+
+    /// How many of them one address may hold, at least one.
+    pub fn address_connections(&self) -> usize {
+        (self.connections() * self.address_percent / 100).max(1)
+    }
+
+    /// Memory for the heads of very many fields, in bytes.
+    pub fn head_room_bytes(&self) -> usize {
+        (self.memory_bytes as f64 * (1.0 - BUFFER_FRACTION)) as usize
+    }
+
+    /// The builder of a connection that is accepted now.
+    pub fn builder(&self) -> http1::Builder {
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.heads.borrow().idle_timeout)
+            .max_buf_size(self.buffer_bytes())
+            .max_headers(self.fields_max);
+        builder
+    }
+
+    /// Counts a connection that is cut.
+    pub fn count(&self, cut: Cut) {
+        self.cuts.count(self.listener, cut);
+    }
+}
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -1,20 +1,24 @@
 //! HTTP server, connection pool and response helpers that entries, gateways and control replicas
 //! share.
 
+mod admission;
 mod body;
 mod connection;
 mod headers;
+mod limits;
 mod pool;
 mod reply;
 mod server;
+mod stream;
 mod token;
 
 pub use self::{
     body::{DISCARD_MAX_BYTES, discard_body, read_body},
     connection::{AnswerBody, Connection, SendError, connect},
     headers::strip_hop_by_hop_headers,
+    limits::{Cut, CutCounters, HeadLimits, ServerLimits},
     pool::{Pool, Put, Take},
     reply::{Body, error, json, metrics, with_body},
-    server::{HEAD_TIMEOUT, Server, ServerLimits, serve},
+    server::{Server, serve},
     token::{bearer_token, same_token},
 };
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -1,52 +1,52 @@
-//! An HTTP/1 server that serves each connection in its own task and closes gracefully.
+//! An HTTP/1 server that serves each connection in its own task, within limits of memory, and closes
+//! gracefully.
 
-use crate::http::Body;
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use std::{convert::Infallible, future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+use crate::http::{
+    Body, Cut, ServerLimits,
+    admission::{Connections, Room, Waiting},
+    stream::{Activity, ClientStream, ServedBody},
+    with_body,
+};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue, RETRY_AFTER},
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use std::{
+    convert::Infallible,
+    future::Future,
+    io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore, watch},
-    task::JoinHandle,
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch},
+    task::{AbortHandle, JoinHandle},
+    time::{Instant, sleep},
 };
 
-/// Default time for a request head to arrive; after it, the connection is closed.
-pub const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Default for [`ServerLimits::connections_max`].
-const CONNECTIONS_MAX: u32 = 8_192;
+/// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop, and
+/// between two looks for an idle connection while the listener is full.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
-/// Limits on the connections of one listener.
-#[derive(Clone, Debug)]
-pub struct ServerLimits {
-    /// Largest number of open connections; further ones wait in the backlog of the socket.
-    pub connections_max: u32,
-    /// Time for a complete request head to arrive, also on an idle connection; after it, the
-    /// connection is closed. A change applies to connections accepted later.
-    pub head_timeout: watch::Receiver<Duration>,
-}
+/// The fields of a head that the buffer of its connection pays for. Ordinary requests have fewer.
+const FIELDS_FREE: usize = 100;
 
-impl ServerLimits {
-    /// The default limits, which don't change.
-    pub fn new() -> Self {
-        let (_, head_timeout) = watch::channel(HEAD_TIMEOUT);
-        Self {
-            connections_max: CONNECTIONS_MAX,
-            head_timeout,
-        }
-    }
-}
+/// The memory of a parsed field beside its bytes: a name, a value and their places in the map.
+const FIELD_BYTES: usize = 192;
 
-/// Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
-const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+/// The unit in which memory for heads is reserved, in bytes.
+const UNIT_BYTES: usize = 1_024;
 
 /// A running listener.
 #[derive(Debug)]
 pub struct Server {
     closing: watch::Sender<bool>,
     accepting: JoinHandle<()>,
-    connections: Arc<Semaphore>,
-    connections_max: u32,
 }
 
 impl Server {
@@ -55,7 +55,6 @@
     pub async fn close(self) {
         self.closing.send_replace(true);
         let _ = self.accepting.await;
-        let _ = self.connections.acquire_many(self.connections_max).await;
     }
 }
 
@@ -76,83 +75,217 @@
 {
     let listener = TcpListener::bind(address).await?;
     let (closing, closed) = watch::channel(false);
-    let connections_max = limits.connections_max;
-    let connections = Arc::new(Semaphore::new(connections_max as usize));
+    let (ended, ends) = mpsc::unbounded_channel();
     let acceptor = Acceptor {
-        listener,
-        connections: Arc::clone(&connections),
+        connections: Connections::new(),
+        next_id: 0,
         closed,
-        head_timeout: limits.head_timeout,
+        ended,
+        ends,
+        head_room: Arc::new(Semaphore::new(limits.head_room_bytes() / UNIT_BYTES)),
+        limits,
     };
-    let accepting = tokio::spawn(acceptor.run(handler));
-    Ok(Server {
-        closing,
-        accepting,
-        connections,
-        connections_max,
-    })
+    let accepting = tokio::spawn(acceptor.run(listener, handler));
+    Ok(Server { closing, accepting })
+}
+
+/// Waits until the listener closes.
+async fn closing(closed: &mut watch::Receiver<bool>) {
+    // The sender is gone only with the server itself.
+    let _ = closed.wait_for(|closed| *closed).await;
+}
+
+/// A connection in the acceptor's table.
+struct Connection {
+    activity: Arc<Activity>,
+    task: AbortHandle,
+}
+
+impl Waiting for Connection {
+    fn waits_since(&self) -> Option<Instant> {
+        self.activity.waits_since()
+    }
 }
 
 struct Acceptor {
-    listener: TcpListener,
-    connections: Arc<Semaphore>,
+    connections: Connections<Connection>,
+    next_id: u64,
     closed: watch::Receiver<bool>,
-    head_timeout: watch::Receiver<Duration>,
+    /// Connections that have ended, by number.
+    ended: mpsc::UnboundedSender<u64>,
+    ends: mpsc::UnboundedReceiver<u64>,
+    /// Memory for the heads of very many fields.
+    head_room: Arc<Semaphore>,
+    limits: ServerLimits,
 }
 
 impl Acceptor {
-    async fn run<H, F>(mut self, handler: H)
+    async fn run<H, F>(mut self, listener: TcpListener, handler: H)
     where
         H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
-        while let Ok(permit) = Arc::clone(&self.connections).acquire_owned().await {
-            let accepted = tokio::select! {
-                accepted = self.listener.accept() => accepted,
-                _ = self.closed.wait_for(|closed| *closed) => return,
-            };
-            match accepted {
-                Ok((stream, client)) => {
-                    let mut builder = http1::Builder::new();
-                    builder
-                        .timer(TokioTimer::new())
-                        .header_read_timeout(*self.head_timeout.borrow());
-                    let closed = self.closed.clone();
-                    let connection =
-                        serve_connection(builder, stream, client, closed, handler.clone());
-                    tokio::spawn(serve_with_permit(permit, connection));
-                }
-                Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
+        let mut waiting = None;
+        loop {
+            tokio::select! {
+                () = closing(&mut self.closed) => break,
+                Some(id) = self.ends.recv() => drop(self.connections.remove(id)),
+                () = sleep(ACCEPT_RETRY), if waiting.is_some() => {}
+                accepted = listener.accept(), if waiting.is_none() => match accepted {
+                    Ok(accepted) => waiting = Some(accepted),
+                    Err(_) => sleep(ACCEPT_RETRY).await,
+                },
             }
+            waiting = waiting.and_then(|(stream, client)| match self.make_room(client.ip()) {
+                Room::Wait => Some((stream, client)),
+                Room::Refuse => None,
+                Room::Free | Room::CloseForAll(_) | Room::CloseForAddress(_) => {
+                    self.start(stream, client, handler.clone());
+                    None
+                }
+            });
+        }
+        drop((listener, waiting));
+        while !self.connections.is_empty() {
+            // The acceptor has a sender itself, so there is a next message.
+            let ended = self.ends.recv().await;
+            ended.and_then(|id| self.connections.remove(id));
         }
     }
+
+    /// Closes a connection if a new one from `address` has no room otherwise.
+    fn make_room(&mut self, address: IpAddr) -> Room {
+        let (all, one) = (self.limits.connections(), self.limits.address_connections());
+        let room = self.connections.room(address, all, one);
+        let (closed, cut) = match room {
+            Room::Free | Room::Wait => return room,
+            Room::Refuse => (None, Cut::Address),
+            Room::CloseForAddress(id) => (Some(id), Cut::Address),
+            Room::CloseForAll(id) => (Some(id), Cut::Full),
+        };
+        self.limits.count(cut);
+        if let Some(connection) = closed.and_then(|id| self.connections.remove(id)) {
+            connection.task.abort();
+        }
+        room
+    }
+
+    fn start<H, F>(&mut self, stream: TcpStream, client: SocketAddr, handler: H)
+    where
+        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let id = self.next_id;
+        self.next_id += 1;
+        let activity = Arc::new(Activity::new());
+        let served = ServedConnection {
+            client,
+            closed: self.closed.clone(),
+            activity: Arc::clone(&activity),
+            head_room: Arc::clone(&self.head_room),
+            limits: self.limits.clone(),
+            _end: EndNotice {
+                id,
+                ended: self.ended.clone(),
+            },
+        };
+        let task = tokio::spawn(served.run(stream, handler)).abort_handle();
+        let connection = Connection { activity, task };
+        self.connections.insert(id, client.ip(), connection);
+    }
 }
 
-async fn serve_with_permit(permit: OwnedSemaphorePermit, connection: impl Future<Output = ()>) {
-    connection.await;
-    drop(permit);
+/// Tells the acceptor that a connection has ended, also when its task was aborted.
+struct EndNotice {
+    id: u64,
+    ended: mpsc::UnboundedSender<u64>,
 }
 
-async fn serve_connection<H, F>(
-    builder: http1::Builder,
-    stream: TcpStream,
+impl Drop for EndNotice {
+    fn drop(&mut self) {
+        // The acceptor is gone only with the process.
+        let _ = self.ended.send(self.id);
+    }
+}
+
+/// What the task of a connection owns beside its socket.
+struct ServedConnection {
     client: SocketAddr,
-    mut closed: watch::Receiver<bool>,
-    handler: H,
-) where
-    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
-{
-    let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
-        let answer = handler(request, client);
-        async move { Ok::<_, Infallible>(answer.await) }
-    });
-    let served = builder.serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(served);
-    tokio::select! {
-        _ = served.as_mut() => return,
-        _ = closed.wait_for(|closed| *closed) => served.as_mut().graceful_shutdown(),
+    closed: watch::Receiver<bool>,
+    activity: Arc<Activity>,
+    head_room: Arc<Semaphore>,
+    limits: ServerLimits,
+    _end: EndNotice,
+}
+
+impl ServedConnection {
+    async fn run<H, F>(mut self, stream: TcpStream, handler: H)
+    where
+        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let _ = stream.set_nodelay(true);
+        let stream = ClientStream::new(stream, Arc::clone(&self.activity), self.limits.clone());
+        let service = service_fn(|request: Request<Incoming>| {
+            self.activity.begin_request();
+            let reserved = reserve_head(&self.head_room, request.headers().len());
+            let answer = reserved.map(|room| (room, handler(request, self.client)));
+            let (activity, limits) = (Arc::clone(&self.activity), &self.limits);
+            async move {
+                let response = match answer {
+                    Ok((room, answer)) => {
+                        let response = answer.await;
+                        drop(room);
+                        response
+                    }
+                    Err(NoRoom) => {
+                        limits.count(Cut::HeadRoom);
+                        no_room_response()
+                    }
+                };
+                Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, activity)))
+            }
+        });
+        let served = self
+            .limits
+            .builder()
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::pin!(served);
+        let ended = tokio::select! {
+            ended = served.as_mut() => ended,
+            () = closing(&mut self.closed) => {
+                served.as_mut().graceful_shutdown();
+                served.await
+            }
+        };
+        if ended.is_err_and(|error| error.is_parse_too_large()) {
+            self.limits.count(Cut::HeadSize);
+        }
     }
-    let _ = served.await;
+}
+
+/// The memory for heads of very many fields is used up.
+struct NoRoom;
+
+/// Reserves memory for the fields that the buffer of the connection doesn't pay for.
+fn reserve_head(
+    room: &Arc<Semaphore>,
+    fields: usize,
+) -> Result<Option<OwnedSemaphorePermit>, NoRoom> {
+    let extra_bytes = fields.saturating_sub(FIELDS_FREE) * FIELD_BYTES;
+    if extra_bytes == 0 {
+        return Ok(None);
+    }
+    let units = u32::try_from(extra_bytes.div_ceil(UNIT_BYTES)).unwrap_or(u32::MAX);
+    let reserved = Arc::clone(room).try_acquire_many_owned(units);
+    reserved.map(Some).map_err(|_| NoRoom)
+}
+
+/// The response for a request that did not run for lack of memory.
+fn no_room_response() -> Response<Body> {
+    let mut response = with_body(StatusCode::SERVICE_UNAVAILABLE, "text/plain", Vec::new());
+    let headers = response.headers_mut();
+    headers.insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    response
 }
--- /dev/null
+++ b/crates/daemon/src/http/stream.rs
@@ -0,0 +1,244 @@
+//! The socket of a client's connection, which fails when a head takes too long to come or an answer
+//! too long to be taken.
+
+use crate::http::{Cut, ServerLimits};
+use hyper::body::{Frame, SizeHint};
+use std::{
+    future::Future,
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time::{Instant, Sleep, sleep_until},
+};
+
+/// How long a client takes nothing of an answer before its connection may be closed to make room.
+const STALL_MIN: Duration = Duration::from_secs(1);
+
+/// A time that never comes, in milliseconds.
+const NEVER_MS: u64 = u64::MAX;
+
+/// What a connection does, shared by its task and the acceptor, which closes idle ones.
+#[derive(Debug)]
+pub struct Activity {
+    started: Instant,
+    /// Whether a request is being served.
+    is_serving: AtomicBool,
+    /// When the client last took bytes of an answer of which more wait, in milliseconds since the
+    /// connection's start; [`NEVER_MS`] when none wait.
+    stalled_since_ms: AtomicU64,
+    /// Whether the first byte of the next head has come.
+    has_head: AtomicBool,
+    /// When the connection began to wait for the next request, in milliseconds since its start.
+    waits_since_ms: AtomicU64,
+}
+
+impl Activity {
+    /// A connection that was opened just now.
+    pub fn new() -> Self {
+        Self {
+            started: Instant::now(),
+            is_serving: AtomicBool::new(false),
+            stalled_since_ms: AtomicU64::new(NEVER_MS),
+            has_head: AtomicBool::new(false),
+            waits_since_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Since when the connection has waited for a request, or for its client to take an answer;
+    /// `None` while it serves a request, or has waited for its client for a short time only.
+    pub fn waits_since(&self) -> Option<Instant> {
+        let stalled_since_ms = self.stalled_since_ms.load(Ordering::Relaxed);
+        if stalled_since_ms != NEVER_MS {
+            let since = self.started + Duration::from_millis(stalled_since_ms);
+            return (since.elapsed() >= STALL_MIN).then_some(since);
+        }
+        let since = Duration::from_millis(self.waits_since_ms.load(Ordering::Relaxed));
+        let is_serving = self.is_serving.load(Ordering::Relaxed);
+        (!is_serving).then(|| self.started + since)
+    }
+
+    /// A whole head has come.
+    pub fn begin_request(&self) {
+        self.has_head.store(false, Ordering::Relaxed);
+        self.is_serving.store(true, Ordering::Relaxed);
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(NEVER_MS)
+    }
+
+    fn end_request(&self) {
+        let elapsed_ms = self.elapsed_ms();
+        self.waits_since_ms.store(elapsed_ms, Ordering::Relaxed);
+        self.is_serving.store(false, Ordering::Relaxed);
+    }
+}
+
+/// The body of an answer; once it is dropped, its request has been served.
+#[derive(Debug)]
+pub struct ServedBody {
+    body: crate::http::Body,
+    activity: Arc<Activity>,
+}
+
+impl ServedBody {
+    /// The body of an answer on the connection of `activity`.
+    pub fn new(body: crate::http::Body, activity: Arc<Activity>) -> Self {
+        Self { body, activity }
+    }
+}
+
+impl Drop for ServedBody {
+    fn drop(&mut self) {
+        self.activity.end_request();
+    }
+}
+
+impl hyper::body::Body for ServedBody {
+    type Data = bytes::Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// The socket of a client's connection.
+#[derive(Debug)]
+pub struct ClientStream {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+    limits: ServerLimits,
+    head_timeout: Duration,
+    /// When the head that is coming must have ended.
+    head_deadline: Option<Pin<Box<Sleep>>>,
+    /// When the client must have taken something of the answer.
+    stall_deadline: Option<Pin<Box<Sleep>>>,
+}
+
+impl ClientStream {
+    /// The socket of a connection that was accepted just now.
+    pub fn new(stream: TcpStream, activity: Arc<Activity>, limits: ServerLimits) -> Self {
+        let head_timeout = limits.heads.borrow().head_timeout;
+        Self {
+            stream,
+            activity,
+            limits,
+            head_timeout,
+            head_deadline: None,
+            stall_deadline: None,
+        }
+    }
+
+    fn cut(&self, cut: Cut) -> io::Error {
+        self.limits.count(cut);
+        io::ErrorKind::TimedOut.into()
+    }
+
+    /// Fails once the head that is coming has taken too long.
+    fn check_head(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        if !self.activity.has_head.load(Ordering::Relaxed) {
+            self.head_deadline = None;
+        }
+        let deadline = self.head_deadline.as_mut();
+        match deadline.is_some_and(|it| it.as_mut().poll(cx).is_ready()) {
+            true => Err(self.cut(Cut::HeadTime)),
+            false => Ok(()),
+        }
+    }
+
+    /// Records what a write did: whether the client took bytes, or none within the time for it.
+    fn check_write<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        let stalled_since_ms = &self.activity.stalled_since_ms;
+        if written.is_ready() {
+            stalled_since_ms.store(NEVER_MS, Ordering::Relaxed);
+            self.stall_deadline = None;
+            return written;
+        }
+        if self.stall_deadline.is_none() {
+            stalled_since_ms.store(self.activity.elapsed_ms(), Ordering::Relaxed);
+        }
+        let end = || Box::pin(sleep_until(Instant::now() + self.limits.stall_timeout));
+        let deadline = self.stall_deadline.get_or_insert_with(end);
+        match deadline.as_mut().poll(cx) {
+            Poll::Ready(()) => Poll::Ready(Err(self.cut(Cut::Stalled))),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.check_head(cx)?;
+        let before = buffer.filled().len();
+        std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        let is_first = !self.activity.is_serving.load(Ordering::Relaxed)
+            && !self.activity.has_head.load(Ordering::Relaxed);
+        if is_first && buffer.filled().len() > before {
+            self.activity.has_head.store(true, Ordering::Relaxed);
+            let end = Instant::now() + self.head_timeout;
+            self.head_deadline = Some(Box::pin(sleep_until(end)));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.check_write(cx, written)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        self.check_write(cx, written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
