Count a head's bytes as they are on the wire

Cause: a gateway counted a space after each field's colon, so a head of short fields without these spaces got 431 below the declared size.

Change: the colon and the line's end count, optional white space doesn't.

--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -335,7 +335,7 @@
 /// The size in bytes of a request's head on the wire, without optional white space.
 fn head_bytes(head: &Parts) -> u64 {
     const LINE_EXTRA: usize = "HTTP/1.1\r\n  ".len();
-    const FIELD_EXTRA: usize = ": \r\n".len();
+    const FIELD_EXTRA: usize = ":\r\n".len();
     let fields = head.headers.iter();
     let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_EXTRA);
     let target = head.uri.path_and_query().map_or(0, |it| it.as_str().len());
