--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -4,6 +4,7 @@
 use crate::{
     clock::Clock,
     gateway::{metrics::GatewayMetrics, tenants::TenantCounters},
+    http::HeadLimits,
     replicas::ReplicaLinks,
 };
 use gate::{Arrival, Decision, Ending, Gate, Load, NextStep, Notices, PaceChange, StateChange};
@@ -19,7 +20,6 @@
 use std::{
     collections::{BTreeSet, HashMap},
     sync::Arc,
-    time::Duration,
 };
 use tokio::sync::{oneshot, watch};
 use types::{TimeUs, UpstreamName};
@@ -39,8 +39,8 @@
     pub links: ReplicaLinks,
     /// Metrics of the gateway.
     pub metrics: Arc<GatewayMetrics>,
-    /// Set to the plan's idle timeout of client connections.
-    pub idle_timeout: watch::Sender<Duration>,
+    /// Set to the plan's limits on the heads of requests.
+    pub heads: watch::Sender<HeadLimits>,
     /// Set to the plan's limits on client requests.
     pub limits: watch::Sender<Option<Limits>>,
     /// Logger of the process.
@@ -345,8 +345,7 @@
             self.args.metrics.plan_version.set(version);
             self.tenants.set_tenants(core.tenants());
             if let Some(limits) = core.limits() {
-                let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
-                self.args.idle_timeout.send_replace(idle_timeout);
+                self.args.heads.send_replace(HeadLimits::of_plan(&limits));
                 self.args.limits.send_replace(Some(limits));
             }
         }
