--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -503,7 +503,6 @@
             name: "catalogue".parse().expect("a valid name"),
             connections_max: 360,
             cold_milli_per_s: 2_600,
-            health_path: None,
         }],
         limits: Limits {
             header_max_bytes: 16_384,
--- a/crates/control/tests/steering.rs
+++ b/crates/control/tests/steering.rs
@@ -35,7 +35,6 @@
             name: "catalogue".parse().expect("a valid name"),
             connections_max: 100,
             cold_milli_per_s: 2_000,
-            health_path: None,
         }],
         limits: Limits {
             header_max_bytes: 16_384,
--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -139,20 +139,6 @@
     pub notices: Notices,
 }
 
-/// The upstream of a request's current attempt answered a health check with its load, before the request is
-/// sent. The reply is the decision on it, if that has changed.
-#[derive(Clone, Copy, Debug)]
-pub struct HealthAnswered {
-    /// ID of the request.
-    pub request: u64,
-    /// Load that the upstream reported.
-    pub load: Load,
-}
-
-/// The decision on a request after a health check; none to stay with the earlier target.
-#[derive(Debug, Reply)]
-pub struct HealthReply(pub Option<Decision>);
-
 /// The delivery of an answer, whose beginning has gone to the client, ended.
 #[derive(Debug)]
 pub struct DeliveryEnded {
@@ -451,19 +437,6 @@
     }
 }
 
-impl Message<HealthAnswered> for GatewayActor {
-    type Reply = HealthReply;
-
-    async fn handle(
-        &mut self,
-        HealthAnswered { request, load }: HealthAnswered,
-        _: &mut Context<Self, Self::Reply>,
-    ) -> Self::Reply {
-        let now_us = self.args.clock.now_us();
-        HealthReply(self.args.core.health_answered(request, load, now_us))
-    }
-}
-
 impl Message<DeliveryEnded> for GatewayActor {
     type Reply = ();
 
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -13,12 +13,8 @@
 };
 use bytes::{Bytes, BytesMut};
 use gate::{Ending, Load, Notices, Target};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, Uri,
-    body::Body as _,
-    header::{HOST, HeaderValue},
-};
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Body as _};
 use kameo::actor::ActorRef;
 use platform::{
     AnswerHeaders, NotRun, decode_answer_headers, decode_request_headers, set_attempt_headers,
@@ -33,14 +29,6 @@
 /// lost packet on the longest path between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Time for the answer to a health check; after it, the request is sent without. Upstreams that state their
-/// slowness answer at once, but on a slow link the check waits behind the body of an upload, as the request
-/// itself would.
-const HEALTH_TIMEOUT: Duration = Duration::from_millis(250);
-
-/// The largest body of an answer to a health check; with a larger one the connection is closed.
-const HEALTH_BODY_MAX_BYTES: usize = 4 * 1024;
-
 /// How much of an answer is buffered before any of it goes to the client. An answer that breaks off
 /// earlier can still be replaced by a retry; a larger one is streamed.
 const BUFFER_MAX_BYTES: usize = 256 * 1024;
@@ -93,17 +81,6 @@
     pub response: Option<UpstreamAnswer>,
 }
 
-/// The result of a health check.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Health {
-    /// The upstream stated its load.
-    Load(Load),
-    /// It did not answer in time, or without stating its load.
-    Unknown,
-    /// No connection could be opened.
-    Unreachable,
-}
-
 /// An upstream's answer.
 #[derive(Debug)]
 pub enum UpstreamAnswer {
@@ -114,8 +91,7 @@
 }
 
 impl Outcome {
-    /// The result of an attempt that got no usable answer.
-    pub const fn without_answer(ending: Ending) -> Self {
+    const fn without_answer(ending: Ending) -> Self {
         Self {
             ending,
             load: None,
@@ -195,41 +171,6 @@
         }
     }
 
-    /// Asks the upstream of `target` for its load, over a connection that the request can use afterwards.
-    pub async fn check_health(&self, target: &Target, path: &str) -> Health {
-        self.metrics.health_checks.inc();
-        let deadline = self.clock.instant(target.deadline_us);
-        let Some(connection) = self.connection(target, deadline).await else {
-            return Health::Unreachable;
-        };
-        let deadline = deadline.min(Instant::now() + HEALTH_TIMEOUT);
-        let load = self.load(connection, target, path, deadline).await;
-        load.map_or(Health::Unknown, Health::Load)
-    }
-
-    /// The load that the upstream states in the answer to a health check, if that comes before the deadline.
-    async fn load(
-        &self,
-        mut connection: Connection,
-        target: &Target,
-        path: &str,
-        deadline: Instant,
-    ) -> Option<Load> {
-        let mut request = Request::new(Full::default());
-        *request.uri_mut() = path.parse().ok()?;
-        let host = HeaderValue::from_str(&target.address.to_string()).ok()?;
-        request.headers_mut().insert(HOST, host);
-        let response = timeout_at(deadline, connection.send(request)).await.ok()?;
-        let (head, body) = response.ok()?.into_parts();
-        let answer = decode_answer_headers(head.status, &head.headers, None);
-        let body = Limited::new(body, HEALTH_BODY_MAX_BYTES).collect();
-        let is_whole = timeout_at(deadline, body).await.is_ok_and(|it| it.is_ok());
-        if is_whole && !answer.closes_connection {
-            self.return_connection(target, connection, &answer).await;
-        }
-        answer.load
-    }
-
     async fn connection(&self, target: &Target, deadline: Instant) -> Option<Connection> {
         let address = target.address;
         let fresh = !target.idempotent;
--- a/crates/daemon/src/gateway/guard.rs
+++ b/crates/daemon/src/gateway/guard.rs
@@ -1,8 +1,8 @@
 //! Reports each request that the core may hold as in flight to the actor until it has ended.
 
 use crate::gateway::actor::{
-    AttemptEnded, ClientLeft, DecisionReply, DeliveryEnded, GatewayActor, HealthAnswered,
-    HealthReply, NextReply, NoticesReceived, RequestArrived,
+    AttemptEnded, ClientLeft, DecisionReply, DeliveryEnded, GatewayActor, NextReply,
+    NoticesReceived, RequestArrived,
 };
 use gate::{Decision, Ending, Failure, Load, NextStep, Notices};
 use kameo::actor::ActorRef;
@@ -54,18 +54,6 @@
         }
     }
 
-    /// Reports the load that the upstream stated in a health check; returns the decision on the request, if
-    /// that has changed.
-    pub async fn report_health(&mut self, load: Load) -> Option<Decision> {
-        let request = self.request;
-        let reply = self.actor.ask(HealthAnswered { request, load }).await;
-        let HealthReply(decision) = reply.ok()?;
-        if let Some(decision) = &decision {
-            self.is_open = matches!(decision, Decision::Forward(_));
-        }
-        decision
-    }
-
     /// Reports the end of an attempt to the core and returns what to do next.
     pub async fn end_attempt(&mut self, ending: Ending, load: Option<Load>) -> NextStep {
         let ended = AttemptEnded {
--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -5,7 +5,7 @@
     clock::Clock,
     gateway::{
         actor::{DecisionReply, GatewayActor, QueryStatus, RequestArrived},
-        attempt::{AttemptRunner, Call, Health, Outcome, UpstreamAnswer},
+        attempt::{AttemptRunner, Call, UpstreamAnswer},
         bodies::{Bodies, ReadError},
         guard::RequestGuard,
         metrics::GatewayMetrics,
@@ -188,17 +188,7 @@
     ) -> Response<Body> {
         let mut failed = false;
         let response = loop {
-            let outcome = match self.check_health(target, &mut guard, call).await {
-                Checked::Send(chosen) => {
-                    target = chosen;
-                    self.attempt_runner.run(call, &target).await
-                }
-                Checked::Unreachable(chosen) => {
-                    target = chosen;
-                    Outcome::without_answer(Ending::NotSent)
-                }
-                Checked::Refused(response) => return response,
-            };
+            let outcome = self.attempt_runner.run(call, &target).await;
             guard.report_notices(outcome.notices).await;
             let response = match (outcome.ending, outcome.response) {
                 (Ending::Answered, Some(UpstreamAnswer::Streamed(response))) => {
@@ -246,42 +236,6 @@
         response
     }
 
-    /// Asks the upstream for its load first where the core wants that, and lets the core decide anew.
-    async fn check_health(
-        &self,
-        mut target: Target,
-        guard: &mut RequestGuard,
-        call: &Call,
-    ) -> Checked {
-        let tenant = target.caller.tenant().map(str::to_owned);
-        while let Some(path) = target.health_path.take() {
-            let load = match self.attempt_runner.check_health(&target, &path).await {
-                Health::Load(load) => load,
-                Health::Unknown => break,
-                Health::Unreachable => return Checked::Unreachable(target),
-            };
-            match guard.report_health(load).await {
-                Some(Decision::Forward(chosen)) => target = chosen,
-                Some(Decision::Refuse {
-                    refusal,
-                    retry_after_ms,
-                    best,
-                }) => {
-                    self.log_refusal(
-                        &call.headers,
-                        refusal,
-                        retry_after_ms,
-                        best.as_ref(),
-                        tenant.as_deref(),
-                    );
-                    return Checked::Refused(not_run_response(retry_after_ms));
-                }
-                Some(Decision::NoRoute | Decision::Unauthorized | Decision::Wait) | None => break,
-            }
-        }
-        Checked::Send(target)
-    }
-
     /// What is reported at the end of an answer that is streamed to the client.
     fn delivery(
         &self,
@@ -348,17 +302,6 @@
     }
 }
 
-/// What becomes of an attempt after the health check of its upstream.
-#[derive(Debug)]
-enum Checked {
-    /// It is sent there.
-    Send(Target),
-    /// No connection to the upstream could be opened, so that nothing was sent.
-    Unreachable(Target),
-    /// The request is refused after all.
-    Refused(Response<Body>),
-}
-
 /// Handles the status interface: `/ready` and `/metrics`.
 #[derive(Clone, Debug)]
 pub struct StatusHttp {
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -73,8 +73,6 @@
     pub retries: Counter,
     /// Connections to upstreams that the gateway tried to open.
     pub connections: Counter,
-    /// Health checks of upstreams before a request is sent there.
-    pub health_checks: Counter,
     /// Control replicas that did not send large changes in time.
     pub fetch_timeouts: Counter,
     /// Tokens of tenants' quotas that the leader granted.
@@ -106,7 +104,6 @@
             answered_s: Family::new_with_constructor(latency_histogram),
             retries: Counter::default(),
             connections: Counter::default(),
-            health_checks: Counter::default(),
             fetch_timeouts: Counter::default(),
             granted_tokens: Counter::default(),
             token_waits: Counter::default(),
@@ -137,11 +134,6 @@
         );
         registry.register("repeats", "Attempts beyond the first", retries);
         registry.register("connections", "Connections to upstreams", connections);
-        registry.register(
-            "health_checks",
-            "Health checks before a request is sent",
-            metrics.health_checks.clone(),
-        );
         registry.register("refused", "Requests not forwarded, by cause", refused);
         registry.register("attempts", "Attempts, by how they ended", ended);
         registry.register(
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -170,9 +170,6 @@
     pub attempt: u32,
     /// Whether the request may run more than once.
     pub idempotent: bool,
-    /// The path of a health check to send there first; its answer goes to
-    /// [`Gate::health_answered`](crate::Gate::health_answered). None when the request is sent at once.
-    pub health_path: Option<String>,
     /// Whether the upstream has likely handled the request's object lately; none without object.
     pub has_affinity: Option<bool>,
     /// How long the request is expected to queue there, in milliseconds.
--- a/crates/gate/src/candidates.rs
+++ b/crates/gate/src/candidates.rs
@@ -1,13 +1,16 @@
 //! Which upstreams a request may go to, and how each stands for the request's object.
 //!
 //! Rendezvous hashing ranks the upstreams of a group equally at every gateway. The first of each
-//! group serve the object; the next one takes what they have no room for. The others are left
+//! group serves the object; the next one takes what the first has no room for. The others are left
 //! out: each upstream remembers only some objects, and an upstream that runs a request for one more
 //! object forgets another, whose next run is slow again.
 
 use crate::{rank::rank, upstream::Upstream};
 use std::collections::BTreeMap;
 
+/// How many upstreams of a group a request for an object may go to.
+const RANKED_MAX: usize = 2;
+
 /// The groups of upstreams in each of which one is the first for an object.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Grouping {
@@ -22,19 +25,18 @@
 pub(crate) enum Standing {
     /// The request names no object.
     Any,
-    /// One of the first upstreams of its group for the object, which every gateway uses.
+    /// The first upstream of its group for the object, which every gateway uses.
     First,
-    /// An upstream that takes what the first have no room for.
+    /// An upstream that takes what the first has no room for.
     Next,
 }
 
-/// The upstreams that a request may go to, by index. In each group `copies` upstreams share an object.
+/// The upstreams that a request may go to, by index.
 pub(crate) fn candidates(
     upstreams: &[Upstream],
     usable: &[usize],
     object: Option<u64>,
     grouping: Grouping,
-    copies: usize,
 ) -> Vec<(usize, Standing)> {
     let Some(object) = object else {
         let any = usable.iter().map(|index| (*index, Standing::Any));
@@ -48,11 +50,11 @@
             Grouping::Region => upstream.region.as_str(),
         };
         let ranked = (rank(upstream.instance.id.as_str(), object), *index);
-        insert_ranked(groups.entry(group).or_default(), ranked, copies + 1);
+        insert_ranked(groups.entry(group).or_default(), ranked);
     }
-    let standing = |position| match position < copies {
-        true => Standing::First,
-        false => Standing::Next,
+    let standing = |position| match position {
+        0 => Standing::First,
+        _ => Standing::Next,
     };
     groups
         .into_values()
@@ -61,12 +63,11 @@
         .collect()
 }
 
-/// Inserts an upstream into the highest-ranked ones, at most `count_max`, which are kept in descending
-/// order.
-fn insert_ranked(highest: &mut Vec<(u64, usize)>, ranked: (u64, usize), count_max: usize) {
+/// Inserts an upstream into the highest-ranked ones, which are kept in descending order.
+fn insert_ranked(highest: &mut Vec<(u64, usize)>, ranked: (u64, usize)) {
     let position = highest.partition_point(|other| *other > ranked);
-    if position < count_max {
-        highest.truncate(count_max - 1);
+    if position < RANKED_MAX {
+        highest.truncate(RANKED_MAX - 1);
         highest.insert(position, ranked);
     }
 }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -13,7 +13,6 @@
 mod identity;
 mod key_lease;
 mod mean_load;
-mod objects;
 mod pace;
 mod poll_schedule;
 mod quota;
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -17,7 +17,7 @@
     urgency::queue_max_us,
 };
 use plan::{RetrySafety, Route, Tenant};
-use types::{ServiceName, TimeUs, UpstreamName, fnv1a};
+use types::{ServiceName, TimeUs, UpstreamName};
 
 /// The shortest time after which a refused client may retry, in milliseconds.
 const RETRY_AFTER_MIN_MS: u64 = 100;
@@ -26,10 +26,6 @@
 /// milliseconds; they have usually arrived by then.
 const RETRY_AFTER_START_MS: u64 = 300;
 
-/// The most upstreams that are asked for their load before a request is sent: the one that is chosen first,
-/// and the one that stands in for it.
-const HEALTH_CHECKS_MAX: u32 = 2;
-
 /// The longest time after which a refused client may retry, in milliseconds.
 const RETRY_AFTER_MAX_MS: u64 = 1_000;
 
@@ -61,8 +57,6 @@
     /// Whether that upstream had a free slot when the attempt was sent, so that its time is all run
     /// time.
     had_free_slot: bool,
-    /// How many more upstreams may be asked for their load before the request is sent to one.
-    health_checks_left: u32,
     /// Whether an upstream may have run any attempt that ended.
     may_have_run: bool,
     pub(crate) quota: QuotaClaim,
@@ -94,7 +88,6 @@
             sent_us: now_us,
             has_affinity: false,
             had_free_slot: false,
-            health_checks_left: HEALTH_CHECKS_MAX,
             may_have_run: false,
             quota: QuotaClaim::new(tenant),
         }
@@ -111,7 +104,6 @@
             homes: &self.homes,
             tried: &self.tried,
             own_domain: &config.failure_domain,
-            gateway_hash: fnv1a(config.name.as_str().bytes()),
             run_times,
             remaining_us: self.deadline_us.since_us(now_us) as f64,
             target_us: self.target_us as f64,
@@ -216,52 +208,6 @@
         }
     }
 
-    /// Handles the answer to the health check of the upstream that a request was to go to. Returns whether
-    /// the request is sent there, to another upstream that is faster at the moment, or, if it is new, not
-    /// at all; none when nothing has changed.
-    pub fn health_answered(
-        &mut self,
-        request: u64,
-        load: Load,
-        now_us: TimeUs,
-    ) -> Option<Decision> {
-        let pending = self.pending.get(&request)?;
-        let id = pending.tried.last()?.clone();
-        let service = self.services.get_mut(&pending.service)?;
-        let index = service.position(&id)?;
-        let upstream = &mut service.upstreams[index];
-        upstream.own_requests = upstream.own_requests.saturating_sub(1);
-        let region = upstream.region.clone();
-        service.record_load(index, load, now_us);
-        let mut pending = self.pending.remove(&request)?;
-        pending.tried.pop();
-        pending.health_checks_left = pending.health_checks_left.saturating_sub(1);
-        let times = self.route_times(&pending.route);
-        let criteria = pending.criteria(&self.config, times, now_us);
-        let service = self.services.get(&pending.service)?;
-        let is_new = pending.tried.is_empty();
-        match service.reconsider(&region, criteria, now_us) {
-            Some(choice) if is_new => Some(self.admit_to(request, pending, choice, now_us)),
-            Some(choice) => {
-                let target = self.start_attempt(request, pending, choice, now_us);
-                Some(Decision::Forward(target))
-            }
-            None if is_new => {
-                self.give_back_token(&pending, now_us);
-                Some(refuse(Refusal::NoUpstream, RETRY_AFTER_MAX_MS))
-            }
-            // A retry has no other upstream either: it is sent where it was to go.
-            None => {
-                pending.tried.push(id);
-                if let Some(service) = self.services.get_mut(&pending.service) {
-                    service.upstreams[index].own_requests += 1;
-                }
-                self.pending.insert(request, pending);
-                None
-            }
-        }
-    }
-
     /// Handles the end of an answer whose beginning has gone to the client already, so that no
     /// retry is possible any more.
     pub fn delivery_ended(
@@ -322,7 +268,7 @@
     pub(crate) fn admit(
         &mut self,
         request: u64,
-        pending: PendingRequest,
+        mut pending: PendingRequest,
         now_us: TimeUs,
     ) -> Decision {
         let times = self.route_times(&pending.route);
@@ -340,19 +286,6 @@
             let retry_after_ms = backoff_ms.unwrap_or(RETRY_AFTER_MAX_MS);
             return refuse(Refusal::NoUpstream, retry_after_ms.max(RETRY_AFTER_MIN_MS));
         };
-        self.admit_to(request, pending, choice, now_us)
-    }
-
-    /// Sends a new request to the chosen upstream; refuses it when it would queue there for longer than its
-    /// target and other routes allow.
-    fn admit_to(
-        &mut self,
-        request: u64,
-        mut pending: PendingRequest,
-        choice: Choice,
-        now_us: TimeUs,
-    ) -> Decision {
-        let service = self.service_mut(&pending.service, now_us);
         let route_max_us = service.active_routes.wait_max_us(
             &pending.route,
             pending.priority,
@@ -367,7 +300,6 @@
             let over_ms = ((choice.wait_us - wait_max_us) / 1e3) as u64;
             let retry_after_ms = over_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
             let best = service.upstreams[choice.index].instance.id.clone();
-            self.give_back_token(&pending, now_us);
             return Decision::Refuse {
                 refusal: Refusal::Overloaded,
                 retry_after_ms,
@@ -379,7 +311,6 @@
             };
         }
         if !self.ends_before_stop(&pending, &choice, now_us) {
-            self.give_back_token(&pending, now_us);
             return refuse(Refusal::Stopping, RETRY_AFTER_MIN_MS);
         }
         let on_quota_clock_us = self.with_suspension(now_us);
@@ -440,9 +371,6 @@
     ) -> Target {
         let service = self.service_mut(&pending.service.clone(), now_us);
         pending.had_free_slot = service.has_free_slot(choice.index, now_us);
-        let is_checked =
-            pending.health_checks_left > 0 && service.needs_health_check(choice.index, now_us);
-        let health_path = service.health_path.clone().filter(|_| is_checked);
         service.record_sent(choice.index, pending.object, now_us);
         let instance = &service.upstreams[choice.index].instance;
         pending.tried.push(instance.id.clone());
@@ -459,7 +387,6 @@
             caller: pending.caller.clone(),
             attempt: u32::try_from(pending.tried.len()).unwrap_or(u32::MAX),
             idempotent: pending.idempotent,
-            health_path,
             has_affinity: pending.object.map(|_| choice.has_affinity),
             expected_wait_ms: (choice.wait_us / 1e3) as u64,
             expected_run_ms: (choice.run_us / 1e3) as u64,
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -10,7 +10,6 @@
     config::GateBounds,
     identity::Homes,
     mean_load::MeanLoad,
-    objects::ObjectCount,
     pace::PaceTerms,
     regions::{RebalanceParams, RegionLoad, RegionShares},
     times::RunTimes,
@@ -59,25 +58,6 @@
 /// gateways there are; the rest allows for retries that are sent in the window after the requests.
 const RATIO_USED: f64 = 0.85;
 
-/// The weight of a new sample in the moving average of reports of a slow or full upstream.
-const BUSY_WEIGHT: f64 = 0.02;
-
-/// An upstream that states at least this figure is slow for the moment, in percent of the usual time.
-const SLOW_PERCENT: u32 = 150;
-
-/// A health check before a request pays off when more than this fraction of the reports tells of a slow or
-/// full upstream.
-const BUSY_FRACTION_MIN: f64 = 0.03;
-
-/// An upstream that reported its load lately needs no health check, in microseconds: slowness changes many
-/// times a second.
-const FRESH_REPORT_US: u64 = 100_000;
-
-/// How much more a run counts at an upstream that shares an object with the one that this gateway prefers,
-/// as a fraction of the run. Gateways prefer different ones, so that the object's requests are spread, and
-/// each keeps to few connections.
-const OTHER_COPY_COST: f64 = 0.1;
-
 /// The factor by which requests run longer at a cold upstream.
 pub(crate) const COLD_RATIO: f64 = 2.0;
 
@@ -92,8 +72,6 @@
     pub(crate) tried: &'a [UpstreamName],
     /// The gateway's own failure domain.
     pub(crate) own_domain: &'a DomainName,
-    /// A hash of the gateway's name.
-    pub(crate) gateway_hash: u64,
     /// The run times of the route.
     pub(crate) run_times: RunTimes,
     /// The time until the request's deadline.
@@ -133,13 +111,6 @@
     mean_time_us: f64,
     /// The requests that an upstream has from other gateways, on average.
     mean_load: MeanLoad,
-    /// The objects of the requests to each region.
-    objects: BTreeMap<RegionName, ObjectCount>,
-    /// The path of a health check, which upstreams that state their slowness answer at once.
-    pub(crate) health_path: Option<String>,
-    /// The moving average of reports of a slow or full upstream, among those that state a slowness; none
-    /// before the first of them.
-    busy_fraction: Option<f64>,
 }
 
 impl Service {
@@ -154,9 +125,6 @@
             retry_budget: TokenBucket::new(1.0, now_us),
             mean_time_us: INITIAL_TIME_US,
             mean_load: MeanLoad::new(now_us),
-            objects: BTreeMap::new(),
-            health_path: None,
-            busy_fraction: None,
         }
     }
 
@@ -169,7 +137,6 @@
     /// Replaces the declared terms.
     pub(crate) fn set_terms(&mut self, terms: Option<&ServiceTerms>) {
         self.cold_per_s = terms.map_or(0.0, |it| it.cold_milli_per_s as f64 / 1e3);
-        self.health_path = terms.and_then(|it| it.health_path.clone());
     }
 
     pub(crate) fn position(&self, id: &UpstreamName) -> Option<usize> {
@@ -209,35 +176,7 @@
             let mut indices = usable.iter();
             indices.any(|index| upstreams[*index].region == *region)
         });
-        if let (Some(object), Some(region)) = (criteria.object, &region) {
-            let objects = self.objects.entry(region.clone());
-            let objects = objects.or_insert_with(|| ObjectCount::new(now_us));
-            objects.record(object, now_us);
-        }
-        self.choose_among(&usable, region.as_ref(), criteria, now_us)
-    }
-
-    /// Chooses anew for a request that was to go to an upstream of this region, after that has stated its
-    /// load.
-    pub(crate) fn reconsider(
-        &self,
-        region: &RegionName,
-        criteria: Criteria<'_>,
-        now_us: TimeUs,
-    ) -> Option<Choice> {
-        let usable = self.usable(criteria, now_us);
-        self.choose_among(&usable, Some(region), criteria, now_us)
-    }
-
-    /// Chooses among the usable upstreams of a region, or of all where it is none.
-    fn choose_among(
-        &self,
-        usable: &[usize],
-        region: Option<&RegionName>,
-        criteria: Criteria<'_>,
-        now_us: TimeUs,
-    ) -> Option<Choice> {
-        let in_region = |index: &usize| match region {
+        let in_region = |index: &usize| match &region {
             Some(region) => self.upstreams[*index].region == *region,
             None => true,
         };
@@ -248,53 +187,14 @@
             true => Grouping::Region,
             false => Grouping::FailureDomain,
         };
-        let copies = self.copies(region, in_region.len(), grouping);
-        let candidates = candidates(
-            &self.upstreams,
-            &in_region,
-            criteria.object,
-            grouping,
-            copies,
-        );
-        let shared = candidates.iter().filter(|(_, it)| *it == Standing::First);
-        let preferred = criteria.object.filter(|_| copies > 1).and_then(|object| {
-            let position = (criteria.gateway_hash ^ object) as usize % copies;
-            shared.clone().nth(position).map(|(index, _)| *index)
-        });
+        let candidates = candidates(&self.upstreams, &in_region, criteria.object, grouping);
         candidates
             .iter()
-            .map(|(index, standing)| {
-                let (cost, choice) = self.estimate_cost(*index, *standing, criteria, now_us);
-                let is_other = preferred.is_some_and(|it| it != *index);
-                let extra = if is_other { OTHER_COPY_COST } else { 0.0 };
-                (cost + extra * choice.run_us, choice)
-            })
+            .map(|(index, standing)| self.estimate_cost(*index, *standing, criteria, now_us))
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
             .map(|(_, choice)| choice)
     }
 
-    /// How many upstreams of a region share an object. More than one only where upstreams state their
-    /// slowness, so that a request can go to the one that is fast at the moment.
-    fn copies(&self, region: Option<&RegionName>, upstreams: usize, grouping: Grouping) -> usize {
-        let objects = region.and_then(|region| self.objects.get(region));
-        match (objects, grouping) {
-            (Some(objects), Grouping::Region) if self.busy_fraction.is_some() => {
-                objects.copies(upstreams)
-            }
-            _ => 1,
-        }
-    }
-
-    /// Whether a request to an upstream had better wait for its health check, since the upstream may be slow
-    /// or full at the moment.
-    pub(crate) fn needs_health_check(&self, index: usize, now_us: TimeUs) -> bool {
-        let upstream = &self.upstreams[index];
-        let is_often_busy = self.busy_fraction.is_some_and(|it| it > BUSY_FRACTION_MIN);
-        is_often_busy
-            && !upstream.is_cold(now_us)
-            && upstream.report_age_us(now_us) > FRESH_REPORT_US
-    }
-
     /// Counts a request, refused ones included, which adds this gateway's part of `retry_ratio` to
     /// the retry budget: `retry_ratio * RATIO_USED`.
     pub(crate) fn record_request(&mut self, bounds: &GateBounds, gateway_count: usize) {
@@ -349,12 +249,6 @@
 
     /// Records the load that an upstream reported.
     pub(crate) fn record_load(&mut self, index: usize, load: crate::Load, now_us: TimeUs) {
-        if let Some(percent) = load.slowness_percent {
-            let is_busy = percent >= SLOW_PERCENT || load.waiting > 0;
-            let sample = if is_busy { 1.0 } else { 0.0 };
-            let fraction = self.busy_fraction.unwrap_or_default();
-            self.busy_fraction = Some(fraction + BUSY_WEIGHT * (sample - fraction));
-        }
         self.states_slowness |= load.slowness_percent.is_some();
         let other_requests = self.upstreams[index].record_load(load, now_us);
         self.mean_load.record(other_requests, now_us);
--- a/crates/gate/src/upstream.rs
+++ b/crates/gate/src/upstream.rs
@@ -140,11 +140,6 @@
             + (1.0 - freshness) * mean_other_requests
     }
 
-    /// The time since its last load report.
-    pub(crate) fn report_age_us(&self, now_us: TimeUs) -> u64 {
-        now_us.since_us(self.reported_us)
-    }
-
     /// What it last stated of its requests from other gateways; none before the first report.
     pub(crate) fn other_load(&self) -> Option<OtherLoad> {
         let other_load = OtherLoad {
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -124,7 +124,6 @@
         name: name(service),
         connections_max: 100,
         cold_milli_per_s: 2_000,
-        health_path: None,
     };
     Plan {
         version,
--- a/crates/plan/src/model.rs
+++ b/crates/plan/src/model.rs
@@ -73,9 +73,6 @@
     /// The request rate of a cold upstream, from all gateways together, in thousandths of a request
     /// per second.
     pub cold_milli_per_s: u64,
-    /// The path at which an upstream answers a health check; none when it has no such path.
-    #[serde(default)]
-    pub health_path: Option<String>,
 }
 
 /// Limits on the requests and connections of clients.
--- a/crates/plan/tests/changes.rs
+++ b/crates/plan/tests/changes.rs
@@ -31,7 +31,6 @@
         name: "catalogue".parse().expect("a valid name"),
         connections_max: 100,
         cold_milli_per_s: 2_000,
-        health_path: None,
     };
     Plan {
         version,
--- a/crates/plan/tests/foreign_reports.rs
+++ b/crates/plan/tests/foreign_reports.rs
@@ -29,7 +29,6 @@
         name: service.parse().expect("a valid name"),
         connections_max: 100,
         cold_milli_per_s: 2_000,
-        health_path: None,
     });
     Change::Declare(Box::new(PlanDeclaration {
         plan: Plan {
