Share a short service among tenants and priorities

Cause: requests were admitted by their own target and one rule for more urgent routes. A tenant that sent ten times its usual filled the queues for all; short requests were refused behind long ones of the same priority; of three priorities the second and third were treated alike; all answers were late under lasting overload; and a refused client was told to return within 0.1 to 1 s, whatever there was room for.

Change: one module, admission, decides how long a request may queue: by its priority, by what its tenant (without tenants, its route) has had of its max-min share, and by its deadline. Shares follow from decaying sums and a fixed number of bins, so a request costs a look-up. Retry-After says when there will be room. A plan without tenants whose service has routes of one priority is served as before.

--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -255,14 +255,17 @@
         retry_after_ms: u64,
         best: Option<&BusyUpstream>,
     ) {
-        self.metrics.count_refused(refusal);
+        self.metrics
+            .count_refused(refusal, best.map(|best| best.priority));
         info!(self.log, "request refused";
             "request" => attempt_id(headers),
             "cause" => refusal.as_str(),
             "retry_after_ms" => retry_after_ms,
             "upstream" => best.map(|best| best.upstream.to_string()),
             "wait_ms" => best.map(|best| best.wait_ms),
-            "wait_max_ms" => best.map(|best| best.wait_max_ms));
+            "wait_max_ms" => best.map(|best| best.wait_max_ms),
+            "priority" => best.map(|best| best.priority),
+            "share_percent" => best.and_then(|best| best.share_percent));
     }
 
     fn log_failed_attempt(&self, call: &Call, target: &Target, ending: Ending, arrived_us: TimeUs) {
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -21,7 +21,16 @@
 /// Number of latency buckets.
 const LATENCY_BUCKETS: u16 = 16;
 
-/// Label of the counters by cause: of a refusal or of an attempt's end.
+/// Labels of refused requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RefusalLabels {
+    cause: &'static str,
+    /// The priority that the request counts with; `none` when it is refused for another reason than a lack
+    /// of capacity.
+    priority: &'static str,
+}
+
+/// Label of the counter of attempts by how they ended.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CauseLabel {
     cause: &'static str,
@@ -51,7 +60,7 @@
     pub plan_version: Gauge,
     small_body_room: Gauge,
     large_body_room: Gauge,
-    refused: Family<CauseLabel, Counter>,
+    refused: Family<RefusalLabels, Counter>,
     ended: Family<CauseLabel, Counter>,
 }
 
@@ -81,7 +90,11 @@
         );
         registry.register("repeats", "Attempts beyond the first", retries);
         registry.register("connections", "Connections to upstreams", connections);
-        registry.register("refused", "Requests not forwarded, by cause", refused);
+        registry.register(
+            "refused",
+            "Requests not forwarded, by cause and priority",
+            refused,
+        );
         registry.register("attempts", "Attempts, by how they ended", ended);
         registry.register(
             "fetch_timeouts",
@@ -123,10 +136,13 @@
         histogram.observe(latency_us as f64 / 1e6);
     }
 
-    /// Counts a request that is refused without being forwarded.
-    pub fn count_refused(&self, refusal: Refusal) {
-        let cause = refusal.as_str();
-        self.refused.get_or_create(&CauseLabel { cause }).inc();
+    /// Counts a request that is refused without being forwarded, with its priority if that counted.
+    pub fn count_refused(&self, refusal: Refusal, priority: Option<u32>) {
+        let labels = RefusalLabels {
+            cause: refusal.as_str(),
+            priority: priority.map_or("none", priority_label),
+        };
+        self.refused.get_or_create(&labels).inc();
     }
 
     /// Counts an attempt by how it ended.
@@ -136,6 +152,17 @@
     }
 }
 
+/// The label of a priority; there is a fixed number of them, whatever plans declare.
+const fn priority_label(priority: u32) -> &'static str {
+    match priority {
+        0 => "0",
+        1 => "1",
+        2 => "2",
+        3 => "3",
+        _ => "4+",
+    }
+}
+
 fn latency_histogram() -> Histogram {
     Histogram::new(exponential_buckets(
         LATENCY_FIRST_S,
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -119,6 +119,12 @@
     NoUpstream,
     /// Even at the best upstream the request would queue for longer than it may.
     Overloaded,
+    /// It would queue for longer than is left to a party that has had its share of the service.
+    AboveShare,
+    /// It would queue for longer than more urgent requests leave to its priority.
+    LessUrgent,
+    /// It would not be answered before its deadline.
+    Late,
     /// The client's wait time was over when the request arrived.
     Deadline,
     /// The process has no memory left for the request's body.
@@ -134,13 +140,16 @@
             Self::Stopping => "stopping",
             Self::NoUpstream => "no-upstream",
             Self::Overloaded => "overloaded",
+            Self::AboveShare => "above-share",
+            Self::LessUrgent => "less-urgent",
+            Self::Late => "late",
             Self::Deadline => "deadline",
             Self::Memory => "memory",
         }
     }
 }
 
-/// The best upstream for a request that is refused as overloaded.
+/// The best upstream for a request that is refused because it would queue for too long.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BusyUpstream {
     /// The name of the upstream.
@@ -149,6 +158,11 @@
     pub wait_ms: u64,
     /// How long it may queue, in milliseconds.
     pub wait_max_ms: u64,
+    /// The priority that it counts with; 0 is the most urgent.
+    pub priority: u32,
+    /// What its tenant or, without tenants, its route has had of the service lately, in percent of its
+    /// max-min share; none while the service isn't short, or when only one uses it.
+    pub share_percent: Option<u32>,
 }
 
 /// How a new request is handled.
@@ -164,7 +178,7 @@
         refusal: Refusal,
         /// How many milliseconds the client should wait before it retries.
         retry_after_ms: u64,
-        /// The best upstream; set for [`Refusal::Overloaded`] only.
+        /// The best upstream; set when the request would queue there for too long.
         best: Option<BusyUpstream>,
     },
     /// It is sent to an upstream.
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -5,6 +5,7 @@
 //! one gateway; a single task owns it, reads the clock for it and does the network input and
 //! output.
 
+mod admission;
 mod api;
 mod bucket;
 mod candidates;
@@ -22,7 +23,6 @@
 mod stopping;
 mod times;
 mod upstream;
-mod urgency;
 mod withheld;
 
 pub use crate::{
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -1,6 +1,7 @@
 //! How a gateway handles client requests: admission, attempts, retries and their results.
 
 use crate::{
+    admission::{Applicant, Expected, Party},
     api::{
         Arrival, BusyUpstream, Caller, Decision, Ending, Failure, Load, NextStep, Notices, Refusal,
         StateChange, Target,
@@ -11,7 +12,6 @@
     split::Split,
     stopping::Stopping,
     times::RunTimes,
-    urgency::queue_max_us,
 };
 use plan::{RetrySafety, Route, Tenant};
 use types::{DomainName, ServiceName, TimeUs, UpstreamName};
@@ -43,6 +43,7 @@
     target_us: u64,
     /// The route's target; longer than `target_us` when the client waits for less.
     route_target_us: u64,
+    route_timeout_ms: u64,
     /// The upstream of each attempt, the current one last.
     tried: Vec<UpstreamName>,
     /// When the run of the current attempt's upstream started, in Unix milliseconds.
@@ -79,6 +80,7 @@
             deadline_us: now_us.after_ms(timeout_ms),
             target_us: route.target_ms.min(timeout_ms) * 1_000,
             route_target_us: route.target_ms * 1_000,
+            route_timeout_ms: route.timeout_ms,
             tried: Vec::new(),
             born_ms: 0,
             sent_us: now_us,
@@ -88,6 +90,26 @@
         }
     }
 
+    /// The request as admission sees it.
+    fn applicant(&self, request: u64, run_times: RunTimes, now_us: TimeUs) -> Applicant<'_> {
+        let remaining_us = self.deadline_us.since_us(now_us) as f64;
+        Applicant {
+            request,
+            route: &self.route,
+            party: match &self.caller {
+                Caller::Untracked => Party::Route,
+                Caller::Anonymous => Party::Tenant(""),
+                Caller::Tenant(name) => Party::Tenant(name),
+            },
+            priority: self.priority,
+            route_target_us: self.route_target_us,
+            target_us: self.target_us,
+            remaining_us,
+            stated_part: remaining_us / (self.route_timeout_ms as f64 * 1e3),
+            work_us: run_times.run_us(true),
+        }
+    }
+
     fn criteria<'a>(
         &'a self,
         own_domain: &'a DomainName,
@@ -230,6 +252,13 @@
         if let Some(choice) = self.choose_retry(&pending, now_us) {
             return NextStep::Retry(self.start_attempt(request, pending, choice, now_us));
         }
+        if !pending.may_have_run {
+            let times = self.route_times(&pending.route);
+            if let Some(service) = self.services.get_mut(&pending.service) {
+                let applicant = pending.applicant(request, times, now_us);
+                service.admission.record_not_run(&applicant, now_us);
+            }
+        }
         match ending {
             Ending::Failed => NextStep::Deliver,
             _ if !pending.may_have_run => NextStep::GiveUp(Failure::NotRun {
@@ -255,33 +284,36 @@
             let retry_after_ms = backoff_ms.unwrap_or(RETRY_AFTER_MAX_MS);
             return refuse(Refusal::NoUpstream, retry_after_ms.max(RETRY_AFTER_MIN_MS));
         };
-        let route_max_us = service.active_routes.wait_max_us(
-            &pending.route,
-            pending.priority,
-            pending.route_target_us,
-            now_us,
-        );
-        let remaining_us = pending.deadline_us.since_us(now_us) as f64;
-        let wait_max_us = route_max_us
-            .min(queue_max_us(pending.target_us))
-            .min(remaining_us);
-        if choice.wait_us > wait_max_us {
-            let over_ms = ((choice.wait_us - wait_max_us) / 1e3) as u64;
-            let retry_after_ms = over_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+        let applicant = pending.applicant(request, times, now_us);
+        let expected = Expected {
+            wait_us: choice.wait_us,
+            run_us: choice.run_us,
+        };
+        let slots = service.slots_of_gateway(self.gateway_count, now_us);
+        let admitted = service
+            .admission
+            .decide(&applicant, expected, slots, now_us);
+        if let Err(rejection) = admitted {
             let best = service.upstreams[choice.index].instance.id.clone();
             return Decision::Refuse {
-                refusal: Refusal::Overloaded,
-                retry_after_ms,
+                refusal: rejection.refusal,
+                retry_after_ms: (rejection.retry_after_us / 1e3) as u64,
                 best: Some(BusyUpstream {
                     upstream: best,
                     wait_ms: (choice.wait_us / 1e3) as u64,
-                    wait_max_ms: (wait_max_us / 1e3) as u64,
+                    wait_max_ms: (rejection.wait_max_us / 1e3) as u64,
+                    priority: pending.priority,
+                    share_percent: rejection.used_share.map(|used| (used * 100.0) as u32),
                 }),
             };
         }
         if !self.ends_before_stop(&pending, &choice, now_us) {
             return refuse(Refusal::Stopping, RETRY_AFTER_MIN_MS);
         }
+        if let Some(service) = self.services.get_mut(&pending.service) {
+            let applicant = pending.applicant(request, times, now_us);
+            service.admission.record_admitted(&applicant, now_us);
+        }
         Decision::Forward(self.start_attempt(request, pending, choice, now_us))
     }
 
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -5,6 +5,7 @@
 //! run, and penalties for load, another failure domain, frequent failures and a missed deadline.
 
 use crate::{
+    admission::Admission,
     bucket::TokenBucket,
     candidates::{Grouping, Standing, candidates},
     config::GateBounds,
@@ -13,7 +14,6 @@
     regions::{RebalanceParams, RegionLoad, RegionShares},
     times::RunTimes,
     upstream::Upstream,
-    urgency::ActiveRoutes,
 };
 use std::collections::BTreeMap;
 use types::{DomainName, RegionName, TimeUs, UpstreamName};
@@ -94,7 +94,7 @@
     pub(crate) regions: RegionShares,
     /// Requests per second that all gateways together may send to one cold upstream.
     pub(crate) cold_per_s: f64,
-    pub(crate) active_routes: ActiveRoutes,
+    pub(crate) admission: Admission,
     /// Retries that this gateway may still send.
     retry_budget: TokenBucket,
     /// The moving average of the run time, over all routes and upstreams.
@@ -109,7 +109,7 @@
             upstreams: Vec::new(),
             regions: RegionShares::new(own_region, now_us),
             cold_per_s,
-            active_routes: ActiveRoutes::default(),
+            admission: Admission::new(now_us),
             retry_budget: TokenBucket::new(1.0, now_us),
             mean_time_us: INITIAL_TIME_US,
             mean_load: MeanLoad::new(now_us),
@@ -234,6 +234,14 @@
         load + 1.0 <= f64::from(upstream.instance.slots)
     }
 
+    /// This gateway's part of the slots, if all gateways have an equal part.
+    pub(crate) fn slots_of_gateway(&self, gateway_count: usize, now_us: TimeUs) -> f64 {
+        let usable = self.upstreams.iter();
+        let usable = usable.filter(|it| it.accepts_requests(now_us) && !it.is_cold(now_us));
+        let slots: f64 = usable.map(|it| f64::from(it.instance.slots)).sum();
+        slots / gateway_count.max(1) as f64
+    }
+
     /// The earliest end of a backoff that an upstream asked for, if there is one.
     pub(crate) fn backoff_end_us(&self, now_us: TimeUs) -> Option<TimeUs> {
         let withheld = self.upstreams.iter().map(|upstream| upstream.withheld);
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod model;
+
 use control::GatewayPollAnswer;
 use gate::{Arrival, Decision, Gate, GateBounds, GateConfig, Target};
 use plan::{
