Tell apart tenants far above their share, and count the wait that long requests add

Cause: a tenant that had had six times its share queued for as long as one that had just had all of it; a long request above its share was queued by the same bound as a short one, though it keeps the queue longer; and requests that upstreams turned away were all told to return in 0.1 s.

Change: the bound falls further above the share, and by a quarter of the wait that the request adds. Tenants' requests that upstreams turn away return by the tenant's pace, as refused ones do. A less urgent route with few requests keeps the bound of more urgent ones, as before this work.

--- a/crates/gate/src/admission/mod.rs
+++ b/crates/gate/src/admission/mod.rs
@@ -44,6 +44,11 @@
 /// what a new one may. The party's place goes to the one that can still be answered within its target.
 const RETURN_FRACTION: f64 = 0.5;
 
+/// How much of the wait that a request adds for those behind it counts against its own bound, when its
+/// party or route is above its share. At 0 short requests are refused behind long ones; at 0.5 slots stay
+/// idle that long ones could have.
+const ADDED_WAIT_WEIGHT: f64 = 0.25;
+
 /// What a priority gets of the admitted work though more urgent requests could take all of it, so that
 /// none starves.
 const PRIORITY_SHARE_MIN: f64 = 0.03;
@@ -107,6 +112,8 @@
     pub(crate) wait_us: f64,
     /// How long it runs after that.
     pub(crate) run_us: f64,
+    /// How much longer requests queue that come after it.
+    pub(crate) adds_us: f64,
 }
 
 /// Why a request is refused.
@@ -196,7 +203,7 @@
             true => bounds.shortest_us.min(own_us),
             false => bounds.shortest_us.min(own_us).min(urgency_us),
         };
-        if wait_us <= full_us.min(shared_us * ABOVE_SHARE_FRACTION * RETURN_FRACTION) {
+        if wait_us <= 0.0 {
             return Ok(());
         }
         let congestion = wait_us / shared_us.max(1.0) - ABOVE_SHARE_FRACTION;
@@ -210,7 +217,11 @@
             false => 1.0,
         };
         let wait_max_us = match class.bound_fraction(applicant, used_share, seen_shortage) {
-            Some(fraction) => full_us.min(shared_us * fraction * of_return),
+            Some(fraction) => {
+                let added_us = ADDED_WAIT_WEIGHT * expected.adds_us;
+                let leaves_us = shared_us * fraction * of_return - added_us;
+                full_us.min(leaves_us.max(0.0))
+            }
             None => full_us,
         };
         let is_above_share = used_share.is_some_and(|used| used > 1.0);
@@ -228,19 +239,10 @@
         };
         // A request that returns may queue less long than a new one if its party is above its share then.
         let return_max_us = wait_max_us.min(shared_us * ABOVE_SHARE_FRACTION * RETURN_FRACTION);
-        // There is room for what others leave, and for the share of its party if that is more.
-        let weight_s = DECAY_US / 1e6 * self.weighting.weight(now_us);
-        let asked_by_others = class.parties.asked_by_others(applicant.party_name());
-        let left_per_s = slots * 1e3 - asked_by_others / weight_s;
-        let share_per_s = share.map_or(0.0, |share| share / weight_s);
-        let refused = Refused {
-            request: applicant.request,
-            drain_us: wait_us - return_max_us,
-            spacing_us: applicant.work_us * 1e3 / left_per_s.max(share_per_s).max(1.0),
-            remaining_us: applicant.remaining_us,
-        };
-        let returns = class.parties.returns_mut(applicant.party_name());
-        let retry_after_us = returns.map_or(refused.drain_us, |it| it.next_us(refused, now_us));
+        let drain_us = wait_us - return_max_us;
+        let weighting = self.weighting;
+        let retry_after_us =
+            class.return_in_us(applicant, (drain_us, share), slots, weighting, now_us);
         Err(Rejection {
             refusal,
             wait_max_us,
@@ -254,9 +256,24 @@
         self.add_admitted(applicant, applicant.work(self.weighting, now_us));
     }
 
-    /// Takes back what an admitted request counts for that no upstream ran.
-    pub(crate) fn record_not_run(&mut self, applicant: &Applicant<'_>, now_us: TimeUs) {
+    /// Takes back what an admitted request counts for that no upstream ran; says in how many microseconds
+    /// its client should return, when that depends on its tenant.
+    pub(crate) fn record_not_run(
+        &mut self,
+        applicant: &Applicant<'_>,
+        slots: f64,
+        now_us: TimeUs,
+    ) -> Option<f64> {
         self.add_admitted(applicant, -applicant.work(self.weighting, now_us));
+        if applicant.party == Party::Route {
+            return None;
+        }
+        let weighting = self.weighting;
+        let class = self.class_of(applicant.priority);
+        let class = self.classes.get_mut(&class)?;
+        let share = class.parties.share(class.parties.shortage());
+        let drain = (PLAIN_RETRY_MIN_US, share);
+        Some(class.return_in_us(applicant, drain, slots, weighting, now_us))
     }
 
     fn add_admitted(&mut self, applicant: &Applicant<'_>, work: f64) {
@@ -331,13 +348,42 @@
             (one, other) => one.or(other),
         }
     }
+
+    /// Says in how many microseconds the client of a refused request should return, by the time until the
+    /// queue is short enough and the share of its party. There is room for what others leave, and for that
+    /// share if it is more.
+    fn return_in_us(
+        &mut self,
+        applicant: &Applicant<'_>,
+        (drain_us, share): (f64, Option<f64>),
+        slots: f64,
+        weighting: Weighting,
+        now_us: TimeUs,
+    ) -> f64 {
+        let weight_s = DECAY_US / 1e6 * weighting.weight(now_us);
+        let asked_by_others = self.parties.asked_by_others(applicant.party_name());
+        let left_per_s = slots * 1e3 - asked_by_others / weight_s;
+        let share_per_s = share.map_or(0.0, |share| share / weight_s);
+        let refused = Refused {
+            request: applicant.request,
+            drain_us,
+            spacing_us: applicant.work_us * 1e3 / left_per_s.max(share_per_s).max(1.0),
+            remaining_us: applicant.remaining_us,
+        };
+        let returns = self.parties.returns_mut(applicant.party_name());
+        returns.map_or(drain_us, |it| it.next_us(refused, now_us))
+    }
 }
 
-/// The fraction of the bound for a party that has had this multiple of its share: `shortest` when it is
-/// above, none for the whole.
+/// The fraction of the bound for a party that has had this multiple of its share: `shortest` when it has
+/// had all of it, less when it has had more, none for the whole.
 fn bound_fraction(used_share: f64, shortest: f64) -> Option<f64> {
     let above = (used_share - FULL_BOUND_SHARE) / (1.0 - FULL_BOUND_SHARE);
-    (above > 0.0).then_some(1.0 - (1.0 - shortest) * above.min(1.0))
+    let fraction = match used_share > 1.0 {
+        true => shortest / used_share,
+        false => 1.0 - (1.0 - shortest) * above,
+    };
+    (above > 0.0).then_some(fraction)
 }
 
 /// How deep a shortage is in which this part of the demand is refused, from 0 to 1.
--- a/crates/gate/src/admission/urgency.rs
+++ b/crates/gate/src/admission/urgency.rs
@@ -109,7 +109,7 @@
         Bounds {
             urgency_us,
             shortest_us,
-            has_priorities: priorities > 1,
+            has_priorities: priorities > 1 || urgency_us.is_finite(),
         }
     }
 
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -252,17 +252,10 @@
         if let Some(choice) = self.choose_retry(&pending, now_us) {
             return NextStep::Retry(self.start_attempt(request, pending, choice, now_us));
         }
-        if !pending.may_have_run {
-            let times = self.route_times(&pending.route);
-            if let Some(service) = self.services.get_mut(&pending.service) {
-                let applicant = pending.applicant(request, times, now_us);
-                service.admission.record_not_run(&applicant, now_us);
-            }
-        }
         match ending {
             Ending::Failed => NextStep::Deliver,
             _ if !pending.may_have_run => NextStep::GiveUp(Failure::NotRun {
-                retry_after_ms: RETRY_AFTER_MIN_MS,
+                retry_after_ms: self.record_not_run(request, &pending, now_us),
             }),
             _ => NextStep::GiveUp(Failure::Unknown),
         }
@@ -288,6 +281,8 @@
         let expected = Expected {
             wait_us: choice.wait_us,
             run_us: choice.run_us,
+            adds_us: choice.run_us
+                / f64::from(service.upstreams[choice.index].instance.slots.max(1)),
         };
         let slots = service.slots_of_gateway(self.gateway_count, now_us);
         let admitted = service
@@ -317,6 +312,20 @@
         Decision::Forward(self.start_attempt(request, pending, choice, now_us))
     }
 
+    /// Takes back what an admitted request counts for that no upstream ran; says in how many milliseconds
+    /// its client should return.
+    fn record_not_run(&mut self, request: u64, pending: &PendingRequest, now_us: TimeUs) -> u64 {
+        let times = self.route_times(&pending.route);
+        let applicant = pending.applicant(request, times, now_us);
+        let gateway_count = self.gateway_count;
+        let service = self.services.get_mut(&pending.service);
+        let return_in_us = service.and_then(|service| {
+            let slots = service.slots_of_gateway(gateway_count, now_us);
+            service.admission.record_not_run(&applicant, slots, now_us)
+        });
+        return_in_us.map_or(RETRY_AFTER_MIN_MS, |us| (us / 1e3) as u64)
+    }
+
     /// Whether an attempt at the chosen upstream ends before this gateway, if it is stopping. The
     /// latest long requests of the route count, since one that is cut off may have run.
     fn ends_before_stop(&self, pending: &PendingRequest, choice: &Choice, now_us: TimeUs) -> bool {
