--- a/crates/gate/src/admission/mod.rs
+++ b/crates/gate/src/admission/mod.rs
@@ -53,7 +53,7 @@
 /// none starves.
 const PRIORITY_SHARE_MIN: f64 = 0.03;
 
-/// Priorities that are counted for one service; further ones count as the least urgent of these.
+/// Priorities that are counted for one service, the most urgent ones; others count as the last of these.
 const CLASSES_MAX: usize = 16;
 
 /// The range of `retry-after` where one priority without tenants uses a service, in microseconds.
@@ -292,6 +292,9 @@
         }
         let work = applicant.work(self.weighting, now_us);
         let key = self.class_of(applicant.priority);
+        if self.classes.len() >= CLASSES_MAX && !self.classes.contains_key(&key) {
+            self.drop_last_class();
+        }
         let class = self.classes.entry(key).or_default();
         class.parties.record_asked(applicant.party_name(), work);
         class.routes.record_asked(applicant.route, work);
@@ -300,13 +303,19 @@
 
     /// The class that requests of a priority count in.
     fn class_of(&self, priority: u32) -> u32 {
-        let is_known = self.classes.contains_key(&priority);
         match self.classes.last_key_value() {
-            Some((last, _)) if !is_known && self.classes.len() >= CLASSES_MAX => *last,
+            Some((last, _)) if self.classes.len() >= CLASSES_MAX => priority.min(*last),
             _ => priority,
         }
     }
 
+    /// Makes room for another class: the least urgent one is dropped.
+    fn drop_last_class(&mut self) {
+        if let Some((_, dropped)) = self.classes.pop_last() {
+            self.admitted = (self.admitted - dropped.parties.admitted()).max(0.0);
+        }
+    }
+
     fn scale(&mut self, factor: f64) {
         for class in self.classes.values_mut() {
             class.parties.scale(factor);
--- a/crates/gate/tests/fairness.rs
+++ b/crates/gate/tests/fairness.rs
@@ -115,6 +115,34 @@
     assert!(served[2].answered > 0.0);
 }
 
+/// More priorities than are counted one by one, and the most urgent one comes last: it is served first.
+#[test]
+fn the_most_urgent_of_many_priorities_comes_late() {
+    let paths: Vec<&'static str> = (0..24)
+        .map(|priority| &*format!("/p{priority}/").leak())
+        .collect();
+    let demands: Vec<Demand> = (0..)
+        .zip(paths)
+        .map(|(priority, path)| Demand {
+            path,
+            priority,
+            per_s: 5.0,
+            from_ms: if priority == 0 { 10_000 } else { 0 },
+            ..DEMAND
+        })
+        .collect();
+    let served = play(&demands);
+    assert!(
+        served[0].share_in_time() > 0.95,
+        "{} {:?}",
+        served[0].share_in_time(),
+        served[0].causes
+    );
+    let least = total(&served[18..], |it| it.answered) / total(&served[18..], |it| it.asked);
+    let most = total(&served[..6], |it| it.answered) / total(&served[..6], |it| it.asked);
+    assert!(most > 0.8 && least < 0.5, "{most} {least}");
+}
+
 /// Short and long requests of equal urgency: the short ones are answered, and most of them in time,
 /// whoever sends them.
 #[test]
