Share by tenant only where the service is short, not where an object is popular

Cause: an object that one tenant asks for much has queues at its two upstreams while others are free. These queues counted as a shortage of the service, so the tenant was refused though there was room for it.

Change: shares bind while the upstreams of the region have 0.9 requests for each slot.

--- a/crates/gate/src/admission/mod.rs
+++ b/crates/gate/src/admission/mod.rs
@@ -40,6 +40,10 @@
 /// other gateways refuse those above their share.
 const CONGESTION_SHORTAGE: f64 = 0.3;
 
+/// The requests for each slot of a region from which on the service counts as short there. Below it, only
+/// the upstreams of popular objects have queues, and refusing by shares would leave slots idle.
+const SHORT_UTILISATION: f64 = 0.9;
+
 /// How long a request above its party's share may queue that returns after a refusal, as a fraction of
 /// what a new one may. The party's place goes to the one that can still be answered within its target.
 const RETURN_FRACTION: f64 = 0.5;
@@ -114,6 +118,15 @@
     pub(crate) run_us: f64,
     /// How much longer requests queue that come after it.
     pub(crate) adds_us: f64,
+    /// The requests for each slot at the upstreams of the service in the same region.
+    pub(crate) utilisation: f64,
+}
+
+impl Expected {
+    /// Whether the capacity of the service is short, and not only that of the upstreams of an object.
+    fn is_short(&self) -> bool {
+        self.utilisation >= SHORT_UTILISATION
+    }
 }
 
 /// Why a request is refused.
@@ -209,14 +222,18 @@
         let congestion = wait_us / shared_us.max(1.0) - ABOVE_SHARE_FRACTION;
         let seen_shortage = CONGESTION_SHORTAGE * congestion.clamp(0.0, 1.0);
         let shortage = class.parties.shortage().max(seen_shortage);
-        let share = class.parties.share(shortage);
+        let share = class
+            .parties
+            .share(shortage)
+            .filter(|_| expected.is_short());
         let used_share =
             share.and_then(|share| class.parties.used_share(applicant.party_name(), share));
         let of_return = match is_return {
             true => RETURN_FRACTION,
             false => 1.0,
         };
-        let wait_max_us = match class.bound_fraction(applicant, used_share, seen_shortage) {
+        let fraction = class.bound_fraction(applicant, used_share, seen_shortage);
+        let wait_max_us = match fraction.filter(|_| expected.is_short()) {
             Some(fraction) => {
                 let added_us = ADDED_WAIT_WEIGHT * expected.adds_us;
                 let leaves_us = shared_us * fraction * of_return - added_us;
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -278,11 +278,15 @@
             return refuse(Refusal::NoUpstream, retry_after_ms.max(RETRY_AFTER_MIN_MS));
         };
         let applicant = pending.applicant(request, times, now_us);
+        let best = &service.upstreams[choice.index];
         let expected = Expected {
             wait_us: choice.wait_us,
             run_us: choice.run_us,
-            adds_us: choice.run_us
-                / f64::from(service.upstreams[choice.index].instance.slots.max(1)),
+            adds_us: choice.run_us / f64::from(best.instance.slots.max(1)),
+            utilisation: match choice.wait_us > 0.0 {
+                true => service.utilisation(&best.region, now_us),
+                false => 0.0,
+            },
         };
         let slots = service.slots_of_gateway(self.gateway_count, now_us);
         let admitted = service
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -242,6 +242,20 @@
         slots / gateway_count.max(1) as f64
     }
 
+    /// The requests for each slot at the usable upstreams of a region.
+    pub(crate) fn utilisation(&self, region: &RegionName, now_us: TimeUs) -> f64 {
+        let mean_other_requests = self.mean_load.requests(now_us);
+        let usable = self.upstreams.iter().filter(|it| {
+            it.region == *region && it.accepts_requests(now_us) && !it.is_paused(now_us)
+        });
+        let loads = usable.map(|it| {
+            let load = it.load(mean_other_requests, now_us);
+            (load, f64::from(it.instance.slots))
+        });
+        let (load, slots) = loads.fold((0.0, 0.0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+        load / f64::max(slots, 1.0)
+    }
+
     /// The earliest end of a backoff that an upstream asked for, if there is one.
     pub(crate) fn backoff_end_us(&self, now_us: TimeUs) -> Option<TimeUs> {
         let withheld = self.upstreams.iter().map(|upstream| upstream.withheld);
--- a/crates/gate/tests/overflow.rs
+++ b/crates/gate/tests/overflow.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use gate::{Arrival, Decision, Ending, Gate};
-use plan::{InstanceState, RetrySafety};
+use plan::{InstanceState, KeyDigest, RetrySafety, Tenant};
 use std::collections::BTreeSet;
 use support::{REPLICA, answer, arrival, at_ms, gate_in, instance, plan, route};
 
@@ -12,6 +12,11 @@
 
 /// A gateway with a sticky route and many upstreams in both failure domains of its region.
 fn serving(domain: &str) -> Gate {
+    serving_tenants(domain, &[])
+}
+
+/// The same for tenants, whose keys are their names.
+fn serving_tenants(domain: &str, tenants: &[&str]) -> Gate {
     let mut gate = gate_in(domain);
     let parts = [("catalogue", 1_000)];
     let mut browse = route("browse", "/browse/", RetrySafety::Idempotent, &parts);
@@ -21,22 +26,42 @@
         instance(&format!("w-{n:02}"), "catalogue", domain, n + 1)
     });
     let upstreams = upstreams.collect();
-    gate.handle_poll_answer(
-        REPLICA,
-        answer(90, Some(plan(1, vec![browse])), upstreams),
-        at_ms(0),
-    );
+    let mut plan = plan(1, vec![browse]);
+    plan.tenants = tenants.iter().map(|name| tenant(name)).collect();
+    gate.handle_poll_answer(REPLICA, answer(90, Some(plan), upstreams), at_ms(0));
     gate
 }
 
+fn tenant(name: &str) -> Tenant {
+    Tenant {
+        name: name.to_owned(),
+        keys: vec![KeyDigest::of(name)],
+        priority: None,
+        rate_milli_per_s: 0,
+        burst: 0,
+        home_regions: Vec::new(),
+    }
+}
+
 /// Sends `count` requests for an object at once; returns the upstreams that get them and how many
 /// are refused.
 fn burst(gate: &mut Gate, object: u64, count: u64) -> (BTreeSet<String>, u64) {
+    burst_of(gate, None, object, count)
+}
+
+/// The same with a key.
+fn burst_of(
+    gate: &mut Gate,
+    key: Option<&str>,
+    object: u64,
+    count: u64,
+) -> (BTreeSet<String>, u64) {
     let mut used = BTreeSet::new();
     let mut refused = 0;
     for n in 0..count {
         let arrival = Arrival {
             object: Some(object),
+            key: key.map(KeyDigest::of),
             ..arrival("/browse/1")
         };
         match gate.handle_arrival(&arrival, at_ms(n)) {
@@ -105,3 +130,16 @@
     assert!(used.is_disjoint(&others));
     assert_eq!((others.len(), refused), (2, 0));
 }
+
+/// While most of the upstreams are free, no tenant is above its share of the service: the upstreams of an
+/// object that one tenant asks for take as many of its requests as without tenants.
+#[test]
+fn a_popular_object_makes_no_tenant_exceed_its_share() {
+    const REQUESTS: u64 = 28;
+    let mut gate = serving_tenants("east-a", &["small", "large"]);
+    let (_, refused) = burst_of(&mut gate, Some("small"), 3, 6);
+    assert_eq!(refused, 0);
+    let (_, refused) = burst_of(&mut gate, Some("large"), 7, REQUESTS);
+    let (_, refused_without) = burst(&mut serving("east-a"), 7, REQUESTS);
+    assert_eq!(refused, refused_without);
+}
