--- a/crates/gate/src/admission/mod.rs
+++ b/crates/gate/src/admission/mod.rs
@@ -23,12 +23,13 @@
 /// bound falls to `ABOVE_SHARE_FRACTION`, so that chance decides less who is refused.
 const FULL_BOUND_SHARE: f64 = 0.8;
 
-/// The same for the only party of a priority, which leaves room for nobody: a longer queue only makes its
-/// own answers late. With a shorter one, less urgent requests find slots free by chance.
+/// The fraction of the bound, in place of `ABOVE_SHARE_FRACTION`, for the only party of a priority in a deep
+/// shortage. It leaves room for nobody, but a longer queue makes its own answers late. With a shorter one
+/// the estimates of gateways let less urgent requests in.
 const ALONE_FRACTION: f64 = 0.55;
 
-/// The same for a tenant below its share on a route above the share of routes: long requests of one route
-/// leave room for short ones of another.
+/// The fraction of the bound for a tenant below its share on a route above the share of routes: long
+/// requests of one route leave room for short ones of another.
 const ABOVE_ROUTE_SHARE_FRACTION: f64 = 0.675;
 
 /// The parts of the demand that are refused from which a shortage counts as shallow and as deep.
