--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -265,7 +265,8 @@
         best: Option<&BusyUpstream>,
         tenant: Option<&str>,
     ) {
-        self.metrics.count_refused(refusal);
+        self.metrics
+            .count_refused(refusal, best.map(|best| best.priority));
         info!(self.log, "request refused";
             "request" => attempt_id(headers),
             "tenant" => tenant,
@@ -274,7 +275,9 @@
             "tenant" => tenant,
             "upstream" => best.map(|best| best.upstream.to_string()),
             "wait_ms" => best.map(|best| best.wait_ms),
-            "wait_max_ms" => best.map(|best| best.wait_max_ms));
+            "wait_max_ms" => best.map(|best| best.wait_max_ms),
+            "priority" => best.map(|best| best.priority),
+            "share_percent" => best.and_then(|best| best.share_percent));
     }
 
     /// Counts and logs a request that is answered with 401. Nothing of its key is written.
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -5,6 +5,7 @@
 //! run, and penalties for load, another failure domain, frequent failures and a missed deadline.
 
 use crate::{
+    admission::Admission,
     bucket::TokenBucket,
     candidates::{Grouping, Standing, candidates},
     config::GateBounds,
@@ -14,7 +15,6 @@
     regions::{RebalanceParams, RegionLoad, RegionShares},
     times::RunTimes,
     upstream::Upstream,
-    urgency::ActiveRoutes,
 };
 use plan::ServiceTerms;
 use std::collections::BTreeMap;
@@ -100,7 +100,7 @@
     pub(crate) regions: RegionShares,
     /// Requests per second that all gateways together may send to one cold upstream.
     pub(crate) cold_per_s: f64,
-    pub(crate) active_routes: ActiveRoutes,
+    pub(crate) admission: Admission,
     /// Whether any of its upstreams has stated how long work takes there. Only then are they paced.
     pub(crate) states_slowness: bool,
     /// Gateways of the deployment at the latest choice.
@@ -119,7 +119,7 @@
             upstreams: Vec::new(),
             regions: RegionShares::new(own_region, now_us),
             cold_per_s: 0.0,
-            active_routes: ActiveRoutes::default(),
+            admission: Admission::new(now_us),
             states_slowness: false,
             gateway_count: 1,
             retry_budget: TokenBucket::new(1.0, now_us),
@@ -261,6 +261,28 @@
         load + 1.0 <= f64::from(upstream.instance.slots)
     }
 
+    /// This gateway's part of the slots, if all gateways have an equal part.
+    pub(crate) fn slots_of_gateway(&self, gateway_count: usize, now_us: TimeUs) -> f64 {
+        let usable = self.upstreams.iter();
+        let usable = usable.filter(|it| it.accepts_requests(now_us) && !it.is_cold(now_us));
+        let slots: f64 = usable.map(|it| f64::from(it.instance.slots)).sum();
+        slots / gateway_count.max(1) as f64
+    }
+
+    /// The requests for each slot at the usable upstreams of a region.
+    pub(crate) fn utilisation(&self, region: &RegionName, now_us: TimeUs) -> f64 {
+        let mean_other_requests = self.mean_load.requests(now_us);
+        let usable = self.upstreams.iter().filter(|it| {
+            it.region == *region && it.accepts_requests(now_us) && !it.is_paused(now_us)
+        });
+        let loads = usable.map(|it| {
+            let load = it.load(mean_other_requests, now_us);
+            (load, f64::from(it.instance.slots))
+        });
+        let (load, slots) = loads.fold((0.0, 0.0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+        load / f64::max(slots, 1.0)
+    }
+
     /// The earliest end of a backoff that an upstream asked for, if there is one.
     pub(crate) fn backoff_end_us(&self, now_us: TimeUs) -> Option<TimeUs> {
         let withheld = self.upstreams.iter().map(|upstream| upstream.withheld);
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod fleet;
+pub mod model;
 
 use control::GatewayPollAnswer;
 use gate::{Arrival, Decision, Gate, GateBounds, GateConfig, Refusal, Target};
