Send large bodies in chunks at a part of the link's rate

Cause: a body of 60 KB that is written at once fills a link of 2.6 Mbit/s for 185 ms, and all other requests of the gateway wait behind it.

Change: gateway.link_mbps gives the link's rate; bodies above 8 KiB leave in chunks of 4 KiB at 0.7 of it altogether (LinkSchedule, BodyPacer).

--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -2,10 +2,13 @@
 
 use crate::{
     clock::Clock,
-    http::{AnswerBody, Connection, Pool, Put, SendError, Take, connect, strip_hop_by_hop_headers},
+    http::{
+        AnswerBody, Connection, Pool, Put, RequestBody, SendError, Take, connect,
+        strip_hop_by_hop_headers,
+    },
 };
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Either, Full};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri,
     header::{self, HeaderName, HeaderValue},
@@ -120,8 +123,8 @@
     }
 }
 
-fn build_request(call: &Call, target: Target, clock: Clock) -> Option<Request<Full<Bytes>>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+fn build_request(call: &Call, target: Target, clock: Clock) -> Option<Request<RequestBody>> {
+    let mut request = Request::new(Either::Left(Full::new(call.body.clone())));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = call.headers.clone();
--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -4,17 +4,23 @@
     clock::Clock,
     gateway::{
         bodies::{Bodies, StoredBody},
+        body_pacer::RequestBodies,
         metrics::GatewayMetrics,
         stream::StreamedBody,
     },
     http::{
-        AnswerBody, Body, Connection, Pool, Put, SendError, Take, connect, strip_hop_by_hop_headers,
+        AnswerBody, Body, Connection, Pool, Put, RequestBody, SendError, Take, connect,
+        strip_hop_by_hop_headers,
     },
 };
 use bytes::{Bytes, BytesMut};
 use gate::{Ending, Load, Notices, Target};
 use http_body_util::{BodyExt, Full};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Body as _};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    body::Body as _,
+    header::{CONTENT_LENGTH, HeaderValue},
+};
 use kameo::actor::ActorRef;
 use platform::{
     AnswerHeaders, NotRun, decode_answer_headers, decode_request_headers, set_attempt_headers,
@@ -111,6 +117,8 @@
     pub pool: ActorRef<Pool>,
     /// The room for buffered answers.
     pub bodies: Bodies,
+    /// Makes the bodies of requests to upstreams.
+    pub request_bodies: RequestBodies,
     /// The clock of the core, for deadlines.
     pub clock: Clock,
     /// Metrics of the gateway.
@@ -184,11 +192,16 @@
         connect(address, deadline).await.ok()
     }
 
-    fn build_request(&self, call: &Call, target: &Target) -> Option<Request<Full<Bytes>>> {
-        let mut request = Request::new(Full::new(call.body.bytes.clone()));
+    fn build_request(&self, call: &Call, target: &Target) -> Option<Request<RequestBody>> {
+        let mut request = Request::new(self.request_bodies.body(&call.body.bytes));
         *request.method_mut() = call.method.clone();
         *request.uri_mut() = call.uri.clone();
         *request.headers_mut() = call.headers.clone();
+        // A body in chunks has no length of its own, and the client may have sent none.
+        if !call.body.bytes.is_empty() {
+            let length = HeaderValue::from(call.body.bytes.len());
+            request.headers_mut().insert(CONTENT_LENGTH, length);
+        }
         let left_ms = target.deadline_us.since_us(self.clock.now_us()) / 1_000;
         set_attempt_headers(
             request.headers_mut(),
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod actor;
 mod attempt;
 mod bodies;
+mod body_pacer;
 mod guard;
 mod http;
 mod metrics;
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -8,6 +8,7 @@
         actor::{GatewayActor, GatewayArgs, LinkEvent, SetSeeds, Stop, Tick},
         attempt::AttemptRunner,
         bodies::Bodies,
+        body_pacer::RequestBodies,
         http::{GatewayHttp, StatusHttp},
         metrics::GatewayMetrics,
     },
@@ -130,6 +131,7 @@
         attempt_runner: AttemptRunner {
             pool: Pool::spawn_with_mailbox(Pool::default(), mailbox::unbounded()),
             bodies: bodies.clone(),
+            request_bodies: RequestBodies::new(role_settings.link_kbps, clock),
             clock,
             metrics: Arc::clone(&metrics),
         },
--- a/crates/daemon/src/http/connection.rs
+++ b/crates/daemon/src/http/connection.rs
@@ -7,7 +7,7 @@
 //! would otherwise go on to send what is left of the request, seconds later when a link was cut.
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{Either, Full, channel::Channel};
 use hyper::{
     Request, Response, StatusCode,
     body::{Body, Frame, Incoming, SizeHint},
@@ -117,10 +117,13 @@
     }
 }
 
+/// The body of a request to an upstream: whole in memory, or in chunks that another task sends.
+pub type RequestBody = Either<Full<Bytes>, Channel<Bytes>>;
+
 /// An HTTP/1 connection to an upstream. Dropping it closes the socket, with any answer on it.
 #[derive(Debug)]
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
     progress: Progress,
     /// The task that owns the socket.
     driver: AbortHandle,
@@ -151,7 +154,7 @@
     /// [`SendError`]; the connection can't be used again.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<RequestBody>,
     ) -> Result<Response<AnswerBody>, SendError> {
         self.progress.begin();
         let sent = self.sender.try_send_request(request).await;
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -14,7 +14,7 @@
 
 pub use self::{
     body::{DISCARD_MAX_BYTES, discard_body, read_body},
-    connection::{AnswerBody, Connection, SendError, connect},
+    connection::{AnswerBody, Connection, RequestBody, SendError, connect},
     headers::strip_hop_by_hop_headers,
     limits::{Cut, CutCounters, HeadLimits, ServerLimits},
     pool::{Pool, Put, Take},
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -13,6 +13,7 @@
 mod gate;
 mod identity;
 mod key_lease;
+mod link_schedule;
 mod mean_load;
 mod pace;
 mod poll_schedule;
@@ -36,5 +37,6 @@
     },
     config::{GateBounds, GateConfig},
     gate::Gate,
+    link_schedule::LinkSchedule,
     stopping::STOP_ANSWER_FRACTION,
 };
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -9,7 +9,15 @@
 use types::{DomainName, RegionName};
 
 /// The keys of `[gateway]`.
-pub(crate) const GATEWAY_KEYS: [&str; 4] = ["listen", "status_listen", "descriptors_max", MEMORY];
+pub(crate) const GATEWAY_KEYS: [&str; 5] = [
+    "listen",
+    "status_listen",
+    "descriptors_max",
+    MEMORY,
+    LINK_RATE,
+];
+
+const LINK_RATE: &str = "link_mbps";
 
 const MEMORY: &str = "memory_mb";
 
@@ -66,6 +74,11 @@
 /// Thousandths in one.
 const MILLI: f64 = 1_000.0;
 
+const KBPS_PER_MBPS: f64 = 1e3;
+
+/// The fastest link, in kbit/s: 1 Tbit/s.
+const LINK_MAX_KBPS: f64 = 1e9;
+
 /// The largest value of a bound, in thousandths.
 const MILLI_MAX: f64 = 3_600_000_000.0;
 
@@ -75,9 +88,23 @@
         status_listen: section.required("status_listen", Expected::Address)?,
         descriptors_max: section.required("descriptors_max", Expected::Count)?,
         memory_bytes: parse_memory_bytes(section)?,
+        link_kbps: parse_link_kbps(section)?,
     })
 }
 
+/// The rate of the link, given in Mbit/s with or without a fraction.
+fn parse_link_kbps(section: &Section<'_>) -> Result<Option<u64>, SettingsError> {
+    let given: Option<f64> = section.optional(LINK_RATE, Expected::Decimal)?;
+    let Some(mbps) = given else {
+        return Ok(None);
+    };
+    let kbps = mbps * KBPS_PER_MBPS;
+    match (1.0..=LINK_MAX_KBPS).contains(&kbps) {
+        true => Ok(Some(kbps.round() as u64)),
+        false => Err(section.invalid(LINK_RATE, &mbps.to_string(), Expected::Decimal)),
+    }
+}
+
 fn parse_memory_bytes(section: &Section<'_>) -> Result<usize, SettingsError> {
     let given: Option<usize> = section.optional(MEMORY, Expected::Count)?;
     let memory_mb = given.unwrap_or(MEMORY_DEFAULT_MB);
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -160,6 +160,8 @@
     pub descriptors_max: u64,
     /// Memory that the process may use, of which bodies of requests get a part.
     pub memory_bytes: usize,
+    /// The rate of the VM's link, if known: large bodies of requests are sent at a part of it.
+    pub link_kbps: Option<u64>,
 }
 
 /// `[discovery]`: how control replicas are found that the settings don't list.
