Restrict less urgent requests further only where the service is short

Change: the tighter bound, and the one by what more urgent requests lack, hold while the region has 0.9 requests for each slot or more.

--- a/crates/gate/src/admission/mod.rs
+++ b/crates/gate/src/admission/mod.rs
@@ -197,9 +197,10 @@
         // The more of the more urgent requests is refused, the less time others may queue, down to none.
         let more_urgent = self.classes.range(..class).map(|(_, it)| &it.parties);
         let shortage = more_urgent.map(Shares::shortage).fold(0.0, f64::max);
-        let urgency_us = match depth(shortage) {
-            0.0 => bounds.urgency_us,
-            depth => bounds.urgency_us * (1.0 - depth),
+        let urgency_us = match (expected.is_short(), depth(shortage)) {
+            (false, _) => bounds.urgency_us,
+            (true, 0.0) => bounds.short_urgency_us,
+            (true, depth) => bounds.short_urgency_us * (1.0 - depth),
         };
         let own_us = queue_max_us(applicant.target_us);
         // Where it doesn't queue, the expected run time alone refuses nobody: without runs the estimate
--- a/crates/gate/src/admission/urgency.rs
+++ b/crates/gate/src/admission/urgency.rs
@@ -44,6 +44,9 @@
 pub(crate) struct Bounds {
     /// What more urgent requests leave; infinite when there are none.
     pub(crate) urgency_us: f64,
+    /// The same while the capacity of the service is short: less than what a more urgent party above its
+    /// share may queue.
+    pub(crate) short_urgency_us: f64,
     /// The shortest bound of the routes of its priority, its own included, without what more urgent
     /// requests leave.
     pub(crate) shortest_us: f64,
@@ -88,6 +91,7 @@
         self.count(name, priority, own_us, now_us);
         let total: f64 = self.routes.iter().map(|route| route.requests(now_us)).sum();
         let mut urgency_us = f64::INFINITY;
+        let mut short_urgency_us = f64::INFINITY;
         let mut shortest_us = own_us;
         let mut priorities = 0;
         for routes in self.routes.chunk_by(|a, b| a.priority == b.priority) {
@@ -102,12 +106,14 @@
             if routes[0].priority == priority {
                 shortest_us = own_us.min(shortest);
             } else if routes[0].priority < priority && is_counting {
-                let most_restricted_us = urgency_us.min(shortest) * ABOVE_SHARE_FRACTION;
-                urgency_us = most_restricted_us * LESS_URGENT_FRACTION;
+                urgency_us = urgency_us.min(shortest) * LESS_URGENT_FRACTION;
+                let most_restricted_us = short_urgency_us.min(shortest) * ABOVE_SHARE_FRACTION;
+                short_urgency_us = most_restricted_us * LESS_URGENT_FRACTION;
             }
         }
         Bounds {
             urgency_us,
+            short_urgency_us,
             shortest_us,
             has_priorities: priorities > 1 || urgency_us.is_finite(),
         }
