Leave room in quotas for requests that run later than they took a token

Cause: the bound counts requests that run, the budget counts tokens. A request on its way or in an upstream's queue runs some time after it took its token, so that a full use of overage and slack could exceed the bound by those.

Change: 0.3 s of the rate, at most half of overage and slack, stays out of the budget. Expired gateways are dropped every 50 ms instead of at every poll, which now may be thousands a second. Tests of the settings and of how long a granted token counts.

--- a/crates/control/src/gateways.rs
+++ b/crates/control/src/gateways.rs
@@ -19,6 +19,10 @@
 /// How long a gateway that polls no longer may have a static part of quotas, in milliseconds.
 const SEEN_MS: u64 = share::STATIC_LIFE_MS;
 
+/// How often expired gateways are dropped, in milliseconds. Each time walks all of them, and thousands of
+/// polls may come in a second.
+const EXPIRY_INTERVAL_MS: u64 = 50;
+
 /// The most gateways in one answer.
 const LOCATED_MAX: usize = 16;
 
@@ -55,6 +59,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Gateways {
     last_reports: BTreeMap<EntryName, LastReport>,
+    next_expiry_us: TimeUs,
     /// Until when each gateway that ever polled counts as one that may have a static part of quotas.
     seen_until_us: BTreeMap<EntryName, TimeUs>,
     /// The number of answers given to clients; rotates which gateways the next one starts with.
@@ -88,6 +93,10 @@
 
     /// Drops the gateways whose last poll is too old.
     pub(crate) fn expire(&mut self, now_us: TimeUs) {
+        if !self.next_expiry_us.reached(now_us) {
+            return;
+        }
+        self.next_expiry_us = now_us.after_ms(EXPIRY_INTERVAL_MS);
         self.last_reports
             .retain(|_, last_report| !last_report.expiry_us.reached(now_us));
         self.seen_until_us
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -60,6 +60,31 @@
     );
 }
 
+// The platform fills a missing field in as empty text, which must not keep a process from starting.
+#[test]
+fn bounds_of_quotas_are_optional_and_empty_text_counts_as_missing() {
+    let with = |lines: &str| {
+        let text = GATEWAY.replace("[bounds]\n", &format!("[bounds]\n{lines}"));
+        let bounds = parse(&text).expect("valid settings").bounds;
+        let bounds = bounds.expect("[bounds] is there");
+        [
+            bounds.quota_window_ms,
+            bounds.quota_overage_milli,
+            bounds.quota_slack_milli,
+        ]
+    };
+    const DEFAULTS: [u64; 3] = [5_000, 0, 0];
+    assert_eq!(with(""), DEFAULTS);
+    assert_eq!(
+        with("quota_window_s =\nquota_overage =\nquota_slack =\n"),
+        DEFAULTS
+    );
+    assert_eq!(
+        with("quota_window_s = 4\nquota_overage = 0.1\nquota_slack = 20\n"),
+        [4_000, 100, 20_000]
+    );
+}
+
 #[test]
 fn the_command_line_overrides_a_key_and_is_checked_like_the_file() {
     let with = |text: &str| {
--- a/crates/share/src/quota/budget.rs
+++ b/crates/share/src/quota/budget.rs
@@ -13,6 +13,13 @@
 /// which report every half second what they have used.
 const SIZE_MIN_S: f64 = 1.0;
 
+/// How many seconds of the rate the budget leaves free. A request runs some time after it took its token,
+/// so that a window may see some requests whose tokens were taken before it.
+const MARGIN_S: f64 = 0.3;
+
+/// The most of overage and slack that is left free for that.
+const MARGIN_FRACTION: f64 = 0.5;
+
 /// The bound that quotas keep over all gateways, the same for every tenant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuotaTerms {
@@ -42,8 +49,18 @@
     /// The most requests of a tenant that may run in a window, over all gateways.
     #[must_use]
     pub fn window_max(&self, limit: QuotaLimit) -> f64 {
-        let declared = limit.per_s() * self.window_s() + limit.burst as f64;
-        declared * (1.0 + self.overage_milli as f64 / 1e3) + self.slack_milli as f64 / 1e3
+        self.declared(limit) + self.headroom(limit)
+    }
+
+    /// What rate and burst allow in a window.
+    fn declared(&self, limit: QuotaLimit) -> f64 {
+        limit.per_s() * self.window_s() + limit.burst as f64
+    }
+
+    /// What overage and slack allow beside.
+    fn headroom(&self, limit: QuotaLimit) -> f64 {
+        let overage = self.overage_milli as f64 / 1e3;
+        self.declared(limit) * overage + self.slack_milli as f64 / 1e3
     }
 }
 
@@ -74,7 +91,8 @@
     /// the rate is reduced.
     pub fn new(limit: QuotaLimit, terms: &QuotaTerms) -> Self {
         let (rate, window_s) = (limit.per_s(), terms.window_s());
-        let total = terms.window_max(limit);
+        let margin = (terms.headroom(limit) * MARGIN_FRACTION).min(rate * MARGIN_S);
+        let total = terms.window_max(limit) - margin;
         let size_min = (rate * SIZE_MIN_S).max(SIZE_MIN);
         let size = (total - rate * window_s).max(size_min).min(total);
         let per_s = ((total - size) / window_s).clamp(0.0, rate);
--- a/crates/share/src/quota/mod.rs
+++ b/crates/share/src/quota/mod.rs
@@ -4,7 +4,8 @@
 //! # The bound
 //!
 //! In any window `w`, at most `T = (r w + b)(1 + overage) + slack` requests of a tenant may run. A
-//! [`Budget`](budget::Budget) is a fill rate `f <= r` and a size `B` with `f w + B <= T`. It is divided
+//! [`Budget`](budget::Budget) is a fill rate `f <= r` and a size `B` with `f w + B <= T`, less 0.3 s of the
+//! rate, at most half of overage and slack, for requests that run later than they took a token. It is divided
 //! without remainder: each of `n` gateways may have a static part of `0.3 / n` of both, the leader's
 //! bucket has the rest. So it is enough that, at every moment, all buckets together fill by `f`, and
 //! hold at most `B` together with the tokens that gateways have in hand: a window that begins then sees
@@ -13,7 +14,7 @@
 //! - The leader counts a token as outstanding from the grant until the gateway reports that it holds it
 //!   no longer, at most for [`OUTSTANDING_MS`]; a gateway uses it for [`TOKEN_LIFE_MS`] from when it
 //!   asked, which is earlier. The leader's bucket fills only up to its size less what is outstanding.
-//!   Tokens in hand are thereby inside `B`, not beside it, and `B` is `b` and all of overage and slack.
+//!   Tokens in hand are thereby inside `B`, not beside it, and `B` is `b` and most of overage and slack.
 //! - At most two thirds of the leader's size may be outstanding. A new leader does not know what the one
 //!   before granted, so its bucket starts empty and holds no more than the other third, in hand and not,
 //!   until those tokens have expired.
--- a/crates/share/tests/quota_rules.rs
+++ b/crates/share/tests/quota_rules.rs
@@ -112,6 +112,21 @@
     assert_eq!(tokens(&ledger), LEADER_SIZE - 5);
 }
 
+// The answer may be lost or under way: the gateway can still use the tokens then.
+#[test]
+fn a_granted_token_counts_until_it_has_expired_at_the_gateway() {
+    let mut ledger = ledger(BURSTY);
+    granted(&mut ledger, &report(1, want(OUTSTANDING_MAX)), FULL_MS);
+    let unanswered = |serial| TokenReport {
+        applied: 0,
+        ..report(serial, want(OUTSTANDING_MAX))
+    };
+    let at_end_ms = FULL_MS + TOKEN_LIFE_MS;
+    assert_eq!(granted(&mut ledger, &unanswered(2), at_end_ms), Some(0));
+    let left = Some(LEADER_SIZE - OUTSTANDING_MAX);
+    assert_eq!(granted(&mut ledger, &unanswered(3), at_end_ms + 60), left);
+}
+
 // What a gateway says of tokens of another leader says nothing about those of this one.
 #[test]
 fn a_report_to_an_earlier_leader_settles_nothing() {
