Check the bound of quotas at the tokens that a window may see

Cause: since 0.3 s of the rate stays free for requests on their way, the random schedules checked a bound that the tokens do not reach.

Change: QuotaTerms tells the most tokens of a window, and the schedules check that. A test shows that a tenant far above its limit comes within a tenth of it.

--- a/crates/share/src/quota/budget.rs
+++ b/crates/share/src/quota/budget.rs
@@ -52,6 +52,14 @@
         self.declared(limit) + self.headroom(limit)
     }
 
+    /// The most tokens of a tenant that are used in a window, over all gateways: fewer than
+    /// [`Self::window_max`], for requests that run later than they took a token.
+    #[must_use]
+    pub fn window_tokens_max(&self, limit: QuotaLimit) -> f64 {
+        let margin = (self.headroom(limit) * MARGIN_FRACTION).min(limit.per_s() * MARGIN_S);
+        self.window_max(limit) - margin
+    }
+
     /// What rate and burst allow in a window.
     fn declared(&self, limit: QuotaLimit) -> f64 {
         limit.per_s() * self.window_s() + limit.burst as f64
@@ -91,8 +99,7 @@
     /// the rate is reduced.
     pub fn new(limit: QuotaLimit, terms: &QuotaTerms) -> Self {
         let (rate, window_s) = (limit.per_s(), terms.window_s());
-        let margin = (terms.headroom(limit) * MARGIN_FRACTION).min(rate * MARGIN_S);
-        let total = terms.window_max(limit) - margin;
+        let total = terms.window_tokens_max(limit);
         let size_min = (rate * SIZE_MIN_S).max(SIZE_MIN);
         let size = (total - rate * window_s).max(size_min).min(total);
         let per_s = ((total - size) / window_s).clamp(0.0, rate);
--- a/crates/share/tests/quota_service.rs
+++ b/crates/share/tests/quota_service.rs
@@ -123,6 +123,17 @@
     assert_eq!(world.excess(), None);
 }
 
+// A window check that no load comes near would not show anything.
+#[test]
+fn a_tenant_far_above_its_limit_after_a_calm_time_gets_nearly_all_that_a_window_allows() {
+    let limit = limit(100, 100);
+    let all: Vec<usize> = (0..34).collect();
+    let mut world = calm(34, limit, TERMS);
+    load(&mut world, 1_000, &all, 5);
+    let (ran, most) = (world.ran_ms.len() as f64, TERMS.window_tokens_max(limit));
+    assert!(ran > most * 0.9 && ran <= most, "{ran} of {most}");
+}
+
 // The gateway that asks first or most often must not take what others want.
 #[test]
 fn a_gateway_with_much_load_leaves_others_their_part() {
--- a/crates/share/tests/quota_world/mod.rs
+++ b/crates/share/tests/quota_world/mod.rs
@@ -100,7 +100,7 @@
             messages: 0,
             in_flight: Vec::new(),
             ran_ms: Vec::new(),
-            bounds: vec![(0, terms.window_max(limit))],
+            bounds: vec![(0, terms.window_tokens_max(limit))],
         };
         for index in 0..gateways {
             let gateway = world.new_gateway(index);
@@ -161,8 +161,8 @@
     /// Changes the limit everywhere. A lower bound holds for windows that begin after one window.
     pub fn set_limit(&mut self, limit: QuotaLimit) {
         let (old, new) = (
-            self.terms.window_max(self.limit),
-            self.terms.window_max(limit),
+            self.terms.window_tokens_max(self.limit),
+            self.terms.window_tokens_max(limit),
         );
         self.limit = limit;
         let from_ms = match new < old {
