Forward requests that wait for a token when their tenant's limit goes

Cause: a plan that lifted a limit had the requests refused that waited at that moment, since the stock no longer knew the tenant.

Change: a tenant without a limit needs no token, also when its request has waited.

Tests run: gate quotas; the new test is part of it, and passes.

--- a/crates/gate/src/quota.rs
+++ b/crates/gate/src/quota.rs
@@ -151,6 +151,10 @@
         let (Some(tenant), None) = (&claim.tenant, claim.token) else {
             return TokenState::Ready;
         };
+        if !self.stock.is_limited(tenant) {
+            // The limit went while the request waited.
+            return TokenState::Ready;
+        }
         if !claim.was_held {
             self.stock.record_request(tenant, now_us);
         }
--- a/crates/gate/tests/quotas.rs
+++ b/crates/gate/tests/quotas.rs
@@ -315,3 +315,15 @@
     forwarded(arrive(&mut gate, Some("key-of-free"), at_ms(2)).1);
     forwarded(arrive(&mut gate, None, at_ms(2)).1);
 }
+
+// A plan that lifts a limit must not have the requests refused that wait for it.
+#[test]
+fn a_request_that_waits_is_forwarded_when_the_limit_goes() {
+    let mut gate = limited();
+    let request = waiting(&mut gate, at_ms(1));
+    let mut lifted = first_answer(vec![tenant("acme", KEY, 0)]);
+    (lifted.revision, lifted.newest) = (30, 30);
+    gate.handle_poll_answer(REPLICA, lifted, at_ms(2));
+    let decided = gate.take_decided(at_ms(2));
+    assert_eq!(forwarded(decided[0].1.clone()).request, request);
+}
--- a/crates/share/src/quota/stock.rs
+++ b/crates/share/src/quota/stock.rs
@@ -302,6 +302,12 @@
         self.waiting = self.tenants.values().map(|stock| stock.waiting).sum();
     }
 
+    /// Whether a tenant has a limit.
+    #[must_use]
+    pub fn is_limited(&self, tenant: &str) -> bool {
+        self.tenants.contains_key(tenant)
+    }
+
     /// Records an answer of a replica that certainly leads, or knows who does, and the number of gateways
     /// in it.
     pub fn record_gateways(&mut self, gateways: usize, now_us: TimeUs) {
