Share by fairness only where the plan has tenants

Change: such plans are decided as before this work. The tests of priorities without tenants declare one now, with the same assertions.

--- a/crates/gate/src/admission/mod.rs
+++ b/crates/gate/src/admission/mod.rs
@@ -61,7 +61,7 @@
 /// Priorities that are counted for one service, the most urgent ones; others count as the last of these.
 const CLASSES_MAX: usize = 16;
 
-/// The range of `retry-after` where one priority without tenants uses a service, in microseconds.
+/// The range of `retry-after` where the plan has no tenants, in microseconds.
 const PLAIN_RETRY_MIN_US: f64 = 100_000.0;
 const PLAIN_RETRY_MAX_US: f64 = 1_000_000.0;
 
@@ -189,9 +189,8 @@
             now_us,
         );
         let class = self.record_asked(applicant, now_us);
-        let is_shared = applicant.party != Party::Route || bounds.has_priorities;
-        if !is_shared {
-            return decide_plain(applicant, expected);
+        if applicant.party == Party::Route {
+            return decide_plain(applicant, bounds.urgency_us, expected);
         }
         let wait_us = expected.wait_us;
         // The more of the more urgent requests is refused, the less time others may queue, down to none.
@@ -420,9 +419,15 @@
     depth.clamp(0.0, 1.0)
 }
 
-/// Decides where only one priority without tenants uses the service.
-fn decide_plain(applicant: &Applicant<'_>, expected: Expected) -> Result<(), Rejection> {
-    let wait_max_us = queue_max_us(applicant.target_us).min(applicant.remaining_us);
+/// Decides where the plan has no tenants: only routes of other priorities bound the wait.
+fn decide_plain(
+    applicant: &Applicant<'_>,
+    urgency_us: f64,
+    expected: Expected,
+) -> Result<(), Rejection> {
+    let wait_max_us = queue_max_us(applicant.target_us)
+        .min(urgency_us)
+        .min(applicant.remaining_us);
     let over_us = expected.wait_us - wait_max_us;
     match over_us > 0.0 {
         false => Ok(()),
--- a/crates/gate/src/admission/urgency.rs
+++ b/crates/gate/src/admission/urgency.rs
@@ -50,8 +50,6 @@
     /// The shortest bound of the routes of its priority, its own included, without what more urgent
     /// requests leave.
     pub(crate) shortest_us: f64,
-    /// Whether requests of more than one priority use the service.
-    pub(crate) has_priorities: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -93,7 +91,6 @@
         let mut urgency_us = f64::INFINITY;
         let mut short_urgency_us = f64::INFINITY;
         let mut shortest_us = own_us;
-        let mut priorities = 0;
         for routes in self.routes.chunk_by(|a, b| a.priority == b.priority) {
             let of_priority: f64 = routes.iter().map(|it| it.requests(now_us)).sum();
             let counting = routes
@@ -102,7 +99,6 @@
             let shortest = counting.map(|it| it.wait_max_us);
             let shortest = shortest.fold(f64::INFINITY, f64::min);
             let is_counting = of_priority >= PART_MIN * total;
-            priorities += usize::from(is_counting);
             if routes[0].priority == priority {
                 shortest_us = own_us.min(shortest);
             } else if routes[0].priority < priority && is_counting {
@@ -115,7 +111,6 @@
             urgency_us,
             short_urgency_us,
             shortest_us,
-            has_priorities: priorities > 1 || urgency_us.is_finite(),
         }
     }
 
--- a/crates/gate/tests/fairness.rs
+++ b/crates/gate/tests/fairness.rs
@@ -14,10 +14,12 @@
 
 const URGENT: Demand = Demand {
     path: "/order/",
+    tenant: Some(1),
     ..DEMAND
 };
 
 const LESS_URGENT: Demand = Demand {
+    tenant: Some(1),
     priority: 2,
     target_ms: 1_200,
     ..DEMAND
@@ -125,6 +127,7 @@
         .zip(paths)
         .map(|(priority, path)| Demand {
             path,
+            tenant: Some(1),
             priority,
             per_s: 5.0,
             from_ms: if priority == 0 { 10_000 } else { 0 },
