--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 //! `TROUBLE=0` in the environment the disruption is left out.
 
 mod deployment;
+mod foreign_answers;
 mod http;
 mod run_and_refused;
 mod worker;
@@ -25,6 +26,7 @@
     let folder = folder.unwrap_or_default();
     let verdict = match case.as_deref() {
         Some("run-and-refused") => run_and_refused::run(Path::new(&folder), has_trouble),
+        Some("foreign-answers") => foreign_answers::run(Path::new(&folder), has_trouble),
         _ => Err(io::Error::other("no such case")),
     };
     match verdict {
