Add review case 8: a report that lacks fields names an upstream

Cause: a heartbeat without version and cold_remaining_s is taken for a sound one, so one report of another writer moves a worker to another service; its own reports are then ignored as old.

Change: a script with four stand-in workers of each of two services and one such report. The stand-in clients of the three cases share a module now.

--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -13,7 +13,7 @@
 };
 
 /// The longest wait for a condition.
-pub const WAIT_MAX: Duration = Duration::from_secs(20);
+const WAIT_MAX: Duration = Duration::from_secs(20);
 
 /// How long a call of an operator or upstream waits for its answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -141,16 +141,10 @@
     }
 
     /// The log of a host's program.
-    pub fn log(&self, host: u8) -> String {
+    fn log(&self, host: u8) -> String {
         fs::read_to_string(self.folder.join(format!("{host}.log"))).unwrap_or_default()
     }
 
-    /// Whether the program of each host still runs.
-    pub fn all_run(&mut self) -> bool {
-        let mut daemons = self.daemons.iter_mut();
-        daemons.all(|(_, daemon)| matches!(daemon.try_wait(), Ok(None)))
-    }
-
     /// Fills in the template of a role's settings.
     fn write_settings(&self, host: u8, is_replica: bool) -> io::Result<PathBuf> {
         let template = match is_replica {
@@ -208,6 +202,14 @@
         Ok(path)
     }
 
+    /// Waits until the gateway knows so many upstreams.
+    pub fn wait_for_upstreams(&self, count: usize) -> io::Result<()> {
+        wait_for("the gateway to know its upstreams", || {
+            let known = self.log(GATEWAY).matches("upstream changed").count();
+            (known >= count).then_some(())
+        })
+    }
+
     /// Makes a call as operators and upstreams do: the next replica is tried after no answer or a 5xx,
     /// and redirections are followed twice.
     pub fn call(&self, query: &str, if_match: Option<&str>, body: &str) -> io::Result<Message> {
@@ -230,18 +232,19 @@
         }
     }
 
-    /// Declares a manifest with the route `/browse/` (safe) and the route `/order/` (unsafe) to the service
-    /// `orders`.
+    /// Declares a manifest with the route `/order/` (unsafe) to the service `orders` and the route `/stock/`
+    /// (safe) to the service `stockroom`.
     pub fn declare_manifest(&self) -> io::Result<()> {
-        let route = |prefix: &str, kind: &str| {
+        let route = |prefix: &str, kind: &str, service: &str| {
             format!(
-                r#"{{"host":"shop.example","path_prefix":"{prefix}","kind":"{kind}","timeout_s":3,"target_latency_s":1,"priority":0,"service":"orders","max_attempts":2,"sticky":false,"home_regions":[]}}"#
+                r#"{{"host":"shop.example","path_prefix":"{prefix}","kind":"{kind}","timeout_s":3,"target_latency_s":1,"priority":0,"service":"{service}","max_attempts":2,"sticky":false,"home_regions":[]}}"#
             )
         };
+        let terms = r#"{"health_check":"/health","max_connections":360,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":2.9}"#;
         let body = format!(
-            r#"{{"version":"r3","routes":{{"browse":{},"order":{}}},"services":{{"orders":{{"health_check":"/health","max_connections":360,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":2.9}}}},"limits":{{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_s":3,"idle_timeout_s":15}}}}"#,
-            route("/browse/", "safe"),
-            route("/order/", "unsafe"),
+            r#"{{"version":"r3","routes":{{"order":{},"stock":{}}},"services":{{"orders":{terms},"stockroom":{terms}}},"limits":{{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_s":3,"idle_timeout_s":15}}}}"#,
+            route("/order/", "unsafe", "orders"),
+            route("/stock/", "safe", "stockroom"),
         );
         let answer = self.call("call=config.put", Some("0"), &body)?;
         match answer.status() {
@@ -249,21 +252,6 @@
             status => Err(io::Error::other(format!("the manifest got {status}"))),
         }
     }
-
-    /// Sends a heartbeat of an upstream.
-    pub fn send_heartbeat(
-        &self,
-        id: &str,
-        address: SocketAddr,
-        state: &str,
-        sequence: u64,
-        born_ms: u128,
-    ) -> io::Result<Message> {
-        let body = format!(
-            r#"{{"service":"orders","address":"{address}","zone":"jhb-a","version":"v1","slots":3,"state":"{state}","cold_remaining_s":0,"sequence":{sequence},"born":{born_ms}}}"#
-        );
-        self.call(&format!("call=instances.heartbeat&of={id}"), None, &body)
-    }
 }
 
 fn call_at(
@@ -307,7 +295,7 @@
 }
 
 /// Waits until `condition` returns a value.
-pub fn wait_for<T>(what: &str, mut condition: impl FnMut() -> Option<T>) -> io::Result<T> {
+fn wait_for<T>(what: &str, mut condition: impl FnMut() -> Option<T>) -> io::Result<T> {
     let started = Instant::now();
     loop {
         if let Some(found) = condition() {
--- a/review/standin-2/foreign_answers.rs
+++ b/review/standin-2/foreign_answers.rs
@@ -3,8 +3,8 @@
 
 use crate::{
     Verdict,
-    deployment::{Deployment, GATEWAY, Record, wait_for},
-    http,
+    clients::send_orders,
+    deployment::{Deployment, Record},
     worker::{Behaviour, Reply, Runs, Worker},
 };
 use std::{
@@ -12,10 +12,9 @@
     path::Path,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// Upstreams of the service.
@@ -30,10 +29,7 @@
 /// Of so many answers of an upstream in trouble, one is followed by bytes of no request: 2.5 in 100.
 const TROUBLE_EVERY: u64 = 40;
 
-/// How long a client waits for an answer.
-const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// Clients that send orders one after the other.
+/// Clients that send orders.
 const CLIENTS: usize = 6;
 
 /// The bytes beyond a complete answer. They name no request.
@@ -44,75 +40,38 @@
     let deployment = Deployment::start(record.clone())?;
     deployment.declare_manifest()?;
     let runs = Runs::default();
-    let failing = Arc::new(AtomicU64::new(0));
+    let fails = Arc::new(AtomicBool::new(false));
     for number in 0..WORKERS {
-        let (count, failing) = (AtomicU64::new(0), Arc::clone(&failing));
+        let (count, fails) = (AtomicU64::new(0), Arc::clone(&fails));
         let behaviour: Behaviour = Arc::new(move |request| {
-            let is_in_trouble = failing.load(Ordering::Relaxed) == 1 && number < IN_TROUBLE;
+            let is_in_trouble = fails.load(Ordering::Relaxed) && number < IN_TROUBLE;
             // The bytes follow the answer before on this connection.
             if !is_in_trouble || request.position == 0 {
                 return Reply::Success;
             }
             match count.fetch_add(1, Ordering::Relaxed) % TROUBLE_EVERY {
-                0 => Reply::Preceded(EXTRA.to_owned()),
+                0 => Reply::Preceded(EXTRA),
                 _ => Reply::Success,
             }
         });
-        let id = format!("i-{number}");
         let address = deployment.standin_address(100 + number);
-        let worker = Worker::start(&id, address, behaviour, &runs, &record)?;
+        let id = format!("i-{number}");
+        let worker = Worker::start(&id, "orders", address, behaviour, &runs, &record)?;
         worker.send_heartbeat(&deployment, "ready")?;
     }
-    let gateway = deployment.client_address(GATEWAY);
-    wait_for("the gateway to know its upstreams", || {
-        let log = deployment.log(GATEWAY);
-        let known = log.matches("upstream changed").count();
-        (known >= usize::from(WORKERS)).then_some(())
-    })?;
-    failing.store(u64::from(has_trouble), Ordering::Relaxed);
-    let end = Instant::now() + TROUBLE;
-    let clients = (0..CLIENTS).map(|client| {
-        let record = record.clone();
-        thread::spawn(move || {
-            let mut answers = Vec::new();
-            while Instant::now() < end {
-                let attempt = format!("{client:02x}{:06x}", answers.len());
-                let request = format!(
-                    "POST /order/1 HTTP/1.1\r\nhost: shop.example\r\nx-attempt-id: {attempt}\r\nx-deadline-ms: 3000\r\ncontent-length: 5\r\n\r\norder"
-                );
-                let answer = http::exchange(gateway, request.as_bytes(), CLIENT_TIMEOUT);
-                let status = answer.as_ref().map_or(0, http::Message::status);
-                record.line(&format!("client {client} sent {attempt}, answered {status}"));
-                answers.push((attempt, status));
-            }
-            answers
-        })
-    });
-    let clients: Vec<_> = clients.collect();
-    let mut answers = Vec::new();
-    for client in clients {
-        let of_client = client.join().map_err(|_| io::Error::other("a client failed"))?;
-        answers.extend(of_client);
-    }
-    let served = answers.iter().filter(|(_, status)| *status == 200).count();
-    if served < answers.len() / 2 {
-        return Err(io::Error::other("less than half of the orders were served"));
-    }
+    deployment.wait_for_upstreams(usize::from(WORKERS))?;
+    fails.store(has_trouble, Ordering::Relaxed);
+    let orders = send_orders(&deployment, CLIENTS, TROUBLE)?;
     // No upstream and no gateway gives this answer to any of the orders: the route is there, and each
     // upstream answers an order that it has run with a success.
     let runs = runs.lock().expect("no holder panics");
-    let foreign = answers.iter().filter(|(attempt, status)| *status == 404 && runs.contains(attempt));
-    let foreign: Vec<_> = foreign.collect();
-    for (attempt, status) in &foreign {
-        record.line(&format!("BROKEN {attempt} got {status}, which its upstream did not answer"));
+    let has_run = |attempt: &str| runs.iter().any(|run| run.attempt == attempt);
+    let not_found = orders.iter().filter(|order| order.status == 404);
+    let foreign: Vec<_> = not_found.filter(|order| has_run(&order.attempt)).collect();
+    for order in &foreign {
+        let attempt = &order.attempt;
+        record.line(&format!("BROKEN {attempt} got 404, which its upstream did not answer"));
     }
-    record.line(&format!(
-        "{} orders, {served} served, {} got an answer of no request",
-        answers.len(),
-        foreign.len()
-    ));
-    Ok(match foreign.is_empty() {
-        true => Verdict::Held,
-        false => Verdict::Broken,
-    })
+    record.line(&format!("{} orders got an answer of no request", foreign.len()));
+    Ok(Verdict::of(foreign.is_empty()))
 }
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -29,11 +29,6 @@
         let status = self.line.split(' ').nth(1).and_then(|it| it.parse().ok());
         status.unwrap_or(0)
     }
-
-    /// The body as text.
-    pub fn text(&self) -> String {
-        String::from_utf8_lossy(&self.body).into_owned()
-    }
 }
 
 /// A connection, with the bytes that were read ahead.
@@ -66,11 +61,6 @@
         self.stream.write_all(bytes)
     }
 
-    /// The socket.
-    pub const fn stream(&self) -> &TcpStream {
-        &self.stream
-    }
-
     fn read_more(&mut self) -> io::Result<()> {
         let mut buffer = [0; 16 * 1024];
         let count = self.stream.read(&mut buffer)?;
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,9 +3,11 @@
 //! The exit code is 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. With
 //! `TROUBLE=0` in the environment the disruption is left out.
 
+mod clients;
 mod deployment;
 mod foreign_answers;
 mod http;
+mod incomplete_report;
 mod run_and_refused;
 mod worker;
 
@@ -19,6 +21,15 @@
     Held,
 }
 
+impl Verdict {
+    const fn of(is_held: bool) -> Self {
+        match is_held {
+            true => Self::Held,
+            false => Self::Broken,
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let mut arguments = env::args().skip(1);
     let (case, folder) = (arguments.next(), arguments.next());
@@ -27,6 +38,7 @@
     let verdict = match case.as_deref() {
         Some("run-and-refused") => run_and_refused::run(Path::new(&folder), has_trouble),
         Some("foreign-answers") => foreign_answers::run(Path::new(&folder), has_trouble),
+        Some("incomplete-report") => incomplete_report::run(Path::new(&folder), has_trouble),
         _ => Err(io::Error::other("no such case")),
     };
     match verdict {
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -28,7 +28,7 @@
     /// A failure with this status, without `X-Not-Executed` since the request has run.
     Failure(u16),
     /// These bytes, which belong to no request, and then a whole success.
-    Preceded(String),
+    Preceded(&'static str),
 }
 
 /// Decides on the answer to a request.
@@ -36,21 +36,26 @@
 
 /// A request that an upstream has run.
 pub struct Request {
-    /// Its line and fields.
-    pub head: Message,
-    /// The value of `X-Attempt-Id`.
-    pub attempt: String,
     /// Its position on its connection, from 0.
     pub position: u64,
 }
 
-/// The runs of all upstreams, by the attempt's ID.
-pub type Runs = Arc<Mutex<Vec<String>>>;
+/// The runs of all upstreams, in their order.
+pub type Runs = Arc<Mutex<Vec<Run>>>;
+
+/// A run of a request.
+pub struct Run {
+    /// The upstream.
+    pub worker: String,
+    /// The value of `X-Attempt-Id`.
+    pub attempt: String,
+}
 
-/// An upstream of the service `orders`.
+/// An upstream.
 #[derive(Clone)]
 pub struct Worker {
     id: String,
+    service: &'static str,
     address: SocketAddr,
     born_ms: u128,
     sequence: Arc<AtomicU64>,
@@ -60,6 +65,7 @@
     /// Starts to serve at an address.
     pub fn start(
         id: &str,
+        service: &'static str,
         address: SocketAddr,
         behaviour: Behaviour,
         runs: &Runs,
@@ -74,11 +80,11 @@
                 thread::spawn(move || serve(&name, stream, &behaviour, &runs, &record));
             }
         });
-        let born = SystemTime::now().duration_since(UNIX_EPOCH);
         Ok(Self {
             id: id.to_owned(),
+            service,
             address,
-            born_ms: born.map_err(io::Error::other)?.as_millis(),
+            born_ms: unix_ms()?,
             sequence: Arc::new(AtomicU64::new(1)),
         })
     }
@@ -86,10 +92,21 @@
     /// Sends the next heartbeat.
     pub fn send_heartbeat(&self, deployment: &Deployment, state: &str) -> io::Result<Message> {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
-        deployment.send_heartbeat(&self.id, self.address, state, sequence, self.born_ms)
+        let body = format!(
+            r#"{{"service":"{}","address":"{}","zone":"jhb-a","version":"v1","slots":3,"state":"{state}","cold_remaining_s":0,"sequence":{sequence},"born":{}}}"#,
+            self.service, self.address, self.born_ms,
+        );
+        let query = format!("call=instances.heartbeat&of={}", self.id);
+        deployment.call(&query, None, &body)
     }
 }
 
+/// The time of day in Unix milliseconds.
+pub fn unix_ms() -> io::Result<u128> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    Ok(now.map_err(io::Error::other)?.as_millis())
+}
+
 /// Serves a connection until either side ends it.
 fn serve(name: &str, stream: TcpStream, behaviour: &Behaviour, runs: &Runs, record: &Record) {
     if stream.set_read_timeout(Some(IDLE_TIMEOUT)).is_err() {
@@ -111,15 +128,13 @@
             continue;
         }
         record.line(&format!("{name} runs {attempt}: {}", head.line));
-        runs.lock().expect("no holder panics").push(attempt.clone());
-        thread::sleep(WORK);
-        let request = Request {
-            head,
-            attempt,
-            position,
+        let run = Run {
+            worker: name.to_owned(),
+            attempt: attempt.clone(),
         };
-        let reply = behaviour(&request);
-        let attempt = &request.attempt;
+        runs.lock().expect("no holder panics").push(run);
+        thread::sleep(WORK);
+        let reply = behaviour(&Request { position });
         let answer = |status: &str, body: &str| {
             format!(
                 "HTTP/1.1 {status}\r\nx-attempt-id: {attempt}\r\nx-response-signature: s.{attempt}\r\nx-server-load: 0,0,3\r\ncontent-length: {}\r\n\r\n{body}",
@@ -135,7 +150,7 @@
             }
             Reply::Preceded(extra) => {
                 record.line(&format!("{name} sends bytes of no request before {attempt}"));
-                extra + &success
+                extra.to_owned() + &success
             }
         };
         if connection.send(bytes.as_bytes()).is_err() {
