Add review case 9: a crowd of orders takes a gateway over its memory

Cause: the bytes of a request beside its body (the parsed head, its copy for the attempt, the connection to the upstream) have no bound of their own, so many requests with large heads pass the memory of the machine.

Change: a script with 134 stand-in workers, two bodies of 62 MB on their way, and 1,200 orders with heads below the limit within a second. The stand-in for the platform kills a gateway that passes 260 MB.

--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -30,6 +30,9 @@
 /// The host number of the first gateway.
 pub const GATEWAY: u8 = 11;
 
+/// `memory_mb` of a gateway's machine.
+pub const MEMORY_MB: u64 = 260;
+
 /// What was sent, answered and run: written to `record.txt`, with the time since the start.
 #[derive(Clone)]
 pub struct Record {
@@ -117,14 +120,10 @@
     pub fn start_daemon(&mut self, host: u8) -> io::Result<()> {
         let is_replica = REPLICAS.contains(&host);
         let settings = self.write_settings(host, is_replica)?;
+        let memory = format!("gateway.memory_mb={MEMORY_MB}");
         let own: &[&str] = match is_replica {
             true => &["--set", "discovery.replica_losses=1"],
-            false => &[
-                "--set",
-                "gateway.memory_mb=260",
-                "--set",
-                "gateway.link_mbps=1000.0",
-            ],
+            false => &["--set", &memory, "--set", "gateway.link_mbps=1000.0"],
         };
         let log = File::create(self.folder.join(format!("{host}.log")))?;
         let daemon = Command::new("target/release/oleanderwelld")
@@ -145,6 +144,24 @@
         fs::read_to_string(self.folder.join(format!("{host}.log"))).unwrap_or_default()
     }
 
+    /// The resident memory of a host's program, in KiB; 0 when it has ended.
+    pub fn resident_kib(&self, host: u8) -> u64 {
+        let daemon = self.daemons.iter().find(|(known, _)| *known == host);
+        let process = daemon.map_or(0, |(_, daemon)| daemon.id());
+        let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().next());
+        number.and_then(|number| number.parse().ok()).unwrap_or(0)
+    }
+
+    /// Kills the program of a host and waits for its end.
+    pub fn kill(&mut self, host: u8) {
+        for (_, daemon) in self.daemons.iter_mut().filter(|(known, _)| *known == host) {
+            let _ = daemon.kill();
+            let _ = daemon.wait();
+        }
+    }
+
     /// Fills in the template of a role's settings.
     fn write_settings(&self, host: u8, is_replica: bool) -> io::Result<PathBuf> {
         let template = match is_replica {
@@ -177,7 +194,7 @@
                 self.address(host, STATUS_PORT).to_string(),
             ),
             ("{{internal_port_range.0}}", PEER_PORT.to_string()),
-            ("{{limits.max_fds}}", "1000".to_owned()),
+            ("{{limits.max_fds}}", "4100".to_owned()),
             ("{{data_dir}}", data.display().to_string()),
             ("{{bootstrap}}", "true".to_owned()),
             ("{{heartbeat_s}}", "1.5".to_owned()),
@@ -242,7 +259,7 @@
         };
         let terms = r#"{"health_check":"/health","max_connections":360,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":2.9}"#;
         let body = format!(
-            r#"{{"version":"r3","routes":{{"order":{},"stock":{}}},"services":{{"orders":{terms},"stockroom":{terms}}},"limits":{{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_s":3,"idle_timeout_s":15}}}}"#,
+            r#"{{"version":"r3","routes":{{"order":{},"stock":{}}},"services":{{"orders":{terms},"stockroom":{terms}}},"limits":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}}}}"#,
             route("/order/", "unsafe", "orders"),
             route("/stock/", "safe", "stockroom"),
         );
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 //! `TROUBLE=0` in the environment the disruption is left out.
 
 mod clients;
+mod crowd;
 mod deployment;
 mod foreign_answers;
 mod http;
@@ -37,6 +38,7 @@
     let folder = folder.unwrap_or_default();
     let verdict = match case.as_deref() {
         Some("run-and-refused") => run_and_refused::run(Path::new(&folder), has_trouble),
+        Some("crowd") => crowd::run(Path::new(&folder), has_trouble),
         Some("foreign-answers") => foreign_answers::run(Path::new(&folder), has_trouble),
         Some("incomplete-report") => incomplete_report::run(Path::new(&folder), has_trouble),
         _ => Err(io::Error::other("no such case")),
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -32,10 +32,12 @@
 }
 
 /// Decides on the answer to a request.
-pub type Behaviour = Arc<dyn Fn(&Request) -> Reply + Send + Sync>;
+pub type Behaviour = Arc<dyn Fn(&Request<'_>) -> Reply + Send + Sync>;
 
 /// A request that an upstream has run.
-pub struct Request {
+pub struct Request<'a> {
+    /// The value of `X-Attempt-Id`.
+    pub attempt: &'a str,
     /// Its position on its connection, from 0.
     pub position: u64,
 }
@@ -57,6 +59,7 @@
     id: String,
     service: &'static str,
     address: SocketAddr,
+    slots: u32,
     born_ms: u128,
     sequence: Arc<AtomicU64>,
 }
@@ -84,17 +87,24 @@
             id: id.to_owned(),
             service,
             address,
+            slots: 3,
             born_ms: unix_ms()?,
             sequence: Arc::new(AtomicU64::new(1)),
         })
     }
 
+    /// The same upstream with so many slots.
+    pub const fn with_slots(mut self, slots: u32) -> Self {
+        self.slots = slots;
+        self
+    }
+
     /// Sends the next heartbeat.
     pub fn send_heartbeat(&self, deployment: &Deployment, state: &str) -> io::Result<Message> {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         let body = format!(
-            r#"{{"service":"{}","address":"{}","zone":"jhb-a","version":"v1","slots":3,"state":"{state}","cold_remaining_s":0,"sequence":{sequence},"born":{}}}"#,
-            self.service, self.address, self.born_ms,
+            r#"{{"service":"{}","address":"{}","zone":"jhb-a","version":"v1","slots":{},"state":"{state}","cold_remaining_s":0,"sequence":{sequence},"born":{}}}"#,
+            self.service, self.address, self.slots, self.born_ms,
         );
         let query = format!("call=instances.heartbeat&of={}", self.id);
         deployment.call(&query, None, &body)
@@ -134,7 +144,10 @@
         };
         runs.lock().expect("no holder panics").push(run);
         thread::sleep(WORK);
-        let reply = behaviour(&Request { position });
+        let reply = behaviour(&Request {
+            attempt: &attempt,
+            position,
+        });
         let answer = |status: &str, body: &str| {
             format!(
                 "HTTP/1.1 {status}\r\nx-attempt-id: {attempt}\r\nx-response-signature: s.{attempt}\r\nx-server-load: 0,0,3\r\ncontent-length: {}\r\n\r\n{body}",
