Move the judgement of an upstream's answer into the core

Cause: whether an answer belongs to its attempt, and how the attempt ended, was decided between the socket and the decoder (crates/daemon/src/gateway/attempt.rs), where no test without a network reached it. Change: gate::AnswerHead::ending decides; the adapter decodes into it. No change of behaviour.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -17,14 +17,12 @@
 use gate::{Ending, Load, Notices, Target};
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    HeaderMap, Method, Request, Response, Uri,
     body::Body as _,
     header::{CONTENT_LENGTH, HeaderValue},
 };
 use kameo::actor::ActorRef;
-use platform::{
-    AnswerHeaders, NotRun, decode_answer_headers, decode_request_headers, set_attempt_headers,
-};
+use platform::{AnswerHeaders, decode_answer_headers, decode_request_headers, set_attempt_headers};
 use std::time::Duration;
 use tokio::{
     sync::OwnedSemaphorePermit,
@@ -53,14 +51,6 @@
 /// How long before the idle timeout that the upstream advertises a connection is no longer reused.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
-/// Statuses by which clients are told that a request did not run.
-const NOT_RUN_STATUSES: [StatusCode; 4] = [
-    StatusCode::REQUEST_TIMEOUT,
-    StatusCode::MISDIRECTED_REQUEST,
-    StatusCode::TOO_MANY_REQUESTS,
-    StatusCode::SERVICE_UNAVAILABLE,
-];
-
 /// A client's request in memory, so that it can be retried.
 #[derive(Debug)]
 pub struct Call {
@@ -145,10 +135,10 @@
         };
         let attempt = decode_request_headers(&call.headers).attempt;
         let answer = decode_answer_headers(response.status(), response.headers(), attempt);
-        if !is_trusted(response.status(), &answer) {
-            return Outcome::without_answer(Ending::Broken);
+        let ending = answer.head.ending();
+        if ending == Ending::Broken {
+            return Outcome::without_answer(ending);
         }
-        let status = response.status();
         let read = timeout_at(deadline, read_response(response, deadline, &self.bodies)).await;
         let notices = answer.notices;
         let without_body = |ending| Outcome {
@@ -172,7 +162,7 @@
             )),
         };
         Outcome {
-            ending: ending(status, &answer),
+            ending,
             load: answer.load,
             notices,
             response: Some(response),
@@ -234,24 +224,6 @@
     }
 }
 
-/// Whether an answer belongs to the attempt. What promises something to the client, a success or that
-/// the request did not run, must name the attempt, and a success must have a signature.
-fn is_trusted(status: StatusCode, answer: &AnswerHeaders) -> bool {
-    let says_not_run = answer.not_run.is_some() || NOT_RUN_STATUSES.contains(&status);
-    let is_promise = status.is_success() || says_not_run;
-    let is_signed = answer.is_signed || !status.is_success();
-    !answer.names_other_attempt && is_signed && (answer.names_attempt || !is_promise)
-}
-
-fn ending(status: StatusCode, answer: &AnswerHeaders) -> Ending {
-    match answer.not_run {
-        Some(NotRun::OtherInstance) => Ending::Misdirected,
-        Some(NotRun::Refused) => Ending::Full,
-        None if status.is_server_error() => Ending::Failed,
-        None => Ending::Answered,
-    }
-}
-
 /// A buffered answer, with the room that it takes until the client has taken it.
 struct BufferedAnswer {
     bytes: Bytes,
--- /dev/null
+++ b/crates/gate/src/answer.rs
@@ -0,0 +1,76 @@
+//! Judges the head of an upstream's answer: whether it belongs to the attempt, and whether it says that
+//! the request ran.
+
+use crate::api::Ending;
+
+/// HTTP statuses by which clients are told that a request did not run and never will.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
+/// How the attempt ID in an answer compares with that of the attempt. Upstreams repeat the ID in all
+/// their answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdMatch {
+    /// The answer names the attempt.
+    Same,
+    /// The attempt has no ID, and the answer names none.
+    BothAbsent,
+    /// The attempt has an ID, but the answer names none; it may be a copy of an earlier answer on the
+    /// same connection.
+    Missing,
+    /// The answer names another attempt.
+    Other,
+}
+
+/// How an upstream states that it did not run a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotRun {
+    /// It had no capacity, or the request's time was over.
+    Refused,
+    /// It is not the instance that the request was for.
+    OtherInstance,
+}
+
+/// What decides how an attempt ended whose upstream has answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// The HTTP status.
+    pub status_code: u16,
+    /// Whether it names the attempt.
+    pub id_match: IdMatch,
+    /// Whether it has the signature, which only upstreams set.
+    pub is_signed: bool,
+    /// The statement that the request was not run; `None` without one.
+    pub not_run: Option<NotRun>,
+}
+
+impl AnswerHead {
+    /// How the attempt ended, if the answer is complete.
+    #[must_use]
+    pub fn ending(&self) -> Ending {
+        if !self.is_trusted() {
+            return Ending::Broken;
+        }
+        match self.not_run {
+            Some(NotRun::OtherInstance) => Ending::Misdirected,
+            Some(NotRun::Refused) => Ending::Full,
+            None if self.status_code >= 500 => Ending::Failed,
+            None => Ending::Answered,
+        }
+    }
+
+    /// Whether the answer belongs to the attempt. What promises something to the client, a success or
+    /// that the request did not run, must name the attempt, and a success must have a signature.
+    fn is_trusted(&self) -> bool {
+        let says_not_run = self.not_run.is_some() || NOT_RUN_STATUSES.contains(&self.status_code);
+        let is_promise = self.is_success() || says_not_run;
+        match self.id_match {
+            IdMatch::Same | IdMatch::BothAbsent => self.is_signed || !self.is_success(),
+            IdMatch::Missing => !is_promise,
+            IdMatch::Other => false,
+        }
+    }
+
+    const fn is_success(&self) -> bool {
+        matches!(self.status_code, 200..=299)
+    }
+}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -6,6 +6,7 @@
 //! output.
 
 mod admission;
+mod answer;
 mod api;
 mod bucket;
 mod candidates;
@@ -31,6 +32,7 @@
 mod withheld;
 
 pub use crate::{
+    answer::{AnswerHead, IdMatch, NotRun},
     api::{
         Arrival, BusyUpstream, Caller, Decision, Ending, Failure, Load, NextStep, Notices,
         PaceCause, PaceChange, Refusal, StateChange, Target,
