Answer 502 where an upstream's status alone says that a request did not run

Cause: the gateway took an upstream's status for an answer like any other, though to clients 408, 421, 429 and 503 are the promise. Only the header that states it says that an upstream did not run a request. Ruled out: the gateway's own 503 for an attempt wrongly taken for unsent (orders were answered 429 too, which it sends for quotas only); a repeated refusal (the answers name their attempts). Change: such an answer ends its attempt as 'ambiguous', which may have run: 502 for an order, another upstream or 502 for an idempotent request.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -17,7 +17,7 @@
 use gate::{Ending, Load, Notices, Target};
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    HeaderMap, Method, Request, Response, Uri,
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
     body::Body as _,
     header::{CONTENT_LENGTH, HeaderValue},
 };
@@ -69,6 +69,8 @@
 pub struct Outcome {
     /// How the attempt ended, as the core counts it.
     pub ending: Ending,
+    /// The status of the upstream's answer, also of one that is not usable.
+    pub status: Option<StatusCode>,
     /// Load that the upstream reported, if any.
     pub load: Option<Load>,
     /// What the upstream asked for.
@@ -90,6 +92,7 @@
     const fn without_answer(ending: Ending) -> Self {
         Self {
             ending,
+            status: None,
             load: None,
             notices: Notices {
                 is_leaving: false,
@@ -136,12 +139,17 @@
         let attempt = decode_request_headers(&call.headers).attempt;
         let answer = decode_answer_headers(response.status(), response.headers(), attempt);
         let ending = answer.head.ending();
+        let status = Some(response.status());
         if ending == Ending::Broken {
-            return Outcome::without_answer(ending);
+            return Outcome {
+                status,
+                ..Outcome::without_answer(ending)
+            };
         }
         let read = timeout_at(deadline, read_response(response, deadline, &self.bodies)).await;
         let notices = answer.notices;
         let without_body = |ending| Outcome {
+            status,
             notices,
             ..Outcome::without_answer(ending)
         };
@@ -163,6 +171,7 @@
         };
         Outcome {
             ending,
+            status,
             load: answer.load,
             notices,
             response: Some(response),
--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -202,7 +202,7 @@
             let next = guard.end_attempt(outcome.ending, outcome.load).await;
             if outcome.ending != Ending::Answered {
                 failed = true;
-                self.log_failed_attempt(call, &target, outcome.ending, arrived_us);
+                self.log_failed_attempt(call, &target, outcome.ending, outcome.status, arrived_us);
             }
             match (next, response) {
                 (NextStep::Deliver, Some(response)) => break response,
@@ -290,11 +290,19 @@
         info!(self.log, "request refused"; "request" => attempt_id(headers), "cause" => cause);
     }
 
-    fn log_failed_attempt(&self, call: &Call, target: &Target, ending: Ending, arrived_us: TimeUs) {
+    fn log_failed_attempt(
+        &self,
+        call: &Call,
+        target: &Target,
+        ending: Ending,
+        status: Option<StatusCode>,
+        arrived_us: TimeUs,
+    ) {
         info!(self.log, "attempt failed";
             "request" => attempt_id(&call.headers),
             "tenant" => target.caller.tenant(),
             "ending" => ending.as_str(),
+            "upstream_status" => status.map(|it| it.as_u16()),
             "upstream" => target.upstream.as_str(),
             "address" => %target.address,
             "attempt" => target.attempt,
--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -53,6 +53,7 @@
         match self.not_run {
             Some(NotRun::OtherInstance) => Ending::Misdirected,
             Some(NotRun::Refused) => Ending::Full,
+            None if self.promises_not_run() => Ending::Ambiguous,
             None if self.status_code >= 500 => Ending::Failed,
             None => Ending::Answered,
         }
@@ -61,8 +62,7 @@
     /// Whether the answer belongs to the attempt. What promises something to the client, a success or
     /// that the request did not run, must name the attempt, and a success must have a signature.
     fn is_trusted(&self) -> bool {
-        let says_not_run = self.not_run.is_some() || NOT_RUN_STATUSES.contains(&self.status_code);
-        let is_promise = self.is_success() || says_not_run;
+        let is_promise = self.is_success() || self.promises_not_run() || self.not_run.is_some();
         match self.id_match {
             IdMatch::Same | IdMatch::BothAbsent => self.is_signed || !self.is_success(),
             IdMatch::Missing => !is_promise,
@@ -70,6 +70,12 @@
         }
     }
 
+    /// Whether its status tells clients that the request did not run. An upstream may answer so after
+    /// it has run the request, for example when it fails for lack of capacity midway.
+    fn promises_not_run(&self) -> bool {
+        NOT_RUN_STATUSES.contains(&self.status_code)
+    }
+
     const fn is_success(&self) -> bool {
         matches!(self.status_code, 200..=299)
     }
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -293,6 +293,9 @@
     Answered,
     /// The upstream ran the request and answered with a server error.
     Failed,
+    /// The upstream's status tells clients that the request did not run, but the upstream does not
+    /// state it. The answer can't go to the client.
+    Ambiguous,
     /// The upstream states that it did not run the request, for lack of capacity or time.
     Full,
     /// Another instance has the address; it did not run the request.
@@ -314,6 +317,7 @@
         match self {
             Self::Answered => "answered",
             Self::Failed => "failed",
+            Self::Ambiguous => "ambiguous",
             Self::Full => "full",
             Self::Misdirected => "misdirected",
             Self::NotSent => "not-sent",
@@ -327,7 +331,7 @@
     pub(crate) const fn is_failure(self) -> bool {
         matches!(
             self,
-            Self::Failed | Self::NotSent | Self::Broken | Self::TimedOut
+            Self::Failed | Self::Ambiguous | Self::NotSent | Self::Broken | Self::TimedOut
         )
     }
 
--- a/crates/gate/src/pace.rs
+++ b/crates/gate/src/pace.rs
@@ -247,9 +247,12 @@
                 pace.record_answer(answer, gateway_count, now_us)
             }
             Ending::Left | Ending::Misdirected => false,
-            Ending::Failed | Ending::Full | Ending::NotSent | Ending::Broken | Ending::TimedOut => {
-                pace.halve(total, attempt.sent_us, now_us)
-            }
+            Ending::Failed
+            | Ending::Ambiguous
+            | Ending::Full
+            | Ending::NotSent
+            | Ending::Broken
+            | Ending::TimedOut => pace.halve(total, attempt.sent_us, now_us),
         };
         if fails {
             let pause_ms = pace.next_pause_ms();
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -263,8 +263,11 @@
             Ending::Left => return NextStep::GiveUp(Failure::Unknown),
             Ending::TimedOut => return NextStep::GiveUp(Failure::TimedOut),
             Ending::Failed if !pending.idempotent => return NextStep::Deliver,
-            Ending::Broken if !pending.idempotent => return NextStep::GiveUp(Failure::Unknown),
+            Ending::Ambiguous | Ending::Broken if !pending.idempotent => {
+                return NextStep::GiveUp(Failure::Unknown);
+            }
             Ending::Failed
+            | Ending::Ambiguous
             | Ending::Broken
             | Ending::Full
             | Ending::Misdirected
--- a/crates/gate/src/upstream.rs
+++ b/crates/gate/src/upstream.rs
@@ -204,7 +204,11 @@
                 self.consecutive_failures = 0;
                 self.pause_ms = PAUSE_MIN_MS;
             }
-            Ending::Failed | Ending::Broken | Ending::TimedOut | Ending::NotSent => {
+            Ending::Failed
+            | Ending::Ambiguous
+            | Ending::Broken
+            | Ending::TimedOut
+            | Ending::NotSent => {
                 self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate);
                 self.consecutive_failures += 1;
                 let is_unreachable = ending == Ending::NotSent;
