Believe a statement that a request was not run only with a status that allows it

What callers saw: an order that an upstream answered with a success, or with 500 or 504, and with the header that states that it was not run was sent to a second upstream, or its client was told that it had not run. Cause: the header decided alone, whatever the status said. Change: the statement counts with 4xx and 503; a success with it breaks the attempt, any other answer counts by its status. The header is removed from answers that go to clients. The generated test asks for such a status too.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -22,7 +22,10 @@
     header::{CONTENT_LENGTH, HeaderValue},
 };
 use kameo::actor::ActorRef;
-use platform::{AnswerHeaders, decode_answer_headers, decode_request_headers, set_attempt_headers};
+use platform::{
+    AnswerHeaders, decode_answer_headers, decode_request_headers, set_attempt_headers,
+    strip_not_run,
+};
 use std::time::Duration;
 use tokio::{
     sync::OwnedSemaphorePermit,
@@ -254,6 +257,7 @@
 ) -> Option<UpstreamAnswer> {
     let (mut head, mut body) = response.into_parts();
     strip_hop_by_hop_headers(&mut head.headers);
+    strip_not_run(&mut head.headers);
     let expected_bytes = body.size_hint().exact();
     let expected_bytes = expected_bytes.and_then(|it| usize::try_from(it).ok());
     let needed_bytes = expected_bytes.map_or(BUFFER_MAX_BYTES, |it| it.min(BUFFER_MAX_BYTES));
--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -50,7 +50,7 @@
         if !self.is_trusted() {
             return Ending::Broken;
         }
-        match self.not_run {
+        match self.not_run.filter(|_| self.may_state_not_run()) {
             Some(NotRun::OtherInstance) => Ending::Misdirected,
             Some(NotRun::Refused) => Ending::Full,
             None if self.promises_not_run() => Ending::Ambiguous,
@@ -63,6 +63,10 @@
     /// that the request did not run, must name the attempt, and a success must have a signature.
     fn is_trusted(&self) -> bool {
         let is_promise = self.is_success() || self.promises_not_run() || self.not_run.is_some();
+        // An answer can't say both that the request ran to a good end and that it did not run.
+        if self.is_success() && self.not_run.is_some() {
+            return false;
+        }
         match self.id_match {
             IdMatch::Same | IdMatch::BothAbsent => self.is_signed || !self.is_success(),
             IdMatch::Missing => !is_promise,
@@ -76,6 +80,12 @@
         NOT_RUN_STATUSES.contains(&self.status_code)
     }
 
+    /// Whether an upstream that did not run the request may answer with its status. All others say that
+    /// it ran the request, or failed to.
+    const fn may_state_not_run(&self) -> bool {
+        matches!(self.status_code, 400..=499 | 503)
+    }
+
     const fn is_success(&self) -> bool {
         matches!(self.status_code, 200..=299)
     }
--- a/crates/gate/tests/answers.rs
+++ b/crates/gate/tests/answers.rs
@@ -10,6 +10,11 @@
 /// Statuses by which clients are told that a request did not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
+/// Whether an upstream that did not run the request may answer with this status.
+fn may_state_not_run(status_code: u16) -> bool {
+    (400..500).contains(&status_code) || status_code == 503
+}
+
 /// What a gateway does after this answer to the first attempt of a request; `upstreams` could run it.
 fn next_step(head: AnswerHead, repeat: RetrySafety, upstreams: usize) -> NextStep {
     let mut gate = gate();
@@ -66,12 +71,13 @@
         repeat in safeties(),
         upstreams in 1..=2_usize,
     ) {
+        let is_stated = head.not_run.is_some() && may_state_not_run(head.status_code);
         match next_step(head, repeat, upstreams) {
             NextStep::Deliver => prop_assert!(!NOT_RUN_STATUSES.contains(&head.status_code)),
             NextStep::Retry(_) if repeat == RetrySafety::AtMostOnce => {
-                prop_assert!(head.not_run.is_some());
+                prop_assert!(is_stated);
             }
-            NextStep::GiveUp(Failure::NotRun { .. }) => prop_assert!(head.not_run.is_some()),
+            NextStep::GiveUp(Failure::NotRun { .. }) => prop_assert!(is_stated),
             NextStep::Retry(_) | NextStep::GiveUp(Failure::Unknown | Failure::TimedOut) => {}
         }
     }
@@ -111,6 +117,22 @@
     }
 }
 
+// Guards against sending an order again whose upstream answers that it was run and that it was not.
+#[test]
+fn a_statement_that_the_status_contradicts_is_not_believed() {
+    for (status_code, expected) in [
+        (200, NextStep::GiveUp(Failure::Unknown)),
+        (204, NextStep::GiveUp(Failure::Unknown)),
+        (500, NextStep::Deliver),
+        (502, NextStep::Deliver),
+        (504, NextStep::Deliver),
+    ] {
+        let head = head(status_code, Some(NotRun::Refused));
+        let order = next_step(head, RetrySafety::AtMostOnce, 2);
+        assert_eq!(order, expected, "{status_code}");
+    }
+}
+
 #[test]
 fn other_failures_of_an_upstream_are_passed_on() {
     for status_code in [400, 404, 500, 502, 504] {
