Take a 421 for another instance's answer only with evidence

What callers saw: an order that an upstream ran and failed with its own 421 was sent to a second upstream, or its client was told that it had not run. Change: a 421 counts with that header, or with the ID of another instance; any other one is ambiguous.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -140,9 +140,10 @@
             Err(_) => return Outcome::without_answer(Ending::TimedOut),
         };
         let attempt = decode_request_headers(&call.headers).attempt;
-        let answer = decode_answer_headers(response.status(), response.headers(), attempt);
+        let (status, headers) = (response.status(), response.headers());
+        let answer = decode_answer_headers(status, headers, attempt, &target.upstream);
         let ending = answer.head.ending();
-        let status = Some(response.status());
+        let status = Some(status);
         if ending == Ending::Broken {
             return Outcome {
                 status,
