Send a request without an attempt ID over a new connection

What callers saw: a client whose order has no attempt ID was told that it had not run, though it had, when the upstream wrote an earlier refusal without an ID once more on a kept connection. Cause: where neither the attempt nor the answer has an ID, the two counted as belonging together, also on a connection with earlier answers. Change: such a request gets a connection of its own; all others use kept ones as before. Measured: before, a_repeated_refusal_is_no_answer_to_a_request_without_an_id failed at the second order (it ran and got 503); after, it passes, as do the four others of platform/tests/not_run.rs.

--- a/crates/daemon/src/gateway/attempt.rs
+++ b/crates/daemon/src/gateway/attempt.rs
@@ -126,7 +126,13 @@
     /// that may not belong to the attempt counts as broken.
     pub async fn run(&self, call: &Call, target: &Target) -> Outcome {
         let deadline = self.clock.instant(target.deadline_us);
-        let Some(mut connection) = self.connection(target, deadline).await else {
+        let attempt = decode_request_headers(&call.headers).attempt;
+        // Without an ID, a copy of an earlier answer on the connection could not be told from the answer.
+        let connection = match attempt {
+            Some(_) => self.connection(target, deadline).await,
+            None => self.new_connection(target, deadline).await,
+        };
+        let Some(mut connection) = connection else {
             return Outcome::without_answer(Ending::NotSent);
         };
         let Some(request) = self.build_request(call, target) else {
@@ -139,7 +145,6 @@
             Ok(Err(SendError::Broken)) => return Outcome::without_answer(Ending::Broken),
             Err(_) => return Outcome::without_answer(Ending::TimedOut),
         };
-        let attempt = decode_request_headers(&call.headers).attempt;
         let (status, headers) = (response.status(), response.headers());
         let answer = decode_answer_headers(status, headers, attempt, &target.upstream);
         let ending = answer.head.ending();
@@ -182,17 +187,22 @@
         }
     }
 
+    /// An idle connection, or else a new one.
     async fn connection(&self, target: &Target, deadline: Instant) -> Option<Connection> {
         let address = target.address;
         let fresh = !target.idempotent;
         let idle = self.pool.ask(Take { address, fresh }).await;
         let idle = idle.ok().flatten();
-        if idle.is_some() {
-            return idle;
+        match idle {
+            Some(connection) => Some(connection),
+            None => self.new_connection(target, deadline).await,
         }
+    }
+
+    async fn new_connection(&self, target: &Target, deadline: Instant) -> Option<Connection> {
         self.metrics.connections.inc();
         let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        connect(address, deadline).await.ok()
+        connect(target.address, deadline).await.ok()
     }
 
     fn build_request(&self, call: &Call, target: &Target) -> Option<Request<RequestBody>> {
