Believe a refusal at an entry only if it can't be a copy of an earlier one

What callers saw: a payout that its upstream had run, and answered with an earlier refusal once more on a kept connection, was sent to it again up to the limit on attempts, and ended as did-not-run. Cause: nothing said to an entry which attempt a refusal answers; any 503 with ow-did-not-run counted. Change: a refusal counts if it repeats ow-request, or names no attempt and comes on a new connection; else the request may have run. route::AnswerHead decides it; types::IdMatch is shared with gateways. The upstream of a_request_that_its_upstream_refuses_ends_as_did_not_run refuses on a kept connection, so it repeats the ID now; the test's checks are the same.

--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -14,10 +14,10 @@
     header::{self, HeaderName, HeaderValue},
 };
 use kameo::actor::ActorRef;
-use route::Ending;
+use route::{AnswerHead, Ending};
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::{Instant, timeout_at};
-use types::TimeUs;
+use types::{IdMatch, TimeUs};
 
 /// Time for a connection to open; after it, the upstream counts as unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -31,7 +31,7 @@
 /// The header that tells the upstream how long the caller still waits, in milliseconds.
 const DEADLINE_MS: HeaderName = HeaderName::from_static("ow-deadline-ms");
 
-/// The header with the ID of the attempt, unique over entries.
+/// The header with the ID of the attempt, unique over entries. A refusal repeats it.
 const REQUEST: HeaderName = HeaderName::from_static("ow-request");
 
 /// A caller's request in memory, so that it can be retried.
@@ -93,6 +93,7 @@
         .await
         .ok()
         .flatten();
+    let is_on_used_connection = idle.is_some();
     let mut connection = match idle {
         Some(connection) => connection,
         None => match connect(
@@ -105,25 +106,42 @@
             Err(_) => return Attempt::Failed(Ending::NotSent),
         },
     };
-    let Some(request) = build_request(call, target, clock) else {
+    let attempt_id = format!("{}.{}", call.id, target.attempt);
+    let Some(request) = build_request(call, target, &attempt_id, clock) else {
         return Attempt::Failed(Ending::NotSent);
     };
     match timeout_at(deadline, connection.send(request)).await {
-        Ok(Ok(response)) if is_refusal(&response) => {
-            finish_refusal(pool, target.address, response, connection, deadline).await;
-            Attempt::Failed(Ending::Refused)
+        Ok(Ok(response)) => {
+            let head = AnswerHead {
+                states_not_run: states_not_run(&response),
+                id_match: IdMatch::of(answered_id(&response), Some(attempt_id.as_bytes())),
+                is_on_used_connection,
+            };
+            match head.ending() {
+                None => Attempt::Answer {
+                    response,
+                    connection,
+                },
+                Some(ending) => {
+                    if head.id_match == IdMatch::Same {
+                        finish_refusal(pool, target.address, response, connection, deadline).await;
+                    }
+                    Attempt::Failed(ending)
+                }
+            }
         }
-        Ok(Ok(response)) => Attempt::Answer {
-            response,
-            connection,
-        },
         Ok(Err(SendError::NotSent)) => Attempt::Failed(Ending::NotSent),
         Ok(Err(SendError::Broken)) => Attempt::Failed(Ending::Broken),
         Err(_) => Attempt::Failed(Ending::Broken),
     }
 }
 
-fn build_request(call: &Call, target: Target, clock: Clock) -> Option<Request<RequestBody>> {
+fn build_request(
+    call: &Call,
+    target: Target,
+    attempt_id: &str,
+    clock: Clock,
+) -> Option<Request<RequestBody>> {
     let mut request = Request::new(Either::Left(Full::new(call.body.clone())));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
@@ -131,17 +149,21 @@
     let headers = request.headers_mut();
     strip_hop_by_hop_headers(headers);
     let left_ms = target.deadline_us.since_us(clock.now_us()) / 1_000;
-    let attempt_id = format!("{}.{}", call.id, target.attempt);
     headers.insert(
         header::HOST,
         HeaderValue::from_str(&target.address.to_string()).ok()?,
     );
-    headers.insert(REQUEST, HeaderValue::from_str(&attempt_id).ok()?);
+    headers.insert(REQUEST, HeaderValue::from_str(attempt_id).ok()?);
     headers.insert(DEADLINE_MS, HeaderValue::from(left_ms));
     Some(request)
 }
 
-fn is_refusal(response: &Response<AnswerBody>) -> bool {
+/// The ID of the attempt that an answer names.
+fn answered_id(response: &Response<AnswerBody>) -> Option<&[u8]> {
+    response.headers().get(REQUEST).map(HeaderValue::as_bytes)
+}
+
+fn states_not_run(response: &Response<AnswerBody>) -> bool {
     response.status() == StatusCode::SERVICE_UNAVAILABLE
         && response
             .headers()
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -163,8 +163,12 @@
     let refusing = thread::spawn(move || {
         let mut refused = 0;
         let mut stream = upstream.accept();
-        while read_head(&mut stream).is_some() {
-            let refusal = "HTTP/1.1 503 Busy\r\now-did-not-run: true\r\ncontent-length: 0\r\n\r\n";
+        while let Some(head) = read_head(&mut stream) {
+            let attempt = head.lines().find(|line| line.starts_with("ow-request: "));
+            let attempt = attempt.expect("the attempt is named");
+            let refusal = format!(
+                "HTTP/1.1 503 Busy\r\n{attempt}\r\now-did-not-run: true\r\ncontent-length: 0\r\n\r\n"
+            );
             if stream.write_all(refusal.as_bytes()).is_err() {
                 break;
             }
@@ -181,6 +185,40 @@
     assert!(refusing.join().expect("the upstream ended") >= 1);
 }
 
+// Guards against a refusal that an upstream writes once more on a kept connection: the request that it had run
+// was sent to it again, and its caller was told that it did not run.
+#[test]
+fn a_repeated_refusal_does_not_say_that_another_request_did_not_run() {
+    let daemon = Daemon::start();
+    let upstream = Upstream::new();
+    let _announcing = daemon.announce("payout", upstream.address);
+    for named in ["", "ow-request: another\r\n"] {
+        let first = call_when_ready(&daemon, "/s/payout/first");
+        let mut stream = upstream.accept();
+        read_head(&mut stream).expect("the request");
+        answer(&mut stream, "first");
+        first.join().expect("the caller ended");
+        let second = call(daemon.entry, "/s/payout/second");
+        let running = thread::spawn(move || {
+            let mut runs = 0;
+            while read_head(&mut stream).is_some() {
+                runs += 1;
+                let refusal = format!(
+                    "HTTP/1.1 503 Busy\r\n{named}ow-did-not-run: true\r\ncontent-length: 0\r\n\r\n"
+                );
+                if stream.write_all(refusal.as_bytes()).is_err() {
+                    break;
+                }
+            }
+            runs
+        });
+        let response = second.join().expect("the caller ended");
+        let told = (status(&response), header(&response, "ow-outcome"));
+        let runs = running.join().expect("the upstream ended");
+        assert_eq!((told, runs), ((504, "unknown".to_owned()), 1), "{named:?}");
+    }
+}
+
 #[test]
 fn a_broken_attempt_of_a_non_idempotent_request_is_unknown_and_not_retried() {
     let daemon = Daemon::start();
--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -2,25 +2,11 @@
 //! the request ran.
 
 use crate::api::Ending;
+use types::IdMatch;
 
 /// HTTP statuses by which clients are told that a request did not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
-/// How the attempt ID in an answer compares with that of the attempt. Upstreams repeat the ID in all
-/// their answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum IdMatch {
-    /// The answer names the attempt.
-    Same,
-    /// The attempt has no ID, and the answer names none.
-    BothAbsent,
-    /// The attempt has an ID, but the answer names none; it may be a copy of an earlier answer on the
-    /// same connection.
-    Missing,
-    /// The answer names another attempt.
-    Other,
-}
-
 /// How an upstream states that it did not run a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotRun {
@@ -35,7 +21,7 @@
 pub struct AnswerHead {
     /// The HTTP status.
     pub status_code: u16,
-    /// Whether it names the attempt.
+    /// Whether it names the attempt; upstreams repeat its ID in all their answers.
     pub id_match: IdMatch,
     /// Whether it has the signature, which only upstreams set.
     pub is_signed: bool,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -32,7 +32,7 @@
 mod withheld;
 
 pub use crate::{
-    answer::{AnswerHead, IdMatch, NotRun},
+    answer::{AnswerHead, NotRun},
     api::{
         Arrival, BusyUpstream, Caller, Decision, Ending, Failure, Load, NextStep, Notices,
         PaceCause, PaceChange, Refusal, StateChange, Target,
--- a/crates/gate/tests/answers.rs
+++ b/crates/gate/tests/answers.rs
@@ -2,10 +2,11 @@
 
 mod support;
 
-use gate::{AnswerHead, Ending, Failure, IdMatch, NextStep, NotRun};
+use gate::{AnswerHead, Ending, Failure, NextStep, NotRun};
 use plan::RetrySafety;
 use proptest::prelude::*;
 use support::{REPLICA, answer, arrival, at_ms, forwarded, gate, instance, plan, route};
+use types::IdMatch;
 
 /// Statuses by which clients are told that a request did not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,6 +5,7 @@
 //! the current time to [`Router::step`] and carries out the [`Output`]s that come back.
 
 mod allowance;
+mod answer;
 mod api;
 mod attempt;
 mod budget;
@@ -26,6 +27,7 @@
 mod upstream;
 
 pub use crate::{
+    answer::AnswerHead,
     api::{Ending, Input, Output, RequestId, Settled},
     config::{Fallback, Limits, Policy, RouterConfig},
     router::Router,
--- a/crates/standin/src/upstream/server.rs
+++ b/crates/standin/src/upstream/server.rs
@@ -23,6 +23,9 @@
     time::sleep,
 };
 
+/// The header with the ID of the attempt, which a refusal repeats.
+const ATTEMPT: &str = "ow-request";
+
 /// The answer header which states that the upstream did not run the request.
 const DID_NOT_RUN: &str = "ow-did-not-run";
 
@@ -68,13 +71,14 @@
     let Some(attempt) = request.uri().query().and_then(parse_attempt_id) else {
         return empty(StatusCode::BAD_REQUEST);
     };
+    let named_attempt = request.headers().get(ATTEMPT).cloned();
     if request.into_body().collect().await.is_err() {
         return empty(StatusCode::BAD_REQUEST);
     }
     let (reply, admitted) = oneshot::channel();
     let sent = inbox.send(Message::Begin { attempt, reply });
     let Some(guard) = sent.ok().and(admitted.await.ok().flatten()) else {
-        return refusal();
+        return refusal(named_attempt);
     };
     sleep(spec.service_time).await;
     let bytes = Bytes::from(Answer::encode(attempt, &spec.name, spec.answer_bytes));
@@ -91,10 +95,12 @@
     response
 }
 
-fn refusal() -> Response<AnswerBody> {
+fn refusal(named_attempt: Option<HeaderValue>) -> Response<AnswerBody> {
     let mut response = empty(StatusCode::SERVICE_UNAVAILABLE);
-    response
-        .headers_mut()
-        .insert(DID_NOT_RUN, HeaderValue::from_static("true"));
+    let headers = response.headers_mut();
+    headers.insert(DID_NOT_RUN, HeaderValue::from_static("true"));
+    if let Some(attempt) = named_attempt {
+        headers.insert(ATTEMPT, attempt);
+    }
     response
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 mod announcement;
 mod error;
 mod hash;
+mod id_match;
 mod lease;
 mod lookup;
 mod name;
@@ -17,6 +18,7 @@
     announcement::{AnnounceAnswer, Announcement, UpstreamState},
     error::{ApiError, ErrorBody},
     hash::fnv1a,
+    id_match::IdMatch,
     lease::{CONFIG_LEASE_MS, poll_interval_ms},
     lookup::{LookupAnswer, LookupEntry},
     name::{
