Keep a request with a claim at most once when its service is declared idempotent

What callers saw: a request with an idempotency key that waited for its claim while its service was declared idempotent was sent to an upstream again after a broken attempt, and its claim could end as not run. Cause: whether it may be sent again was read when the claim was granted, whether it needs one when it arrived. Change: both are decided at the arrival; a request that holds a claim runs at most once.

--- a/crates/entry/src/core/requests.rs
+++ b/crates/entry/src/core/requests.rs
@@ -33,7 +33,8 @@
         };
         let timeout_ms = timeout_ms.unwrap_or(spec.deadline_ms).min(spec.deadline_ms);
         let deadline_us = now_us.after_ms(timeout_ms);
-        let claim_key = key.filter(|_| !spec.idempotent);
+        let idempotent = spec.idempotent;
+        let claim_key = key.filter(|_| !idempotent);
         self.shares.add(request, &self.config, service);
         match claim_key {
             Some(key) => {
@@ -45,7 +46,7 @@
                 self.claims
                     .request(now_us, request, key.clone(), deadline_us);
             }
-            None => self.send_to_router(now_us, request, service, deadline_us),
+            None => self.send_to_router(now_us, request, service, deadline_us, idempotent),
         }
     }
 
@@ -71,11 +72,8 @@
         request: RequestId,
         service: &ServiceName,
         deadline_us: TimeUs,
+        idempotent: bool,
     ) {
-        let idempotent = self
-            .config
-            .service(service)
-            .is_some_and(|spec| spec.idempotent);
         self.step_router(
             now_us,
             route::Input::Arrive {
@@ -139,7 +137,8 @@
             ClaimOutcome::Run { request, before_us } => {
                 if let Some(pending) = self.pending_claims.remove(&request) {
                     let deadline_us = pending.deadline_us.min(before_us);
-                    self.send_to_router(now_us, request, &pending.service, deadline_us);
+                    // The claim lets it run at most once, whatever its service is declared as by now.
+                    self.send_to_router(now_us, request, &pending.service, deadline_us, false);
                 }
             }
             ClaimOutcome::Replay {
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -112,6 +112,34 @@
     assert_eq!(cluster.runs.len(), 1);
 }
 
+// Guards against a request that holds a claim and is sent again after a broken attempt, since its service was
+// declared idempotent while it waited for the claim: it ran twice, and its claim could end as "not run".
+#[test]
+fn a_claim_binds_after_its_service_is_declared_idempotent() {
+    let mut cluster = Cluster::new(5);
+    let first = send_until_running(&mut cluster, 0, "a");
+    cluster.advance_ms(DEADLINE_MS / 2);
+    let second = cluster.send(1, Some(&key("a")));
+    cluster.declare_idempotent(DECLARED_INDEX + 1);
+    let mut refused = 0;
+    while settled(&cluster, 0, first.request).is_none() {
+        while refused < cluster.runs.len() {
+            cluster.end(cluster.runs[refused], Ending::Refused, None);
+            refused += 1;
+        }
+        cluster.advance_ms(100);
+    }
+    cluster.advance_ms(200);
+    let runs = cluster.runs.len();
+    let run = cluster.runs[runs - 1];
+    assert_eq!(run.request, second, "the second request holds the claim");
+    cluster.end(run, Ending::Broken, None);
+    cluster.advance_ms(200);
+    assert_eq!(cluster.runs.len(), runs);
+    let outcome = settled(&cluster, 1, second).map(|settled| settled.outcome);
+    assert_eq!(outcome, Some(Outcome::Unknown));
+}
+
 #[test]
 fn restarted_holders_keep_their_claims() {
     let mut cluster = Cluster::new(5);
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -150,6 +150,17 @@
         self.set_index(index);
     }
 
+    /// Declares the service as idempotent, and sets every replica to the index of that.
+    pub fn declare_idempotent(&mut self, index: u64) {
+        for resource in &mut self.resources {
+            if let Spec::Service(spec) = &mut resource.spec {
+                spec.idempotent = true;
+                resource.revision = index;
+            }
+        }
+        self.set_index(index);
+    }
+
     /// Sends a request to an entry; its result is stored under the entry and the returned id.
     pub fn send(&mut self, entry: usize, key: Option<&ClaimKey>) -> RequestId {
         let request = RequestId(self.next_request);
