Pass on no header of an upstream that says what became of a request

What callers saw: beside the entry's ow-outcome: finished, headers of the upstream's answer from which they could read that the request did not run (ow-did-not-run, ow-refusal), or that another one had run (ow-replayed). Cause: the entry overwrote only the headers that it sets on each answer. Change: the three are removed from answers that go to callers. Measured: before, only_the_entry_says_what_became_of_a_request failed (a 200 with all three); after, it passes with all tests of the daemon crate.

--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -26,7 +26,7 @@
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// The header by which an upstream states that it did not run a request.
-const DID_NOT_RUN: HeaderName = HeaderName::from_static("ow-did-not-run");
+pub const DID_NOT_RUN: HeaderName = HeaderName::from_static("ow-did-not-run");
 
 /// The header that tells the upstream how long the caller still waits, in milliseconds.
 const DEADLINE_MS: HeaderName = HeaderName::from_static("ow-deadline-ms");
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -8,7 +8,7 @@
             Admission, Announce, AnswerStarted, AttemptEnded, Directive, Dump, EntryActor, Lookup,
             Ready, RequestArrived,
         },
-        forward::{Attempt, Call, Target, send_attempt},
+        forward::{Attempt, Call, DID_NOT_RUN, Target, send_attempt},
         kept::KeptAnswer,
         metrics::EntryMetrics,
         relay::{RelayContext, RelayedBody, RequestGuard},
@@ -316,6 +316,9 @@
             kept: keeps_answer.then(|| KeptAnswer::from_headers(&head.headers)),
         };
         strip_hop_by_hop_headers(&mut head.headers);
+        for name in [DID_NOT_RUN, REFUSAL, REPLAYED] {
+            head.headers.remove(name);
+        }
         set_outcome_headers(&mut head.headers, Outcome::Finished, target.attempt);
         if let Ok(value) = HeaderValue::from_str(upstream.as_str()) {
             head.headers.insert(UPSTREAM, value);
--- a/crates/daemon/tests/answers.rs
+++ b/crates/daemon/tests/answers.rs
@@ -219,6 +219,38 @@
     }
 }
 
+// Guards against an upstream's answer to a request that it ran, from which a caller reads that the request did not
+// run, or that another one did.
+#[test]
+fn only_the_entry_says_what_became_of_a_request() {
+    let daemon = Daemon::start();
+    let upstream = Upstream::new();
+    let _announcing = daemon.announce("payout", upstream.address);
+    for status_line in ["200 OK", "500 Failed", "503 Busy"] {
+        let caller = call_when_ready(&daemon, "/s/payout/a");
+        let mut stream = upstream.accept();
+        read_head(&mut stream).expect("the request");
+        let claims = "ow-outcome: did-not-run\r\now-refusal: overloaded\r\now-replayed: true\r\n";
+        let stated = match status_line {
+            "503 Busy" => "ow-did-not-run: false\r\n",
+            _ => "ow-did-not-run: true\r\n",
+        };
+        let answer = format!(
+            "HTTP/1.1 {status_line}\r\n{claims}{stated}connection: close\r\ncontent-length: 0\r\n\r\n"
+        );
+        let written = stream.write_all(answer.as_bytes());
+        written.expect("the answer is written");
+        drop(stream);
+        let response = caller.join().expect("the caller ended");
+        let head = String::from_utf8_lossy(&response);
+        assert_eq!(header(&response, "ow-outcome"), "finished", "{head}");
+        for name in ["ow-refusal", "ow-replayed", "ow-did-not-run"] {
+            assert!(!head.contains(name), "{status_line}: {head}");
+        }
+        assert!(!upstream.has_connection(), "{status_line}");
+    }
+}
+
 #[test]
 fn a_broken_attempt_of_a_non_idempotent_request_is_unknown_and_not_retried() {
     let daemon = Daemon::start();
