Shorten the branches of the two judges of answers

Cause: read as a newcomer would, the entry's one nested matches and the gateway's one listed a condition before its use. Change: early returns; no change of behaviour.

--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -117,18 +117,17 @@
                 id_match: IdMatch::of(answered_id(&response), Some(attempt_id.as_bytes())),
                 is_on_used_connection,
             };
-            match head.ending() {
-                None => Attempt::Answer {
+            let Some(ending) = head.ending() else {
+                return Attempt::Answer {
                     response,
                     connection,
-                },
-                Some(ending) => {
-                    if head.id_match == IdMatch::Same {
-                        finish_refusal(pool, target.address, response, connection, deadline).await;
-                    }
-                    Attempt::Failed(ending)
-                }
+                };
+            };
+            // Otherwise the connection closes, with any copy of the refusal on it.
+            if head.id_match == IdMatch::Same {
+                finish_refusal(pool, target.address, response, connection, deadline).await;
             }
+            Attempt::Failed(ending)
         }
         Ok(Err(SendError::NotSent)) => Attempt::Failed(Ending::NotSent),
         Ok(Err(SendError::Broken)) => Attempt::Failed(Ending::Broken),
--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -48,11 +48,12 @@
     /// Whether the answer belongs to the attempt. What promises something to the client, a success or
     /// that the request did not run, must name the attempt, and a success must have a signature.
     fn is_trusted(&self) -> bool {
-        let is_promise = self.is_success() || self.promises_not_run() || self.not_run.is_some();
+        let states_not_run = self.not_run.is_some();
         // An answer can't say both that the request ran to a good end and that it did not run.
-        if self.is_success() && self.not_run.is_some() {
+        if self.is_success() && states_not_run {
             return false;
         }
+        let is_promise = self.is_success() || self.promises_not_run() || states_not_run;
         match self.id_match {
             IdMatch::Same | IdMatch::BothAbsent => self.is_signed || !self.is_success(),
             IdMatch::Missing => !is_promise,
