Show that bodies of rejected requests take a gateway's memory

Cause: a connection goes back to the pool once its answer is whole, also when the body of its request has not been sent; the body stays in memory until the worker has read it, but its room is given back at once.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -2,6 +2,7 @@
 //! held, 1 if it was broken, and 2 if the case couldn't run.
 
 mod deployment;
+mod memory;
 mod stop;
 
 use deployment::Record;
@@ -16,6 +17,7 @@
     let ended = Record::new(Path::new(path)).and_then(|record| {
         let held = match case.as_str() {
             "stop" => stop::run(&record),
+            "memory" => memory::run(&record),
             _ => Err("no such case".to_owned()),
         };
         match &held {
