Show that withdrawing the last key opens the routes

Cause: an empty table of tenants in a manifest is read like a missing one, and a plan without tenants needs no keys.

Result: 7 s after the confirmation, with revoke_s 5, a request with the withdrawn key ran, and so did one with a key that no manifest held; the worker got both keys. With another tenant left in the table both are answered 401.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -2,6 +2,7 @@
 //! held, 1 if it was broken, and 2 if the case couldn't run.
 
 mod deployment;
+mod keys;
 mod late_report;
 mod memory;
 mod stop;
@@ -20,6 +21,7 @@
             "stop" => stop::run(&record),
             "memory" => memory::run(&record),
             "late-report" => late_report::run(&record),
+            "keys" => keys::run(&record),
             _ => Err("no such case".to_owned()),
         };
         match &held {
