Show that requests sent ahead outlive their client

Cause: the end of a client's connection is noticed only while no bytes of a further request wait in the buffer.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -5,6 +5,7 @@
 mod keys;
 mod late_report;
 mod memory;
+mod pipelined;
 mod stop;
 
 use deployment::Record;
@@ -22,6 +23,7 @@
             "memory" => memory::run(&record),
             "late-report" => late_report::run(&record),
             "keys" => keys::run(&record),
+            "pipelined" => pipelined::run(&record),
             _ => Err("no such case".to_owned()),
         };
         match &held {
