--- a/review/standin-3/memory.rs
+++ b/review/standin-3/memory.rs
@@ -46,7 +46,7 @@
 /// Workers shed so many of 20 requests, for so long; then comes a pause.
 const SHED_OF_20: u64 = 11;
 const SHED_FOR: Duration = Duration::from_millis(8_500);
-const PAUSE: Duration = Duration::from_millis(2_000);
+const PAUSE: Duration = Duration::from_millis(1_000);
 
 /// How long clients send.
 const SPAN: Duration = Duration::from_secs(90);
