Count clients that leave, sockets closed unread and leaves of unknown instances

Adds the causes left and unread of cut connections, unrecorded_leaves in the dump of a replica, and the number of tenants in the line plan applied.

--- a/crates/control/src/dump.rs
+++ b/crates/control/src/dump.rs
@@ -34,6 +34,9 @@
     /// The number of heartbeats and notices to leave ignored since the start because they are late, or
     /// of a run that seems to be over or to start in the future.
     pub doubtful_heartbeats: u64,
+    /// The number of notices to leave since the start whose instance was not recorded, as when its first
+    /// heartbeat is late.
+    pub unrecorded_leaves: u64,
     /// The number of gateways' polls not answered since the start because they had waited for too long.
     pub expired_gateway_polls: u64,
     /// The last poll that this replica received from each declared entry.
@@ -69,6 +72,7 @@
             waiting_watches: self.watches.len(),
             unknown_service_heartbeats: self.heartbeats.unknown_service(),
             doubtful_heartbeats: self.heartbeats.doubtful(),
+            unrecorded_leaves: self.heartbeats.unrecorded_leaves(),
             expired_gateway_polls: self.gateways.expired_polls(),
             entries: self.entries.dump(self.now_us),
             shares: self.shares.rows(),
--- a/crates/control/src/heartbeats.rs
+++ b/crates/control/src/heartbeats.rs
@@ -47,6 +47,8 @@
     unknown_service: u64,
     /// Heartbeats that were ignored because they are late or doubtful.
     doubtful: u64,
+    /// Notices to leave of instances that were not recorded.
+    unrecorded_leaves: u64,
 }
 
 impl Heartbeats {
@@ -61,6 +63,7 @@
             unix_ms: 0,
             unknown_service: 0,
             doubtful: 0,
+            unrecorded_leaves: 0,
         }
     }
 
@@ -95,6 +98,16 @@
         self.doubtful += 1;
     }
 
+    /// Counts a notice to leave of an instance that is not recorded.
+    pub(crate) const fn count_unrecorded_leave(&mut self) {
+        self.unrecorded_leaves += 1;
+    }
+
+    /// The number of notices to leave of instances that were not recorded.
+    pub(crate) const fn unrecorded_leaves(&self) -> u64 {
+        self.unrecorded_leaves
+    }
+
     /// Forgets all heartbeats and starts a new grace period: another replica led, or this process
     /// was suspended, so that heartbeats may have been missed.
     pub(crate) fn reset(&mut self, now_us: TimeUs) {
--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -207,6 +207,12 @@
             }
             _ => false,
         };
+        if let Change::Leave { id, .. } = &change
+            && self.is_leader
+            && self.state.steering().instance(id.as_str()).is_none()
+        {
+            self.heartbeats.count_unrecorded_leave();
+        }
         if !self.is_leader || !is_doubtful {
             return self.steer(request, change, outputs);
         }
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -171,7 +171,8 @@
         let steering = self.args.core.state().steering();
         if steering.version() != before {
             info!(self.args.log, "plan applied";
-                "version" => steering.version(), "revision" => steering.revision());
+                "version" => steering.version(), "revision" => steering.revision(),
+                "tenants" => steering.plan().map(|plan| plan.tenants.len()));
         }
     }
 
--- a/crates/daemon/src/http/limits.rs
+++ b/crates/daemon/src/http/limits.rs
@@ -41,6 +41,11 @@
     HeadRoom,
     /// The client took nothing of an answer for too long.
     Stalled,
+    /// The client left while a request of it was served.
+    Left,
+    /// Bytes of the client were unread when its socket was closed, so that the system reset the
+    /// connection and dropped what the client had not taken.
+    Unread,
 }
 
 /// Labels of the counter of cut connections.
--- a/crates/daemon/src/http/stream.rs
+++ b/crates/daemon/src/http/stream.rs
@@ -193,6 +193,17 @@
     }
 }
 
+impl Drop for ClientStream {
+    fn drop(&mut self) {
+        if self.activity.is_serving.load(Ordering::Relaxed) {
+            self.limits.count(Cut::Left);
+        }
+        if rustix::io::ioctl_fionread(&self.stream).is_ok_and(|unread_bytes| unread_bytes > 0) {
+            self.limits.count(Cut::Unread);
+        }
+    }
+}
+
 impl AsyncRead for ClientStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
