Close a client's connection once its last answer is taken

Cause: the HTTP library owned the socket and closed it with bytes unread, so the system reset the connection and dropped what the client had not taken. The same close follows a rejected head and a client's own connection: close.

Change: the task of a connection owns its socket and lends it to the library. It closes its own side, drops what still comes, and closes the socket when the client has closed, at the latest stall_timeout after the last write.

--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -9,6 +9,7 @@
 mod pool;
 mod reply;
 mod server;
+mod socket;
 mod stream;
 mod token;
 
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -4,7 +4,8 @@
 use crate::http::{
     Body, Cut, ServerLimits,
     admission::{Connections, Room, Waiting},
-    stream::{Activity, ClientStream, ServedBody},
+    socket::ClientSocket,
+    stream::{Activity, ServedBody},
     with_body,
 };
 use hyper::{
@@ -224,8 +225,7 @@
         H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
-        let _ = stream.set_nodelay(true);
-        let stream = ClientStream::new(stream, Arc::clone(&self.activity), self.limits.clone());
+        let socket = ClientSocket::new(stream, Arc::clone(&self.activity), self.limits.clone());
         let service = service_fn(|request: Request<Incoming>| {
             self.activity.begin_request();
             let reserved = reserve_head(&self.head_room, request.headers().len());
@@ -246,21 +246,22 @@
                 Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, activity)))
             }
         });
-        let served = self
-            .limits
-            .builder()
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(served);
-        let ended = tokio::select! {
-            ended = served.as_mut() => ended,
-            () = closing(&mut self.closed) => {
-                served.as_mut().graceful_shutdown();
-                served.await
+        let ended = {
+            let io = TokioIo::new(socket.stream());
+            let served = self.limits.builder().serve_connection(io, service);
+            tokio::pin!(served);
+            tokio::select! {
+                ended = served.as_mut() => ended,
+                () = closing(&mut self.closed) => {
+                    served.as_mut().graceful_shutdown();
+                    served.await
+                }
             }
         };
         if ended.is_err_and(|error| error.is_parse_too_large()) {
             self.limits.count(Cut::HeadSize);
         }
+        socket.close().await;
     }
 }
 
--- /dev/null
+++ b/crates/daemon/src/http/socket.rs
@@ -0,0 +1,79 @@
+//! The socket of a client's connection, which its task owns until the client has taken the last byte
+//! of its answers or is gone.
+//!
+//! The HTTP library reads a socket only as far as it needs the next request, and closes one without
+//! regard to bytes that it has not read. A system resets a connection that is closed with bytes unread,
+//! and drops what the client has not taken. So the close is done here, below the library.
+
+use crate::http::{
+    Cut, ServerLimits,
+    stream::{Activity, ClientStream},
+};
+use std::{io, sync::Arc};
+use tokio::{io::AsyncWriteExt, net::TcpStream, time::timeout_at};
+
+/// How much is read and dropped at once, in bytes.
+const DISCARD_BYTES: usize = 8 * 1_024;
+
+/// A client's socket.
+#[derive(Debug)]
+pub struct ClientSocket {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+    limits: ServerLimits,
+}
+
+impl ClientSocket {
+    /// A socket that was accepted just now.
+    pub fn new(stream: TcpStream, activity: Arc<Activity>, limits: ServerLimits) -> Self {
+        // Only delays the last bytes of an answer when it fails.
+        let _ = stream.set_nodelay(true);
+        Self {
+            stream,
+            activity,
+            limits,
+        }
+    }
+
+    /// The stream for the HTTP library.
+    pub fn stream(&self) -> ClientStream<'_> {
+        ClientStream::new(
+            &self.stream,
+            Arc::clone(&self.activity),
+            self.limits.clone(),
+        )
+    }
+
+    /// Closes the socket once the client has closed its side, which it does when it has taken the last
+    /// answer. Until then, what it has sent is read and dropped. A client that has not closed
+    /// `stall_timeout` after the last write is given up.
+    pub async fn close(mut self) {
+        let Some(written_at) = self.activity.written_at() else {
+            return;
+        };
+        if self.stream.shutdown().await.is_err() {
+            return;
+        }
+        let deadline = written_at + self.limits.stall_timeout;
+        if timeout_at(deadline, self.discard()).await.is_err() && self.has_unread() {
+            self.limits.count(Cut::Unread);
+        }
+    }
+
+    /// Drops what the client sends, until it closes its side.
+    async fn discard(&self) {
+        while self.stream.readable().await.is_ok() {
+            match self.stream.try_read(&mut [0; DISCARD_BYTES]) {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Whether bytes of the client have come that nobody has read.
+    fn has_unread(&self) -> bool {
+        rustix::io::ioctl_fionread(&self.stream).is_ok_and(|unread_bytes| unread_bytes > 0)
+    }
+}
--- a/crates/daemon/src/http/stream.rs
+++ b/crates/daemon/src/http/stream.rs
@@ -1,5 +1,5 @@
-//! The socket of a client's connection, which fails when a head takes too long to come or an answer
-//! too long to be taken.
+//! The HTTP library's view of a client's socket, which fails when a head takes too long to come or an
+//! answer too long to be taken.
 
 use crate::http::{Cut, ServerLimits};
 use hyper::body::{Frame, SizeHint};
@@ -39,6 +39,9 @@
     has_head: AtomicBool,
     /// When the connection began to wait for the next request, in milliseconds since its start.
     waits_since_ms: AtomicU64,
+    /// When bytes were last written to the socket, in milliseconds since the connection's start;
+    /// [`NEVER_MS`] before the first.
+    written_at_ms: AtomicU64,
 }
 
 impl Activity {
@@ -50,6 +53,7 @@
             stalled_since_ms: AtomicU64::new(NEVER_MS),
             has_head: AtomicBool::new(false),
             waits_since_ms: AtomicU64::new(0),
+            written_at_ms: AtomicU64::new(NEVER_MS),
         }
     }
 
@@ -62,8 +66,7 @@
             return (since.elapsed() >= STALL_MIN).then_some(since);
         }
         let since = Duration::from_millis(self.waits_since_ms.load(Ordering::Relaxed));
-        let is_serving = self.is_serving.load(Ordering::Relaxed);
-        (!is_serving).then(|| self.started + since)
+        (!self.is_serving()).then(|| self.started + since)
     }
 
     /// A whole head has come.
@@ -72,6 +75,23 @@
         self.is_serving.store(true, Ordering::Relaxed);
     }
 
+    /// Whether a request is being served.
+    pub fn is_serving(&self) -> bool {
+        self.is_serving.load(Ordering::Relaxed)
+    }
+
+    /// When bytes were last written to the socket; `None` before the first.
+    pub fn written_at(&self) -> Option<Instant> {
+        let written_at_ms = self.written_at_ms.load(Ordering::Relaxed);
+        let is_written = written_at_ms != NEVER_MS;
+        is_written.then(|| self.started + Duration::from_millis(written_at_ms))
+    }
+
+    fn record_write(&self) {
+        let elapsed_ms = self.elapsed_ms();
+        self.written_at_ms.store(elapsed_ms, Ordering::Relaxed);
+    }
+
     fn elapsed_ms(&self) -> u64 {
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(NEVER_MS)
     }
@@ -123,10 +143,10 @@
     }
 }
 
-/// The socket of a client's connection.
+/// What the HTTP library reads and writes of a client's socket, which the task of the connection owns.
 #[derive(Debug)]
-pub struct ClientStream {
-    stream: TcpStream,
+pub struct ClientStream<'a> {
+    stream: &'a TcpStream,
     activity: Arc<Activity>,
     limits: ServerLimits,
     head_timeout: Duration,
@@ -136,9 +156,9 @@
     stall_deadline: Option<Pin<Box<Sleep>>>,
 }
 
-impl ClientStream {
-    /// The socket of a connection that was accepted just now.
-    pub fn new(stream: TcpStream, activity: Arc<Activity>, limits: ServerLimits) -> Self {
+impl<'a> ClientStream<'a> {
+    /// The stream of a connection that was accepted just now.
+    pub fn new(stream: &'a TcpStream, activity: Arc<Activity>, limits: ServerLimits) -> Self {
         let head_timeout = limits.heads.borrow().head_timeout;
         Self {
             stream,
@@ -176,6 +196,7 @@
         let stalled_since_ms = &self.activity.stalled_since_ms;
         if written.is_ready() {
             stalled_since_ms.store(NEVER_MS, Ordering::Relaxed);
+            self.activity.record_write();
             self.stall_deadline = None;
             return written;
         }
@@ -193,18 +214,7 @@
     }
 }
 
-impl Drop for ClientStream {
-    fn drop(&mut self) {
-        if self.activity.is_serving.load(Ordering::Relaxed) {
-            self.limits.count(Cut::Left);
-        }
-        if rustix::io::ioctl_fionread(&self.stream).is_ok_and(|unread_bytes| unread_bytes > 0) {
-            self.limits.count(Cut::Unread);
-        }
-    }
-}
-
-impl AsyncRead for ClientStream {
+impl AsyncRead for ClientStream<'_> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -212,7 +222,7 @@
     ) -> Poll<io::Result<()>> {
         self.check_head(cx)?;
         let before = buffer.filled().len();
-        std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        std::task::ready!(poll_read(self.stream, cx, buffer))?;
         let is_first = !self.activity.is_serving.load(Ordering::Relaxed)
             && !self.activity.has_head.load(Ordering::Relaxed);
         if is_first && buffer.filled().len() > before {
@@ -224,22 +234,24 @@
     }
 }
 
-impl AsyncWrite for ClientStream {
+impl AsyncWrite for ClientStream<'_> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        let stream = self.stream;
+        let written = poll_written(stream, cx, || stream.try_write(bytes));
         self.check_write(cx, written)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    /// Leaves the socket open: its owner closes it.
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
     fn poll_write_vectored(
@@ -247,11 +259,46 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        let stream = self.stream;
+        let written = poll_written(stream, cx, || stream.try_write_vectored(slices));
         self.check_write(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
+    }
+}
+
+/// Reads what has come on a socket that is borrowed.
+fn poll_read(
+    stream: &TcpStream,
+    cx: &mut Context<'_>,
+    buffer: &mut ReadBuf<'_>,
+) -> Poll<io::Result<()>> {
+    loop {
+        std::task::ready!(stream.poll_read_ready(cx))?;
+        match stream.try_read(buffer.initialize_unfilled()) {
+            Ok(read_bytes) => {
+                buffer.advance(read_bytes);
+                return Poll::Ready(Ok(()));
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Poll::Ready(Err(error)),
+        }
+    }
+}
+
+/// Writes to a socket that is borrowed with `write`, once it has room.
+fn poll_written(
+    stream: &TcpStream,
+    cx: &mut Context<'_>,
+    mut write: impl FnMut() -> io::Result<usize>,
+) -> Poll<io::Result<usize>> {
+    loop {
+        std::task::ready!(stream.poll_write_ready(cx))?;
+        match write() {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            written => return Poll::Ready(written),
+        }
     }
 }
