Keep a confirmed leave whether its run is recorded or not

Cause: a leave was kept in the record of its instance only, so one that came before the first heartbeat, or while an earlier run was recorded, had no effect on its own run. One with a start far ahead was confirmed and dropped.

Change: a leave is kept by name, apart from the record, and binds every run up to the start that it states, or else up to its arrival. The replica that proposes it adds its clock. The latest 2,048 are kept.

--- a/crates/control/src/dump.rs
+++ b/crates/control/src/dump.rs
@@ -31,8 +31,8 @@
     pub waiting_watches: usize,
     /// The number of heartbeats ignored since the start because no plan names their service.
     pub unknown_service_heartbeats: u64,
-    /// The number of heartbeats and notices to leave ignored since the start because they are late, or
-    /// of a run that seems to be over or to start in the future.
+    /// The number of heartbeats ignored since the start because they are late, or of a run that seems to
+    /// be over or to start in the future.
     pub doubtful_heartbeats: u64,
     /// The number of notices to leave since the start whose instance was not recorded, as when its first
     /// heartbeat is late.
--- a/crates/control/src/heartbeats.rs
+++ b/crates/control/src/heartbeats.rs
@@ -1,7 +1,7 @@
 //! The last heartbeat of each instance, from which the leader tells which have expired.
 
 use crate::doubts::Doubts;
-use plan::{Instance, Registration, RegistrationStatus, Steering};
+use plan::{BORN_AHEAD_MAX_MS, Instance, Registration, RegistrationStatus, Steering};
 use std::collections::HashMap;
 use types::{TimeUs, UpstreamName};
 
@@ -11,10 +11,6 @@
 /// How often the leader checks for expired instances, in milliseconds.
 const CHECK_PERIOD_MS: u64 = 500;
 
-/// How far ahead of this VM's clock an instance may claim to have started, in milliseconds. VMs'
-/// clocks differ by less; a heartbeat beyond it is doubtful, since nothing has started in the future.
-const BORN_AHEAD_MAX_MS: u64 = 10_000;
-
 /// What to do with a heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Verdict {
@@ -72,6 +68,11 @@
         self.unix_ms = unix_ms;
     }
 
+    /// The VM's clock in Unix milliseconds; `None` until it is known.
+    pub(crate) fn unix_ms(&self) -> Option<u64> {
+        Some(self.unix_ms).filter(|unix_ms| *unix_ms > 0)
+    }
+
     /// Whether a run may have started then; any may while the VM's clock is not known.
     pub(crate) const fn is_plausible_start(&self, born_ms: u64) -> bool {
         self.unix_ms == 0 || born_ms <= self.unix_ms.saturating_add(BORN_AHEAD_MAX_MS)
@@ -87,17 +88,11 @@
         self.unknown_service
     }
 
-    /// The number of heartbeats, and notices that instances leave, ignored because they are late or
-    /// doubtful.
+    /// The number of heartbeats ignored because they are late or doubtful.
     pub(crate) const fn doubtful(&self) -> u64 {
         self.doubtful
     }
 
-    /// Counts a notice that an instance leaves which is ignored.
-    pub(crate) const fn count_doubtful(&mut self) {
-        self.doubtful += 1;
-    }
-
     /// Counts a notice to leave of an instance that is not recorded.
     pub(crate) const fn count_unrecorded_leave(&mut self) {
         self.unrecorded_leaves += 1;
--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -190,37 +190,23 @@
         });
     }
 
-    /// Proposes a change, unless it says that a run leaves which can't have started yet: that would
-    /// end every run under its name.
+    /// Proposes a change. A notice to leave gets the time at which it came.
     pub(crate) fn handle_change(
         &mut self,
         request: u64,
-        change: Change,
+        mut change: Change,
         outputs: &mut Vec<Output>,
     ) {
-        let is_doubtful = match &change {
-            Change::Leave {
-                id,
-                born_ms: Some(born_ms),
-            } => {
-                !self.is_recorded_run(id, *born_ms) && !self.heartbeats.is_plausible_start(*born_ms)
-            }
-            _ => false,
-        };
-        if let Change::Leave { id, .. } = &change
-            && self.is_leader
-            && self.state.steering().instance(id.as_str()).is_none()
+        if let Change::Leave {
+            id, received_ms, ..
+        } = &mut change
         {
-            self.heartbeats.count_unrecorded_leave();
-        }
-        if !self.is_leader || !is_doubtful {
-            return self.steer(request, change, outputs);
+            *received_ms = self.heartbeats.unix_ms();
+            if self.is_leader && self.state.steering().instance(id.as_str()).is_none() {
+                self.heartbeats.count_unrecorded_leave();
+            }
         }
-        self.heartbeats.count_doubtful();
-        outputs.push(Output::Answer {
-            request,
-            answer: Ok(Answer::Steered(plan::ChangeResult::Applied)),
-        });
+        self.steer(request, change, outputs);
     }
 
     fn is_recorded_run(&self, id: &UpstreamName, born_ms: u64) -> bool {
--- a/crates/control/tests/doubtful_heartbeats.rs
+++ b/crates/control/tests/doubtful_heartbeats.rs
@@ -66,6 +66,7 @@
         let change = Change::Leave {
             id: id.parse().expect("a valid name"),
             born_ms: Some(born_ms),
+            received_ms: None,
         };
         let answer = self.cluster.request_leader(&Request::Steer { change });
         answer.expect("notices are acknowledged");
@@ -230,6 +231,31 @@
     assert_eq!(fixture.state("w-1"), Some(InstanceState::Gone));
 }
 
+// A notice that came before the first heartbeat of its run was confirmed and forgotten, and the late
+// heartbeat put the instance into service: review/13.
+#[test]
+fn a_confirmed_leave_binds_a_first_heartbeat_that_comes_late() {
+    let mut fixture = Fixture::new();
+    let change = Change::Leave {
+        id: "w-2".parse().expect("a valid name"),
+        born_ms: None,
+        received_ms: None,
+    };
+    let confirmed = fixture.cluster.request_leader(&Request::Steer { change });
+    confirmed.expect("notices are acknowledged");
+    // Another leader knows of it too.
+    let leader = fixture.cluster.wait_for_leader();
+    fixture.cluster.kill(&leader);
+    fixture.cluster.wait_for_leader();
+    for sequence in 1..4 {
+        fixture.register(heartbeat("w-2", 8_002, NOW_MS - 800, sequence));
+        assert_eq!(fixture.state("w-2"), None);
+        fixture.cluster.run_ms(INTERVAL_MS);
+    }
+    fixture.register(heartbeat("w-2", 8_002, NOW_MS + 2_500, 1));
+    assert_eq!(fixture.state("w-2"), Some(InstanceState::Ready));
+}
+
 // Whoever invents names and starts adds nothing to the log, and takes no instance away.
 #[test]
 fn invented_runs_far_ahead_add_nothing_to_the_log() {
--- a/crates/control/tests/steering.rs
+++ b/crates/control/tests/steering.rs
@@ -164,6 +164,7 @@
     let leave = Change::Leave {
         id: "w-1".parse().expect("a valid name"),
         born_ms: None,
+        received_ms: None,
     };
     cluster
         .request_leader(&Request::Steer { change: leave })
--- a/crates/plan/src/change.rs
+++ b/crates/plan/src/change.rs
@@ -75,13 +75,17 @@
     },
     /// Adds or updates an instance by its heartbeat.
     Register(Registration),
-    /// Marks an instance as gone that announced that it leaves.
+    /// Records that an instance announced that it leaves. Binds heartbeats of its run that come later.
     Leave {
         /// The name of the instance.
         id: UpstreamName,
-        /// The start of the run that leaves, as in [`Registration::born_ms`]; none stands for any
-        /// run.
+        /// The start of the run that leaves, as in [`Registration::born_ms`]; none when the notice
+        /// doesn't state it.
         born_ms: Option<u64>,
+        /// When the notice came, in Unix milliseconds by the clock of the replica that proposed it;
+        /// none when that is not known.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        received_ms: Option<u64>,
     },
     /// Marks an instance as expired whose heartbeats stopped; a later heartbeat brings it back.
     Expire {
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod change;
 mod changes;
+mod departures;
 mod instance;
 mod instances;
 mod model;
@@ -19,6 +20,7 @@
 pub use crate::{
     change::{Change, ChangeResult, DeclarationError, Document, PlanDeclaration},
     changes::PlanChanges,
+    departures::BORN_AHEAD_MAX_MS,
     instance::{Instance, InstanceState, Registration, RegistrationStatus},
     model::{Limits, Plan, RetrySafety, Route, ServiceTerms, WeightedService},
     steering::{INACTIVE_MAX, Steering, SteeringChanges},
--- a/crates/plan/src/steering.rs
+++ b/crates/plan/src/steering.rs
@@ -4,6 +4,7 @@
 use crate::{
     change::{Change, ChangeResult, DeclarationError, Document, PlanDeclaration},
     changes::{PlanChanges, PlanHistory},
+    departures::{Departure, Departures},
     instance::{Instance, InstanceState, Registration, RegistrationStatus},
     instances::Instances,
     model::Plan,
@@ -11,10 +12,10 @@
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
-use types::{DomainName, ServiceName};
+use types::{DomainName, ServiceName, UpstreamName};
 
 /// The most expired or gone instances that are remembered. A late heartbeat of the same run can't
-/// bring back an instance while it is remembered as gone.
+/// bring back an instance while it is remembered as gone. As many notices to leave are remembered.
 pub const INACTIVE_MAX: usize = 2_048;
 
 /// The most accepted declarations that are remembered, so that a resend of one is recognised.
@@ -58,6 +59,9 @@
     evacuated_revision: u64,
     /// Expired and gone instances included, at most `INACTIVE_MAX` of them.
     instances: Instances,
+    /// What was confirmed to instances that leave, at most `INACTIVE_MAX` of them.
+    #[serde(default, skip_serializing_if = "Departures::is_empty")]
+    departures: Departures,
     /// The log index of the latest change.
     revision: u64,
     /// Instances that expired or left up to this log index may be forgotten.
@@ -114,7 +118,10 @@
         if self.is_foreign(registration, known) {
             return RegistrationStatus::UnknownService;
         }
-        if self.has_newer_at_address(registration) {
+        let has_left = self
+            .departures
+            .bind(registration.id.as_str(), registration.born_ms);
+        if has_left || self.has_newer_at_address(registration) {
             return RegistrationStatus::Stale;
         }
         match known {
@@ -202,11 +209,15 @@
                 }
             }
             Change::Register(registration) => self.register(index, at_ms, registration),
-            Change::Leave { id, born_ms } => {
-                self.end_instance(index, id.as_str(), *born_ms, InstanceState::Gone);
-            }
+            Change::Leave {
+                id,
+                born_ms,
+                received_ms,
+            } => self.leave(index, id, *born_ms, *received_ms),
             Change::Expire { id, born_ms } => {
-                self.end_instance(index, id.as_str(), Some(*born_ms), InstanceState::Expired);
+                let is_ended =
+                    |it: &Instance| it.born_ms <= *born_ms && it.state != InstanceState::Gone;
+                self.end_instance(index, id, InstanceState::Expired, is_ended);
             }
         }
         Ok(ChangeResult::Applied)
@@ -325,18 +336,35 @@
         self.in_force.is_some() && !is_recorded && !self.names(&registration.service)
     }
 
-    /// Sets the state of an instance that expired or left. Without effect when a later run than
-    /// `born_ms` is recorded, or the instance is gone already; one that was displaced may still leave.
-    fn end_instance(&mut self, index: u64, id: &str, born_ms: Option<u64>, state: InstanceState) {
-        let Some(instance) = self.instances.get(id) else {
-            return;
+    /// Records a notice that an instance leaves, and ends the recorded run if it is of it.
+    fn leave(
+        &mut self,
+        index: u64,
+        id: &UpstreamName,
+        born_ms: Option<u64>,
+        received_ms: Option<u64>,
+    ) {
+        let recorded_ms = self.instances.get(id.as_str()).map(|it| it.born_ms);
+        let departure = Departure::new(born_ms, received_ms, recorded_ms, index);
+        self.departures.insert(id, departure, INACTIVE_MAX);
+        // An instance that was displaced may still leave: it doesn't return then.
+        let is_ended = |it: &Instance| {
+            departure.binds(it.born_ms) && (it.state != InstanceState::Gone || it.is_displaced)
         };
-        let not_superseded = born_ms.is_none_or(|born_ms| born_ms >= instance.born_ms);
-        let leaves = state == InstanceState::Gone;
-        let has_ended = instance.state == InstanceState::Gone && !(instance.is_displaced && leaves);
-        if !not_superseded || has_ended {
+        self.end_instance(index, id, InstanceState::Gone, is_ended);
+    }
+
+    /// Sets the state of a recorded instance that expired or left, if `is_ended` says so of it.
+    fn end_instance(
+        &mut self,
+        index: u64,
+        id: &UpstreamName,
+        state: InstanceState,
+        is_ended: impl FnOnce(&Instance) -> bool,
+    ) {
+        let Some(instance) = self.instances.get(id.as_str()).filter(|it| is_ended(it)) else {
             return;
-        }
+        };
         let mut instance = instance.clone();
         instance.state = state;
         instance.is_displaced = false;
--- a/crates/plan/tests/instances.rs
+++ b/crates/plan/tests/instances.rs
@@ -53,7 +53,7 @@
             ))
         ),
         1 => (name.clone(), prop::option::of(born_ms.clone()))
-            .prop_map(move |(name, born_ms)| Change::Leave { id: id(name), born_ms }),
+            .prop_map(move |(name, born_ms)| Change::Leave { id: id(name), born_ms, received_ms: None }),
         1 => (name, born_ms).prop_map(move |(name, born_ms)| Change::Expire { id: id(name), born_ms }),
     ]
 }
@@ -112,7 +112,11 @@
         registration.address = ([10, 1, (n >> 8) as u8, n as u8], 80).into();
         let id = registration.id.clone();
         apply(&mut steering, 2 * n + 1, &Change::Register(registration));
-        let leave = Change::Leave { id, born_ms: None };
+        let leave = Change::Leave {
+            id,
+            born_ms: None,
+            received_ms: None,
+        };
         apply(&mut steering, 2 * n + 2, &leave);
     }
     assert_eq!(steering.instances().count(), INACTIVE_MAX);
