Confirm draining only to an instance that gets no further requests

An instance that started again with its clock set back was told 200 for its heartbeat draining, which was ignored as late, while requests went on to it.

Cause: every heartbeat was confirmed, also one that changed nothing.

Change: a heartbeat that says draining is answered 503 while its instance is recorded as ready.

--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -7,7 +7,7 @@
     gateways::gateway_poll_interval_ms,
     heartbeats::Verdict,
 };
-use plan::{Change, Registration, RegistrationStatus, SteeringChanges};
+use plan::{Change, InstanceState, Registration, RegistrationStatus, SteeringChanges};
 use share::TokenAnswer;
 use state::Operation;
 use std::sync::Arc;
@@ -184,10 +184,12 @@
                 }
             }
         }
-        outputs.push(Output::Answer {
-            request,
-            answer: Ok(Answer::Steered(plan::ChangeResult::Applied)),
-        });
+        // An instance whose notice to drain is confirmed counts on getting no further requests.
+        let answer = match registration.draining && self.is_ready(&registration.id) {
+            true => Err(ApiError::TooBusy),
+            false => Ok(Answer::Steered(plan::ChangeResult::Applied)),
+        };
+        outputs.push(Output::Answer { request, answer });
     }
 
     /// Proposes a change. A notice to leave gets the time at which it came.
@@ -209,6 +211,11 @@
         self.steer(request, change, outputs);
     }
 
+    fn is_ready(&self, id: &UpstreamName) -> bool {
+        let instance = self.state.steering().instance(id.as_str());
+        instance.is_some_and(|it| it.state == InstanceState::Ready)
+    }
+
     fn is_recorded_run(&self, id: &UpstreamName, born_ms: u64) -> bool {
         let instance = self.state.steering().instance(id.as_str());
         instance.is_some_and(|it| it.born_ms == born_ms)
