Keep keys required when a plan withdraws the last one

Cause: an empty list of tenants stood for a plan without keys, in the decoder, at gateways, in the lease on keys and in the leader's confirmation of it.

Change: a plan says whether requests carry a key, apart from who holds one. An empty table requires a key that nobody has. A missing one requires none, but rejects every key once an earlier plan had a table. A plan without the table reads back without it.

The fixture of without_strict_revocation_or_tenants_there_is_no_lease cleared the tenants only; it now says that keys are unused, and a new test asserts the lease for an empty table.

--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -7,7 +7,7 @@
     gateways::gateway_poll_interval_ms,
     heartbeats::Verdict,
 };
-use plan::{Change, InstanceState, Registration, RegistrationStatus, SteeringChanges};
+use plan::{Change, InstanceState, KeyUse, Registration, RegistrationStatus, SteeringChanges};
 use share::TokenAnswer;
 use state::Operation;
 use std::sync::Arc;
@@ -35,7 +35,7 @@
         self.gateways
             .record(&body.gateway, &body.report, self.now_us);
         let plan = self.state.steering().plan();
-        if plan.is_some_and(|plan| !plan.tenants.is_empty()) {
+        if plan.is_some_and(|plan| plan.key_use() == KeyUse::Required) {
             self.shares.record_demand(self.with_suspension());
         }
         if received_us.after_ms(POLL_WAIT_MAX_MS).reached(self.now_us) {
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -511,6 +511,7 @@
             idle_timeout_ms: 15_000,
         },
         tenants: Vec::new(),
+        keys: plan::KeyUse::Unused,
     }
 }
 
--- a/crates/control/tests/log_size.rs
+++ b/crates/control/tests/log_size.rs
@@ -21,6 +21,7 @@
             idle_timeout_ms: 15_000,
         },
         tenants: Vec::new(),
+        keys: plan::KeyUse::Unused,
     };
     let change = Change::Declare(Box::new(PlanDeclaration {
         plan,
--- a/crates/control/tests/steering.rs
+++ b/crates/control/tests/steering.rs
@@ -43,6 +43,7 @@
             idle_timeout_ms: 15_000,
         },
         tenants: Vec::new(),
+        keys: plan::KeyUse::Unused,
     }
 }
 
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -172,7 +172,8 @@
         if steering.version() != before {
             info!(self.args.log, "plan applied";
                 "version" => steering.version(), "revision" => steering.revision(),
-                "tenants" => steering.plan().map(|plan| plan.tenants.len()));
+                "tenants" => steering.plan().map(|plan| plan.tenants.len()),
+                "keys" => steering.plan().map(|plan| plan.key_use().to_string()));
         }
     }
 
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -27,8 +27,10 @@
 /// Whose request it is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Caller {
-    /// The plan has no tenants, so nobody asked.
+    /// No plan has had tenants, so nobody asked.
     Untracked,
+    /// The plan has no tenants any more, and the client sent no key.
+    Keyless,
     /// The client sent no key, and the route accepts that.
     Anonymous,
     /// The tenant of this name holds the key.
@@ -40,7 +42,7 @@
     #[must_use]
     pub const fn tenant(&self) -> Option<&str> {
         match self {
-            Self::Untracked | Self::Anonymous => None,
+            Self::Untracked | Self::Keyless | Self::Anonymous => None,
             Self::Tenant(name) => Some(name.as_str()),
         }
     }
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -21,7 +21,7 @@
 };
 use control::{GatewayPoll, GatewayPollAnswer, GatewayReport};
 use plan::{
-    Instance, KeyDigest, Limits, PlanChanges, RouteTable, ServiceTerms, Tenant, TenantTable,
+    Instance, KeyDigest, KeyUse, Limits, PlanChanges, RouteTable, ServiceTerms, Tenant, TenantTable,
 };
 use share::QuotaTerms;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -138,9 +138,14 @@
         self.table.is_some() && self.stopping.is_none() && !self.has_stale_keys(now_us)
     }
 
-    /// Whether the plan has tenants whose keys may be outdated.
+    /// Whether the plan requires keys, and those known here may be outdated.
     pub(crate) fn has_stale_keys(&self, now_us: TimeUs) -> bool {
-        !self.tenants.is_empty() && self.key_lease.is_over(self.with_suspension(now_us))
+        self.requires_keys() && self.key_lease.is_over(self.with_suspension(now_us))
+    }
+
+    /// Whether the plan requires keys, be it that nobody holds one.
+    fn requires_keys(&self) -> bool {
+        self.tenants.key_use() == KeyUse::Required
     }
 
     /// Counts the requests that wait for a token, and the forwarded ones whose last attempt has not ended.
@@ -228,7 +233,7 @@
 
     /// Reports a change of the lease on keys. Its end is noticed by the first request or tick after it.
     pub(crate) fn report_key_lease(&mut self, now_us: TimeUs) {
-        let is_held = !self.tenants.is_empty()
+        let is_held = self.requires_keys()
             && self.config.bounds.revoke_ms.is_some()
             && !self.has_stale_keys(now_us);
         if is_held != self.has_reported_lease {
--- a/crates/gate/src/identity.rs
+++ b/crates/gate/src/identity.rs
@@ -1,19 +1,21 @@
 //! Whose request it is, decided before anything else of the request.
 
 use crate::api::{Arrival, Caller};
-use plan::{Route, Tenant, TenantTable};
+use plan::{KeyUse, Route, Tenant, TenantTable};
 use types::RegionName;
 
 /// The result of looking up the key of a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Identity<'a> {
-    /// The plan has no tenants.
+    /// No plan has had tenants.
     Untracked,
+    /// The client sent no key, and the plan has no tenants any more.
+    Keyless,
     /// The client sent no key, and the route accepts that.
     Anonymous,
     /// This tenant holds the key.
     Tenant(&'a Tenant),
-    /// No tenant holds the key, or the client sent none and the route wants one.
+    /// No tenant holds the key, or the client sent none and one is required.
     Unknown,
 }
 
@@ -21,13 +23,13 @@
     /// Looks up the key of a request to a route. A key that nobody holds is rejected also where none is
     /// wanted: the client believes that it has one.
     pub(crate) fn of(arrival: &Arrival<'_>, route: &Route, tenants: &'a TenantTable) -> Self {
-        if tenants.is_empty() {
-            return Self::Untracked;
-        }
-        match &arrival.key {
-            Some(key) => tenants.find(key).map_or(Self::Unknown, Self::Tenant),
-            None if route.allow_anonymous => Self::Anonymous,
-            None => Self::Unknown,
+        match (tenants.key_use(), &arrival.key) {
+            (KeyUse::Unused, _) => Self::Untracked,
+            (KeyUse::Withdrawn, None) => Self::Keyless,
+            (KeyUse::Withdrawn, Some(_)) => Self::Unknown,
+            (KeyUse::Required, Some(key)) => tenants.find(key).map_or(Self::Unknown, Self::Tenant),
+            (KeyUse::Required, None) if route.allow_anonymous => Self::Anonymous,
+            (KeyUse::Required, None) => Self::Unknown,
         }
     }
 
@@ -35,7 +37,7 @@
     pub(crate) const fn tenant(self) -> Option<&'a Tenant> {
         match self {
             Self::Tenant(tenant) => Some(tenant),
-            Self::Untracked | Self::Anonymous | Self::Unknown => None,
+            Self::Untracked | Self::Keyless | Self::Anonymous | Self::Unknown => None,
         }
     }
 
@@ -43,6 +45,7 @@
     pub(crate) fn caller(self) -> Option<Caller> {
         match self {
             Self::Untracked => Some(Caller::Untracked),
+            Self::Keyless => Some(Caller::Keyless),
             Self::Anonymous => Some(Caller::Anonymous),
             Self::Tenant(tenant) => Some(Caller::Tenant(tenant.name.clone())),
             Self::Unknown => None,
--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -102,7 +102,7 @@
             request,
             route: &self.route,
             party: match &self.caller {
-                Caller::Untracked => Party::Route,
+                Caller::Untracked | Caller::Keyless => Party::Route,
                 Caller::Anonymous => Party::Tenant(""),
                 Caller::Tenant(name) => Party::Tenant(name),
             },
--- a/crates/gate/tests/identity.rs
+++ b/crates/gate/tests/identity.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use gate::{Caller, Decision, Gate, Refusal};
-use plan::{RetrySafety, Route, Tenant};
+use plan::{KeyUse, RetrySafety, Route, Tenant};
 use support::{
     REPLICA, answer, arrival, arrival_with_key, at_ms, forwarded, gate, instance, name, plan,
     refusal, route, tenant,
@@ -80,6 +80,36 @@
     }
 }
 
+// Without tenants every request was let in, also one with a key that a plan had withdrawn: review/14.
+#[test]
+fn a_plan_that_withdraws_every_key_lets_none_in() {
+    let withdrawn = |keys| {
+        let mut gate = serving(routes(), vec![tenant("acme", &["k1"])]);
+        let mut plan = plan(2, routes());
+        plan.keys = keys;
+        gate.handle_poll_answer(REPLICA, answer(6, Some(plan), Vec::new()), at_ms(5));
+        gate
+    };
+    for keys in [KeyUse::Required, KeyUse::Withdrawn] {
+        let mut gate = withdrawn(keys);
+        for path in ["/browse/1", "/open/1"] {
+            for key in ["k1", "k2"] {
+                let decision = arrive(&mut gate, path, Some(key));
+                assert_eq!(decision, Decision::Unauthorized, "{keys:?} {path} {key}");
+            }
+        }
+    }
+    // With an empty table, routes still want a key unless they say otherwise; without one they don't.
+    let mut empty = withdrawn(KeyUse::Required);
+    let decision = arrive(&mut empty, "/browse/1", None);
+    assert_eq!(decision, Decision::Unauthorized);
+    assert_eq!(caller(&mut empty, "/open/1", None), Caller::Anonymous);
+    let mut missing = withdrawn(KeyUse::Withdrawn);
+    for path in ["/browse/1", "/open/1"] {
+        assert_eq!(caller(&mut missing, path, None), Caller::Keyless);
+    }
+}
+
 #[test]
 fn the_homes_of_route_and_tenant_both_bind() {
     let homes = |regions: &[&str]| regions.iter().map(|it| name(it)).collect::<Vec<_>>();
--- a/crates/gate/tests/key_lease.rs
+++ b/crates/gate/tests/key_lease.rs
@@ -5,7 +5,7 @@
 
 use control::{GatewayPoll, GatewayPollAnswer};
 use gate::{Decision, Gate, Refusal, StateChange};
-use plan::{Plan, RetrySafety, Route};
+use plan::{KeyUse, Plan, RetrySafety, Route};
 use proptest::prelude::*;
 use support::{
     REPLICA, answer, arrival, arrival_with_key, at_ms, gate, instance, plan, refusal, route,
@@ -263,6 +263,7 @@
     let mut answer = whole(&poll);
     if let Some(plan) = &mut answer.changes.plan {
         plan.tenants.clear();
+        plan.keys = KeyUse::Unused;
     }
     without_tenants.handle_poll_answer(REPLICA, answer, at_ms(10));
     let mut not_strict = gate();
@@ -281,6 +282,25 @@
     }
 }
 
+// That nobody holds a key may be outdated too, and then a client must not be told that its key is void.
+#[test]
+fn an_empty_table_needs_the_lease() {
+    let mut gate = strict_gate();
+    let poll = gate.poll_request(REPLICA, at_ms(0));
+    let mut answer = whole(&poll);
+    if let Some(plan) = &mut answer.changes.plan {
+        plan.tenants.clear();
+    }
+    gate.handle_poll_answer(REPLICA, answer, at_ms(10));
+    let arrive = |gate: &mut Gate, ms: u64| {
+        gate.handle_arrival(&arrival_with_key("/browse/1", "k1"), at_ms(ms))
+    };
+    assert_eq!(arrive(&mut gate, 20), Decision::Unauthorized);
+    let stale = arrive(&mut gate, LEASE_MS + 1_000);
+    assert_eq!(refusal(&stale), Some(Refusal::StaleKeys));
+    assert!(!gate.is_ready(at_ms(LEASE_MS + 1_000)));
+}
+
 /// What happens to a gateway, some time after the event before it.
 #[derive(Clone, Copy, Debug)]
 enum Event {
--- a/crates/plan/src/changes.rs
+++ b/crates/plan/src/changes.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     model::{Limits, Plan, Route, ServiceTerms},
-    tenant::Tenant,
+    tenant::{KeyUse, Tenant},
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,6 +33,9 @@
     /// The names of the removed tenants; empty when `complete`.
     #[serde(default)]
     pub removed_tenants: Vec<String>,
+    /// Whether requests carry a key under the later plan.
+    #[serde(default)]
+    pub keys: KeyUse,
 }
 
 impl PlanChanges {
@@ -48,6 +51,7 @@
             limits: plan.limits,
             tenants: plan.tenants.clone(),
             removed_tenants: Vec::new(),
+            keys: plan.key_use(),
         }
     }
 }
@@ -148,6 +152,7 @@
             limits: plan.limits,
             tenants: self.changed_tenants(plan, index).cloned().collect(),
             removed_tenants: self.tenants.removed_since(index),
+            keys: plan.key_use(),
         }
     }
 
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -25,7 +25,7 @@
     model::{Limits, Plan, RetrySafety, Route, ServiceTerms, WeightedService},
     steering::{INACTIVE_MAX, Steering, SteeringChanges},
     table::RouteTable,
-    tenant::{InvalidDigest, KeyDigest, Tenant},
+    tenant::{InvalidDigest, KeyDigest, KeyUse, Tenant},
     tenants::TenantTable,
     validate::{InvalidPlan, validate},
 };
--- a/crates/plan/src/model.rs
+++ b/crates/plan/src/model.rs
@@ -1,6 +1,6 @@
 //! The plan, as operators declare it.
 
-use crate::tenant::Tenant;
+use crate::tenant::{KeyUse, Tenant};
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString};
 use types::{RegionName, ServiceName};
@@ -101,7 +101,23 @@
     pub services: Vec<ServiceTerms>,
     /// The limits on clients.
     pub limits: Limits,
-    /// The tenants, with unique names and keys. When there are any, requests need a key.
+    /// The tenants, with unique names and keys.
     #[serde(default)]
     pub tenants: Vec<Tenant>,
+    /// Whether requests carry a key. Declared as [`KeyUse::Unused`] or [`KeyUse::Required`]; what it
+    /// means in force depends on earlier plans too. See [`Self::key_use`].
+    #[serde(default, skip_serializing_if = "KeyUse::is_unused")]
+    pub keys: KeyUse,
+}
+
+impl Plan {
+    /// Whether requests carry a key. They do whenever there are tenants: plans of builds without
+    /// [`Self::keys`] don't say so.
+    #[must_use]
+    pub const fn key_use(&self) -> KeyUse {
+        match self.tenants.is_empty() {
+            true => self.keys,
+            false => KeyUse::Required,
+        }
+    }
 }
--- a/crates/plan/src/steering.rs
+++ b/crates/plan/src/steering.rs
@@ -8,6 +8,7 @@
     instance::{Instance, InstanceState, Registration, RegistrationStatus},
     instances::Instances,
     model::Plan,
+    tenant::KeyUse,
     validate::{InvalidPlan, validate},
 };
 use serde::{Deserialize, Serialize};
@@ -254,8 +255,12 @@
         let (previous, mut history) =
             previous.map_or_else(Default::default, |it| (Some(it.plan), it.history));
         history.record(previous.as_ref(), plan, index);
+        let previous_keys = previous.map_or(KeyUse::Unused, |plan| plan.key_use());
         self.in_force = Some(InForce {
-            plan: plan.clone(),
+            plan: Plan {
+                keys: plan.key_use().after(previous_keys),
+                ..plan.clone()
+            },
             document: document.clone(),
             revision: index,
             history,
--- a/crates/plan/src/tenant.rs
+++ b/crates/plan/src/tenant.rs
@@ -7,6 +7,7 @@
     hash::{Hash, Hasher},
     str::FromStr,
 };
+use strum::Display;
 use thiserror::Error;
 use types::RegionName;
 
@@ -98,6 +99,42 @@
     }
 }
 
+/// Whether requests carry a key.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, Display)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum KeyUse {
+    /// No plan has had a table of tenants. What looks like a key is between the client and the
+    /// upstream.
+    #[default]
+    Unused,
+    /// The plan has no table, but an earlier one had. Requests need no key, and one that carries a key
+    /// is rejected: that key was withdrawn, or nobody ever held it.
+    Withdrawn,
+    /// The plan has a table of tenants, be it empty. Requests carry a key that is in it.
+    Required,
+}
+
+impl KeyUse {
+    /// Lets the serialized form of plans without tenants be that of builds without key use.
+    #[expect(
+        clippy::trivially_copy_pass_by_ref,
+        reason = "serde passes a reference"
+    )]
+    pub(crate) const fn is_unused(&self) -> bool {
+        matches!(self, Self::Unused)
+    }
+
+    /// What a plan that declares this means after one that meant `previous`.
+    #[must_use]
+    pub(crate) const fn after(self, previous: Self) -> Self {
+        match (self, previous) {
+            (Self::Unused, Self::Withdrawn | Self::Required) => Self::Withdrawn,
+            _ => self,
+        }
+    }
+}
+
 /// An organisation whose requests carry its keys.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/plan/src/tenants.rs
+++ b/crates/plan/src/tenants.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     changes::PlanChanges,
-    tenant::{KeyDigest, Tenant},
+    tenant::{KeyDigest, KeyUse, Tenant},
 };
 use std::collections::{BTreeMap, HashMap};
 
@@ -13,6 +13,7 @@
     tenants: BTreeMap<String, Tenant>,
     /// The names of tenants by the digests of their keys.
     names_by_key: HashMap<KeyDigest, String>,
+    keys: KeyUse,
 }
 
 impl TenantTable {
@@ -33,6 +34,11 @@
             }
             self.tenants.insert(tenant.name.clone(), tenant.clone());
         }
+        // Changes of builds without `keys` list tenants without saying that keys are required.
+        self.keys = match self.tenants.is_empty() {
+            true => changes.keys,
+            false => KeyUse::Required,
+        };
     }
 
     fn remove(&mut self, name: &str) {
@@ -43,10 +49,10 @@
         }
     }
 
-    /// Whether the plan declares no tenant, so that requests need no key.
+    /// Whether requests carry a key.
     #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.tenants.is_empty()
+    pub const fn key_use(&self) -> KeyUse {
+        self.keys
     }
 
     /// The tenant that holds a key.
--- a/crates/plan/tests/foreign_reports.rs
+++ b/crates/plan/tests/foreign_reports.rs
@@ -42,6 +42,7 @@
                 idle_timeout_ms: 15_000,
             },
             tenants: Vec::new(),
+            keys: plan::KeyUse::Unused,
         },
         document: Document::Own,
         based_on: version - 1,
