End requests whose client has left, whatever it has sent ahead

Cause: the HTTP library looks for the end of a connection by reading, and reads nothing while it holds bytes of a further request.

Change: the task that owns the socket waits for the end of the stream, which the system tells whatever is unread before it, and drops the connection when a request is served or begins. Nothing is read ahead.

--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -246,22 +246,60 @@
                 Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, activity)))
             }
         });
-        let ended = {
+        let end = {
             let io = TokioIo::new(socket.stream());
             let served = self.limits.builder().serve_connection(io, service);
-            tokio::pin!(served);
-            tokio::select! {
-                ended = served.as_mut() => ended,
-                () = closing(&mut self.closed) => {
+            let client_left = socket.client_left();
+            tokio::pin!(served, client_left);
+            let is_closing = tokio::select! {
+                biased;
+                ended = served.as_mut() => Some(End::of(ended, &self.activity)),
+                () = client_left.as_mut() => Some(End::ClientLeft),
+                () = closing(&mut self.closed) => None,
+            };
+            match is_closing {
+                Some(end) => end,
+                None => {
                     served.as_mut().graceful_shutdown();
-                    served.await
+                    tokio::select! {
+                        biased;
+                        ended = served => End::of(ended, &self.activity),
+                        () = client_left => End::ClientLeft,
+                    }
                 }
             }
         };
-        if ended.is_err_and(|error| error.is_parse_too_large()) {
-            self.limits.count(Cut::HeadSize);
+        match end {
+            End::ClientLeft => self.limits.count(Cut::Left),
+            End::HeadSize => {
+                self.limits.count(Cut::HeadSize);
+                socket.close().await;
+            }
+            End::Closed => socket.close().await,
+        }
+    }
+}
+
+/// How the service of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// The last answer was written, or the connection failed.
+    Closed,
+    /// A head was too large.
+    HeadSize,
+    /// The client left while a request of it was served.
+    ClientLeft,
+}
+
+impl End {
+    fn of(ended: hyper::Result<()>, activity: &Activity) -> Self {
+        match ended {
+            Err(error) if error.is_parse_too_large() => Self::HeadSize,
+            Err(error) if error.is_incomplete_message() && activity.is_serving() => {
+                Self::ClientLeft
+            }
+            Ok(()) | Err(_) => Self::Closed,
         }
-        socket.close().await;
     }
 }
 
--- a/crates/daemon/src/http/socket.rs
+++ b/crates/daemon/src/http/socket.rs
@@ -1,16 +1,21 @@
 //! The socket of a client's connection, which its task owns until the client has taken the last byte
 //! of its answers or is gone.
 //!
-//! The HTTP library reads a socket only as far as it needs the next request, and closes one without
-//! regard to bytes that it has not read. A system resets a connection that is closed with bytes unread,
-//! and drops what the client has not taken. So the close is done here, below the library.
+//! The HTTP library reads a socket only as far as it needs the next request. It sees the end of a
+//! connection only behind all that the client has sent, and it closes one without regard to bytes that
+//! it has not read. A system resets a connection that is closed with bytes unread, and drops what the
+//! client has not taken. So both are done here, below the library.
 
 use crate::http::{
     Cut, ServerLimits,
     stream::{Activity, ClientStream},
 };
-use std::{io, sync::Arc};
-use tokio::{io::AsyncWriteExt, net::TcpStream, time::timeout_at};
+use std::{future::poll_fn, io, sync::Arc, task::Poll};
+use tokio::{
+    io::{AsyncWriteExt, Interest},
+    net::TcpStream,
+    time::timeout_at,
+};
 
 /// How much is read and dropped at once, in bytes.
 const DISCARD_BYTES: usize = 8 * 1_024;
@@ -44,6 +49,21 @@
         )
     }
 
+    /// Waits until a request is served whose client has closed its side of the connection. Bytes that
+    /// were sent before the close may still be unread. To be polled by the task that serves the
+    /// requests, after them.
+    pub async fn client_left(&self) {
+        // Sockets aren't registered for priority data, so this waits for the end of the stream alone,
+        // whatever is unread before it. An error ends the connection as well.
+        let _ = self.stream.ready(Interest::PRIORITY).await;
+        // A request begins only while this task is polled.
+        poll_fn(|_| match self.activity.is_serving() {
+            true => Poll::Ready(()),
+            false => Poll::Pending,
+        })
+        .await;
+    }
+
     /// Closes the socket once the client has closed its side, which it does when it has taken the last
     /// answer. Until then, what it has sent is read and dropped. A client that has not closed
     /// `stall_timeout` after the last write is given up.
