--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -7,7 +7,7 @@
     gateways::gateway_poll_interval_ms,
     heartbeats::Verdict,
 };
-use plan::{Change, Registration, RegistrationStatus, SteeringChanges};
+use plan::{Change, InstanceState, KeyUse, Registration, RegistrationStatus, SteeringChanges};
 use share::TokenAnswer;
 use state::Operation;
 use std::sync::Arc;
@@ -35,7 +35,7 @@
         self.gateways
             .record(&body.gateway, &body.report, self.now_us);
         let plan = self.state.steering().plan();
-        if plan.is_some_and(|plan| !plan.tenants.is_empty()) {
+        if plan.is_some_and(|plan| plan.key_use() == KeyUse::Required) {
             self.shares.record_demand(self.with_suspension());
         }
         if received_us.after_ms(POLL_WAIT_MAX_MS).reached(self.now_us) {
@@ -184,37 +184,36 @@
                 }
             }
         }
-        outputs.push(Output::Answer {
-            request,
-            answer: Ok(Answer::Steered(plan::ChangeResult::Applied)),
-        });
+        // An instance whose notice to drain is confirmed counts on getting no further requests.
+        let answer = match registration.draining && self.is_ready(&registration.id) {
+            true => Err(ApiError::TooBusy),
+            false => Ok(Answer::Steered(plan::ChangeResult::Applied)),
+        };
+        outputs.push(Output::Answer { request, answer });
     }
 
-    /// Proposes a change, unless it says that a run leaves which can't have started yet: that would
-    /// end every run under its name.
+    /// Proposes a change. A notice to leave gets the time at which it came.
     pub(crate) fn handle_change(
         &mut self,
         request: u64,
-        change: Change,
+        mut change: Change,
         outputs: &mut Vec<Output>,
     ) {
-        let is_doubtful = match &change {
-            Change::Leave {
-                id,
-                born_ms: Some(born_ms),
-            } => {
-                !self.is_recorded_run(id, *born_ms) && !self.heartbeats.is_plausible_start(*born_ms)
+        if let Change::Leave {
+            id, received_ms, ..
+        } = &mut change
+        {
+            *received_ms = self.heartbeats.unix_ms();
+            if self.is_leader && self.state.steering().instance(id.as_str()).is_none() {
+                self.heartbeats.count_unrecorded_leave();
             }
-            _ => false,
-        };
-        if !self.is_leader || !is_doubtful {
-            return self.steer(request, change, outputs);
         }
-        self.heartbeats.count_doubtful();
-        outputs.push(Output::Answer {
-            request,
-            answer: Ok(Answer::Steered(plan::ChangeResult::Applied)),
-        });
+        self.steer(request, change, outputs);
+    }
+
+    fn is_ready(&self, id: &UpstreamName) -> bool {
+        let instance = self.state.steering().instance(id.as_str());
+        instance.is_some_and(|it| it.state == InstanceState::Ready)
     }
 
     fn is_recorded_run(&self, id: &UpstreamName, born_ms: u64) -> bool {
--- a/crates/control/tests/doubtful_heartbeats.rs
+++ b/crates/control/tests/doubtful_heartbeats.rs
@@ -7,6 +7,7 @@
 use control::Request;
 use plan::{Change, InstanceState, Registration};
 use proptest::prelude::*;
+use types::ApiError;
 
 /// The time of day in these tests, in Unix milliseconds.
 const NOW_MS: u64 = 1_800_000_000_000;
@@ -56,16 +57,24 @@
         fixture
     }
 
+    /// Sends a heartbeat. It is acknowledged, unless it says that its instance drains and that instance
+    /// is still in service.
     fn register(&mut self, registration: Registration) {
+        let (id, drains) = (registration.id.clone(), registration.draining);
         let request = Request::Register { registration };
         let answer = self.cluster.request_leader(&request);
-        answer.expect("heartbeats are acknowledged");
+        let is_ready = self.state(id.as_str()) == Some(InstanceState::Ready);
+        match drains && is_ready {
+            true => assert_eq!(answer.err(), Some(ApiError::TooBusy)),
+            false => drop(answer.expect("other heartbeats are acknowledged")),
+        }
     }
 
     fn leave(&mut self, id: &str, born_ms: u64) {
         let change = Change::Leave {
             id: id.parse().expect("a valid name"),
             born_ms: Some(born_ms),
+            received_ms: None,
         };
         let answer = self.cluster.request_leader(&Request::Steer { change });
         answer.expect("notices are acknowledged");
@@ -230,6 +239,50 @@
     assert_eq!(fixture.state("w-1"), Some(InstanceState::Gone));
 }
 
+// A notice that came before the first heartbeat of its run was confirmed and forgotten, and the late
+// heartbeat put the instance into service: review/13.
+#[test]
+fn a_confirmed_leave_binds_a_first_heartbeat_that_comes_late() {
+    let mut fixture = Fixture::new();
+    let change = Change::Leave {
+        id: "w-2".parse().expect("a valid name"),
+        born_ms: None,
+        received_ms: None,
+    };
+    let confirmed = fixture.cluster.request_leader(&Request::Steer { change });
+    confirmed.expect("notices are acknowledged");
+    // Another leader knows of it too.
+    let leader = fixture.cluster.wait_for_leader();
+    fixture.cluster.kill(&leader);
+    fixture.cluster.wait_for_leader();
+    for sequence in 1..4 {
+        fixture.register(heartbeat("w-2", 8_002, NOW_MS - 800, sequence));
+        assert_eq!(fixture.state("w-2"), None);
+        fixture.cluster.run_ms(INTERVAL_MS);
+    }
+    fixture.register(heartbeat("w-2", 8_002, NOW_MS + 2_500, 1));
+    assert_eq!(fixture.state("w-2"), Some(InstanceState::Ready));
+}
+
+// A heartbeat that says that its instance drains was confirmed and ignored when it looked late, as after a
+// restart with an earlier clock: requests went on to the instance.
+#[test]
+fn draining_is_confirmed_only_to_an_instance_that_gets_no_further_requests() {
+    let mut fixture = Fixture::new();
+    let draining = |born_ms, sequence| Registration {
+        draining: true,
+        ..heartbeat("w-1", 8_001, born_ms, sequence)
+    };
+    fixture.register(draining(BORN_MS - 5_000, 1));
+    assert_eq!(fixture.state("w-1"), Some(InstanceState::Ready));
+    fixture.register(draining(BORN_MS, 2));
+    assert_eq!(fixture.state("w-1"), Some(InstanceState::Draining));
+    // Copies, and late heartbeats of earlier runs, are confirmed from then on.
+    fixture.register(draining(BORN_MS, 2));
+    fixture.register(draining(BORN_MS - 5_000, 2));
+    assert_eq!(fixture.state("w-1"), Some(InstanceState::Draining));
+}
+
 // Whoever invents names and starts adds nothing to the log, and takes no instance away.
 #[test]
 fn invented_runs_far_ahead_add_nothing_to_the_log() {
