Take the arrival of a leave from the earliest time that the clock has shown

Cause: the time of arrival was read from the VM's clock alone.

Change: it is the process's clock on the earliest origin that the VM's clock has given it, so that a clock which is set ahead for a while has no effect.

Measured: a_restart_after_a_leave_is_used_while_clocks_are_ahead, and all of doubtful_heartbeats and steering, pass; the first fails where the clock is taken as it reads.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -87,9 +87,10 @@
     }
 
     /// Sets the VM's clock, in Unix milliseconds. It only tells whether an instance claims to have
-    /// started in the future, so that a rough value will do.
-    pub const fn set_unix_ms(&mut self, unix_ms: u64) {
-        self.heartbeats.set_unix_ms(unix_ms);
+    /// started in the future, and which runs had started when an instance leaves, so that a rough value
+    /// will do.
+    pub fn set_unix_ms(&mut self, unix_ms: u64) {
+        self.heartbeats.set_unix_ms(unix_ms, self.with_suspension());
     }
 
     /// Sets for how long the machine was suspended since an origin of the process, in microseconds. To be
--- a/crates/control/src/heartbeats.rs
+++ b/crates/control/src/heartbeats.rs
@@ -39,6 +39,9 @@
     doubts: Doubts,
     /// The VM's clock in Unix milliseconds, 0 until it is known.
     unix_ms: u64,
+    /// The origin of the process's clock in Unix milliseconds, by the earliest time that the VM's clock
+    /// has shown. A clock that is set ahead for a while doesn't change it.
+    origin_unix_ms: Option<u64>,
     /// Heartbeats that were ignored because no plan names their service.
     unknown_service: u64,
     /// Heartbeats that were ignored because they are late or doubtful.
@@ -57,20 +60,25 @@
             next_check_us: now_us,
             doubts: Doubts::default(),
             unix_ms: 0,
+            origin_unix_ms: None,
             unknown_service: 0,
             doubtful: 0,
             unrecorded_leaves: 0,
         }
     }
 
-    /// Sets the VM's clock.
-    pub(crate) const fn set_unix_ms(&mut self, unix_ms: u64) {
+    /// Sets the VM's clock; `now_us` is the time of the process's clock, which counts suspended time.
+    pub(crate) fn set_unix_ms(&mut self, unix_ms: u64, now_us: TimeUs) {
         self.unix_ms = unix_ms;
+        let origin_unix_ms = unix_ms.saturating_sub(now_us.0 / 1_000);
+        let earliest_ms = self.origin_unix_ms.unwrap_or(origin_unix_ms);
+        self.origin_unix_ms = Some(earliest_ms.min(origin_unix_ms));
     }
 
-    /// The VM's clock in Unix milliseconds; `None` until it is known.
-    pub(crate) fn unix_ms(&self) -> Option<u64> {
-        Some(self.unix_ms).filter(|unix_ms| *unix_ms > 0)
+    /// The time in Unix milliseconds by the earliest that the VM's clock has shown; `None` until it is
+    /// known.
+    pub(crate) fn earliest_unix_ms(&self, now_us: TimeUs) -> Option<u64> {
+        Some(self.origin_unix_ms?.saturating_add(now_us.0 / 1_000))
     }
 
     /// Whether a run may have started then; any may while the VM's clock is not known.
--- a/crates/control/src/steer.rs
+++ b/crates/control/src/steer.rs
@@ -203,7 +203,7 @@
             id, received_ms, ..
         } = &mut change
         {
-            *received_ms = self.heartbeats.unix_ms();
+            *received_ms = self.heartbeats.earliest_unix_ms(self.with_suspension());
             if self.is_leader && self.state.steering().instance(id.as_str()).is_none() {
                 self.heartbeats.count_unrecorded_leave();
             }
--- a/crates/control/tests/doubtful_heartbeats.rs
+++ b/crates/control/tests/doubtful_heartbeats.rs
@@ -264,6 +264,25 @@
     assert_eq!(fixture.state("w-2"), Some(InstanceState::Ready));
 }
 
+// A leave that doesn't state its run must not end the next one where a replica's clock was set ahead.
+#[test]
+fn a_restart_after_a_leave_is_used_while_clocks_are_ahead() {
+    let mut fixture = Fixture::new();
+    for replica in fixture.cluster.replicas.values_mut() {
+        replica.set_unix_ms(NOW_MS + 3_600_000);
+    }
+    let change = Change::Leave {
+        id: "w-1".parse().expect("a valid name"),
+        born_ms: None,
+        received_ms: None,
+    };
+    let confirmed = fixture.cluster.request_leader(&Request::Steer { change });
+    confirmed.expect("notices are acknowledged");
+    assert_eq!(fixture.state("w-1"), Some(InstanceState::Gone));
+    fixture.register(heartbeat("w-1", 8_001, NOW_MS + 4_000, 1));
+    assert_eq!(fixture.state("w-1"), Some(InstanceState::Ready));
+}
+
 // A heartbeat that says that its instance drains was confirmed and ignored when it looked late, as after a
 // restart with an earlier clock: requests went on to the instance.
 #[test]
