Count and log how clients' connections end

Only connections that were cut for a limit left a trace. An idle connection that was closed, and what its client sent behind the close, left none, so a request without an answer could not be put down to either side.

One that ends with a request on it that has no whole answer is logged with the client's address, who ended it and why.

Connections behave as before.

--- a/crates/daemon/src/control/start.rs
+++ b/crates/daemon/src/control/start.rs
@@ -11,7 +11,7 @@
         storage::{self, Storage},
     },
     feed::{forward_events, tick},
-    http::{CutCounters, Server, ServerLimits, serve},
+    http::{ConnectionRecorder, Server, ServerLimits, serve},
     quota::quota_terms,
     replicas::{ReplicaLinks, seed_names},
 };
@@ -142,7 +142,7 @@
     let listener = listen(role_settings.peer_listen, identity.clone(), inbox.clone()).await?;
     let mut registry = Registry::with_prefix("oleanderwell_control");
     let metrics = Arc::new(ControlMetrics::new(&mut registry));
-    let cuts = CutCounters::new(&mut registry);
+    let recorder = ConnectionRecorder::new(&mut registry, log);
     let config = config(settings, &id)?;
     let (storage, queue) = Storage::new();
     let (failure_sender, failure) = watch::channel(None);
@@ -183,7 +183,8 @@
         None => 1.0,
     };
     let limits = |listener| {
-        ServerLimits::new(&settings.limits, listener, &cuts).with_memory_fraction(listener_fraction)
+        ServerLimits::new(&settings.limits, listener, &recorder)
+            .with_memory_fraction(listener_fraction)
     };
     let lookup_server = match role_settings.lookup_listen {
         Some(address) => {
--- a/crates/daemon/src/entry/start.rs
+++ b/crates/daemon/src/entry/start.rs
@@ -9,7 +9,7 @@
         metrics::EntryMetrics,
     },
     feed::{forward_events, tick},
-    http::{CutCounters, Pool, Server, ServerLimits, serve},
+    http::{ConnectionRecorder, Pool, Server, ServerLimits, serve},
 };
 use entry::{EntryConfig, EntryCore};
 use kameo::{
@@ -75,7 +75,7 @@
     let links = Links::new(settings, identity.clone(), inbox)?;
     let mut registry = Registry::with_prefix("oleanderwell_entry");
     let metrics = Arc::new(EntryMetrics::new(&mut registry));
-    let cuts = CutCounters::new(&mut registry);
+    let recorder = ConnectionRecorder::new(&mut registry, log);
     let (stopped_sender, stopped) = watch::channel(false);
     let core = core(settings, role_settings, name, identity.incarnation, clock);
     let actor = EntryActor::spawn_with_mailbox(
@@ -102,8 +102,8 @@
     };
     let server = serve(
         role_settings.listen,
-        ServerLimits::new(&settings.limits, "callers", &cuts),
-        move |request, client| http.clone().handle(request, client.ip()),
+        ServerLimits::new(&settings.limits, "callers", &recorder),
+        move |request, client| http.clone().handle(request, client.address().ip()),
     )
     .await?;
     info!(log, "entry started";
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -12,7 +12,7 @@
         http::{GatewayHttp, StatusHttp},
         metrics::GatewayMetrics,
     },
-    http::{CutCounters, HeadLimits, Pool, Server, ServerLimits, serve},
+    http::{ConnectionRecorder, HeadLimits, Pool, Server, ServerLimits, serve},
     quota::quota_terms,
     replicas::{ReplicaLinks, seed_names},
 };
@@ -103,7 +103,7 @@
     let (inbox, events) = mpsc::channel(LINK_EVENTS);
     let mut registry = Registry::with_prefix("oleanderwell_gateway");
     let metrics = Arc::new(GatewayMetrics::new(&mut registry));
-    let cuts = CutCounters::new(&mut registry);
+    let recorder = ConnectionRecorder::new(&mut registry, log);
     let (head_sender, heads) = watch::channel(HeadLimits::new(&settings.limits));
     let (limits, client_limits) = watch::channel(None);
     let actor = GatewayActor::spawn_with_mailbox(
@@ -144,11 +144,11 @@
         log: log.clone(),
     };
     let descriptors = |fraction: f64| (role_settings.descriptors_max as f64 * fraction) as usize;
-    let limits = ServerLimits::new(&settings.limits, "clients", &cuts)
+    let limits = ServerLimits::new(&settings.limits, "clients", &recorder)
         .with_memory_fraction(1.0 - STATUS_FRACTION)
         .with_connections_max(descriptors(CLIENT_FRACTION))
         .with_heads(heads);
-    let status_limits = ServerLimits::new(&settings.limits, "status", &cuts)
+    let status_limits = ServerLimits::new(&settings.limits, "status", &recorder)
         .with_memory_fraction(STATUS_FRACTION)
         .with_connections_max(descriptors(STATUS_FRACTION));
     let server = serve(role_settings.listen, limits, move |request, _| {
--- a/crates/daemon/src/http/limits.rs
+++ b/crates/daemon/src/http/limits.rs
@@ -1,14 +1,10 @@
-//! Limits on the connections of a listener, and the counters of connections that are cut for them.
+//! Limits on the connections of a listener, and why connections are cut for them.
 
+use crate::http::ending::{ConnectionRecorder, DroppedBytes, End};
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioTimer;
-use prometheus_client::{
-    encoding::EncodeLabelSet,
-    metrics::{counter::Counter, family::Family},
-    registry::Registry,
-};
 use settings::LimitSettings;
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 use strum::IntoStaticStr;
 use tokio::sync::watch;
 
@@ -48,34 +44,6 @@
     Unread,
 }
 
-/// Labels of the counter of cut connections.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct CutLabels {
-    listener: &'static str,
-    cause: &'static str,
-}
-
-/// Counters of the connections that the listeners of a process cut.
-#[derive(Clone, Debug, Default)]
-pub struct CutCounters(Family<CutLabels, Counter>);
-
-impl CutCounters {
-    /// Creates the counters and registers them in `registry`.
-    pub fn new(registry: &mut Registry) -> Self {
-        let counters = Self::default();
-        let help = "Connections of clients that were cut, by cause";
-        registry.register("cut_connections", help, counters.0.clone());
-        counters
-    }
-
-    /// Counts a connection of a listener.
-    pub fn count(&self, listener: &'static str, cut: Cut) {
-        let cause = cut.into();
-        let labels = CutLabels { listener, cause };
-        self.0.get_or_create(&labels).inc();
-    }
-}
-
 /// What the plan declares about the heads of requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeadLimits {
@@ -128,14 +96,18 @@
     pub stall_timeout: Duration,
     /// The limits of heads. A change applies to connections accepted later.
     pub heads: watch::Receiver<HeadLimits>,
-    /// Counters of the process.
-    pub cuts: CutCounters,
+    /// Counts and logs how the connections of the process end.
+    pub recorder: ConnectionRecorder,
 }
 
 impl ServerLimits {
     /// The limits of a listener to which all of the memory for connections belongs, and whose limits of
     /// heads don't change.
-    pub fn new(settings: &LimitSettings, listener: &'static str, cuts: &CutCounters) -> Self {
+    pub fn new(
+        settings: &LimitSettings,
+        listener: &'static str,
+        recorder: &ConnectionRecorder,
+    ) -> Self {
         let (_, heads) = watch::channel(HeadLimits::new(settings));
         Self {
             listener,
@@ -146,7 +118,7 @@
             fields_max: settings.head_fields_max,
             stall_timeout: Duration::from_millis(settings.stall_timeout_ms),
             heads,
-            cuts: cuts.clone(),
+            recorder: recorder.clone(),
         }
     }
 
@@ -205,6 +177,19 @@
 
     /// Counts a connection that is cut.
     pub fn count(&self, cut: Cut) {
-        self.cuts.count(self.listener, cut);
+        self.recorder.count_cut(self.listener, cut);
+    }
+
+    /// Records the end of a client's connection. `is_unanswered` tells whether a request on it has no
+    /// whole answer.
+    pub fn record_end(&self, client: SocketAddr, end: End, is_unanswered: bool) {
+        self.recorder
+            .record_end(self.listener, client, end, is_unanswered);
+    }
+
+    /// Records what a client sent behind the end of its connection.
+    pub fn record_dropped(&self, client: SocketAddr, end: End, dropped: &DroppedBytes) {
+        self.recorder
+            .record_dropped(self.listener, client, end, dropped);
     }
 }
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod body;
 mod connection;
+mod ending;
 mod headers;
 mod limits;
 mod pool;
@@ -16,8 +17,9 @@
 pub use self::{
     body::{DISCARD_MAX_BYTES, discard_body, read_body},
     connection::{AnswerBody, Connection, RequestBody, SendError, connect},
+    ending::{Client, ConnectionRecorder, End},
     headers::strip_hop_by_hop_headers,
-    limits::{Cut, CutCounters, HeadLimits, ServerLimits},
+    limits::{Cut, HeadLimits, ServerLimits},
     pool::{Pool, Put, Take},
     reply::{Body, error, json, metrics, with_body},
     server::{Server, serve},
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -2,7 +2,7 @@
 //! gracefully.
 
 use crate::http::{
-    Body, Cut, ServerLimits,
+    Body, Client, Cut, End, ServerLimits,
     admission::{Connections, Room, Waiting},
     socket::ClientSocket,
     stream::{Activity, ServedBody},
@@ -59,8 +59,7 @@
     }
 }
 
-/// Listens on `address` and answers every request with `handler`, which also gets the address of
-/// the client.
+/// Listens on `address` and answers every request with `handler`, which also gets the client.
 ///
 /// # Errors
 ///
@@ -71,7 +70,7 @@
     handler: H,
 ) -> io::Result<Server>
 where
-    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+    H: Fn(Request<Incoming>, Client) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
@@ -98,6 +97,7 @@
 
 /// A connection in the acceptor's table.
 struct Connection {
+    client: SocketAddr,
     activity: Arc<Activity>,
     task: AbortHandle,
 }
@@ -123,7 +123,7 @@
 impl Acceptor {
     async fn run<H, F>(mut self, listener: TcpListener, handler: H)
     where
-        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+        H: Fn(Request<Incoming>, Client) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
         let mut waiting = None;
@@ -166,6 +166,10 @@
         };
         self.limits.count(cut);
         if let Some(connection) = closed.and_then(|id| self.connections.remove(id)) {
+            connection.activity.set_end(End::Evicted);
+            let is_unanswered = connection.activity.is_stalled();
+            self.limits
+                .record_end(connection.client, End::Evicted, is_unanswered);
             connection.task.abort();
         }
         room
@@ -173,7 +177,7 @@
 
     fn start<H, F>(&mut self, stream: TcpStream, client: SocketAddr, handler: H)
     where
-        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+        H: Fn(Request<Incoming>, Client) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
         let id = self.next_id;
@@ -191,7 +195,11 @@
             },
         };
         let task = tokio::spawn(served.run(stream, handler)).abort_handle();
-        let connection = Connection { activity, task };
+        let connection = Connection {
+            client,
+            activity,
+            task,
+        };
         self.connections.insert(id, client.ip(), connection);
     }
 }
@@ -222,14 +230,18 @@
 impl ServedConnection {
     async fn run<H, F>(mut self, stream: TcpStream, handler: H)
     where
-        H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
+        H: Fn(Request<Incoming>, Client) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
-        let socket = ClientSocket::new(stream, Arc::clone(&self.activity), self.limits.clone());
+        let activity = Arc::clone(&self.activity);
+        let socket = ClientSocket::new(stream, self.client, activity, self.limits.clone());
         let service = service_fn(|request: Request<Incoming>| {
             self.activity.begin_request();
             let reserved = reserve_head(&self.head_room, request.headers().len());
-            let answer = reserved.map(|room| (room, handler(request, self.client)));
+            let answer = reserved.map(|room| {
+                let client = Client::new(self.client, Arc::clone(&self.activity));
+                (room, handler(request, client))
+            });
             let (activity, limits) = (Arc::clone(&self.activity), &self.limits);
             async move {
                 let response = match answer {
@@ -251,55 +263,42 @@
             let served = self.limits.builder().serve_connection(io, service);
             let client_left = socket.client_left();
             tokio::pin!(served, client_left);
-            let is_closing = tokio::select! {
+            let end = tokio::select! {
                 biased;
-                ended = served.as_mut() => Some(End::of(ended, &self.activity)),
-                () = client_left.as_mut() => Some(End::ClientLeft),
+                ended = served.as_mut() => Some(End::of(ended, &self.activity, None)),
+                end = client_left.as_mut() => Some(end),
                 () = closing(&mut self.closed) => None,
             };
-            match is_closing {
+            let end = match end {
                 Some(end) => end,
                 None => {
+                    let idle_since = self.activity.waits_since();
                     served.as_mut().graceful_shutdown();
                     tokio::select! {
                         biased;
-                        ended = served => End::of(ended, &self.activity),
-                        () = client_left => End::ClientLeft,
+                        ended = served => End::of(ended, &self.activity, idle_since),
+                        end = client_left => end,
                     }
                 }
-            }
+            };
+            self.record_end(end);
+            end
         };
         match end {
-            End::ClientLeft => self.limits.count(Cut::Left),
+            End::ClientLeft | End::ClientReset => self.limits.count(Cut::Left),
             End::HeadSize => {
                 self.limits.count(Cut::HeadSize);
-                socket.close().await;
+                socket.close(end).await;
             }
-            End::Closed => socket.close().await,
+            _ => socket.close(end).await,
         }
     }
-}
-
-/// How the service of a connection ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum End {
-    /// The last answer was written, or the connection failed.
-    Closed,
-    /// A head was too large.
-    HeadSize,
-    /// The client left while a request of it was served.
-    ClientLeft,
-}
 
-impl End {
-    fn of(ended: hyper::Result<()>, activity: &Activity) -> Self {
-        match ended {
-            Err(error) if error.is_parse_too_large() => Self::HeadSize,
-            Err(error) if error.is_incomplete_message() && activity.is_serving() => {
-                Self::ClientLeft
-            }
-            Ok(()) | Err(_) => Self::Closed,
-        }
+    /// Records how the connection ends, before the request that is being served is dropped.
+    fn record_end(&self, end: End) {
+        self.activity.set_end(end);
+        let is_unanswered = self.activity.is_serving() || end.breaks_answer();
+        self.limits.record_end(self.client, end, is_unanswered);
     }
 }
 
--- a/crates/daemon/src/http/socket.rs
+++ b/crates/daemon/src/http/socket.rs
@@ -8,9 +8,10 @@
 
 use crate::http::{
     Cut, ServerLimits,
+    ending::{DroppedBytes, End},
     stream::{Activity, ClientStream},
 };
-use std::{future::poll_fn, io, sync::Arc, task::Poll};
+use std::{future::poll_fn, io, net::SocketAddr, sync::Arc, task::Poll};
 use tokio::{
     io::{AsyncWriteExt, Interest},
     net::TcpStream,
@@ -24,17 +25,24 @@
 #[derive(Debug)]
 pub struct ClientSocket {
     stream: TcpStream,
+    client: SocketAddr,
     activity: Arc<Activity>,
     limits: ServerLimits,
 }
 
 impl ClientSocket {
     /// A socket that was accepted just now.
-    pub fn new(stream: TcpStream, activity: Arc<Activity>, limits: ServerLimits) -> Self {
+    pub fn new(
+        stream: TcpStream,
+        client: SocketAddr,
+        activity: Arc<Activity>,
+        limits: ServerLimits,
+    ) -> Self {
         // Only delays the last bytes of an answer when it fails.
         let _ = stream.set_nodelay(true);
         Self {
             stream,
+            client,
             activity,
             limits,
         }
@@ -52,7 +60,7 @@
     /// Waits until a request is served whose client has closed its side of the connection. Bytes that
     /// were sent before the close may still be unread. To be polled by the task that serves the
     /// requests, after them.
-    pub async fn client_left(&self) {
+    pub async fn client_left(&self) -> End {
         // Sockets aren't registered for priority data, so this waits for the end of the stream alone,
         // whatever is unread before it. An error ends the connection as well.
         let _ = self.stream.ready(Interest::PRIORITY).await;
@@ -62,38 +70,45 @@
             false => Poll::Pending,
         })
         .await;
+        match self.stream.take_error() {
+            Ok(None) => End::ClientLeft,
+            Ok(Some(_)) | Err(_) => End::ClientReset,
+        }
     }
 
     /// Closes the socket once the client has closed its side, which it does when it has taken the last
     /// answer. Until then, what it has sent is read and dropped. A client that has not closed
     /// `stall_timeout` after the last write is given up.
-    pub async fn close(mut self) {
-        let Some(written_at) = self.activity.written_at() else {
-            return;
-        };
-        if self.stream.shutdown().await.is_err() {
-            return;
+    pub async fn close(mut self, end: End) {
+        let mut dropped = DroppedBytes::new();
+        if let Some(written_at) = self.activity.written_at()
+            && self.stream.shutdown().await.is_ok()
+        {
+            let deadline = written_at + self.limits.stall_timeout;
+            // Either way, what is left unread is recorded below.
+            let _ = timeout_at(deadline, self.discard(&mut dropped)).await;
         }
-        let deadline = written_at + self.limits.stall_timeout;
-        if timeout_at(deadline, self.discard()).await.is_err() && self.has_unread() {
+        dropped.unread_bytes = self.unread_bytes();
+        if dropped.unread_bytes > 0 {
             self.limits.count(Cut::Unread);
         }
+        self.limits.record_dropped(self.client, end, &dropped);
     }
 
     /// Drops what the client sends, until it closes its side.
-    async fn discard(&self) {
+    async fn discard(&self, dropped: &mut DroppedBytes) {
         while self.stream.readable().await.is_ok() {
             match self.stream.try_read(&mut [0; DISCARD_BYTES]) {
                 Ok(0) => return,
-                Ok(_) => {}
+                Ok(read_bytes) => dropped.record_read(read_bytes),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return,
             }
         }
     }
 
-    /// Whether bytes of the client have come that nobody has read.
-    fn has_unread(&self) -> bool {
-        rustix::io::ioctl_fionread(&self.stream).is_ok_and(|unread_bytes| unread_bytes > 0)
+    /// How many bytes of the client have come that nobody has read.
+    fn unread_bytes(&self) -> u64 {
+        rustix::io::ioctl_fionread(&self.stream).unwrap_or_default()
     }
 }
--- a/crates/daemon/src/http/stream.rs
+++ b/crates/daemon/src/http/stream.rs
@@ -1,14 +1,14 @@
 //! The HTTP library's view of a client's socket, which fails when a head takes too long to come or an
 //! answer too long to be taken.
 
-use crate::http::{Cut, ServerLimits};
+use crate::http::{Cut, End, ServerLimits, ending::CutError};
 use hyper::body::{Frame, SizeHint};
 use std::{
     future::Future,
     io,
     pin::Pin,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll},
@@ -42,6 +42,10 @@
     /// When bytes were last written to the socket, in milliseconds since the connection's start;
     /// [`NEVER_MS`] before the first.
     written_at_ms: AtomicU64,
+    /// Whether the client's side has ended, as far as it was read.
+    is_read_closed: AtomicBool,
+    /// Why the connection ended, once it has.
+    end: OnceLock<End>,
 }
 
 impl Activity {
@@ -54,6 +58,8 @@
             has_head: AtomicBool::new(false),
             waits_since_ms: AtomicU64::new(0),
             written_at_ms: AtomicU64::new(NEVER_MS),
+            is_read_closed: AtomicBool::new(false),
+            end: OnceLock::new(),
         }
     }
 
@@ -80,6 +86,32 @@
         self.is_serving.load(Ordering::Relaxed)
     }
 
+    /// Whether a part of the next head has come.
+    pub fn has_head(&self) -> bool {
+        self.has_head.load(Ordering::Relaxed)
+    }
+
+    /// Whether the end of the client's side was read.
+    pub fn is_read_closed(&self) -> bool {
+        self.is_read_closed.load(Ordering::Relaxed)
+    }
+
+    /// Whether bytes of an answer wait for the client to take others.
+    pub fn is_stalled(&self) -> bool {
+        self.stalled_since_ms.load(Ordering::Relaxed) != NEVER_MS
+    }
+
+    /// Why the connection ended; `None` before its end.
+    pub fn end(&self) -> Option<End> {
+        self.end.get().copied()
+    }
+
+    /// Sets why the connection ends, before its requests are dropped.
+    pub fn set_end(&self, end: End) {
+        // A second cause comes only with an abort of a connection that ends already.
+        let _ = self.end.set(end);
+    }
+
     /// When bytes were last written to the socket; `None` before the first.
     pub fn written_at(&self) -> Option<Instant> {
         let written_at_ms = self.written_at_ms.load(Ordering::Relaxed);
@@ -170,9 +202,9 @@
         }
     }
 
-    fn cut(&self, cut: Cut) -> io::Error {
+    fn cut(&self, cut: Cut, end: End) -> io::Error {
         self.limits.count(cut);
-        io::ErrorKind::TimedOut.into()
+        io::Error::new(io::ErrorKind::TimedOut, CutError(end))
     }
 
     /// Fails once the head that is coming has taken too long.
@@ -182,7 +214,7 @@
         }
         let deadline = self.head_deadline.as_mut();
         match deadline.is_some_and(|it| it.as_mut().poll(cx).is_ready()) {
-            true => Err(self.cut(Cut::HeadTime)),
+            true => Err(self.cut(Cut::HeadTime, End::HeadTime)),
             false => Ok(()),
         }
     }
@@ -208,7 +240,7 @@
         let end = || Box::pin(sleep_until(Instant::now() + self.limits.stall_timeout));
         let deadline = self.stall_deadline.get_or_insert_with(end);
         match deadline.as_mut().poll(cx) {
-            Poll::Ready(()) => Poll::Ready(Err(self.cut(Cut::Stalled))),
+            Poll::Ready(()) => Poll::Ready(Err(self.cut(Cut::Stalled, End::Stalled))),
             Poll::Pending => Poll::Pending,
         }
     }
@@ -222,7 +254,11 @@
     ) -> Poll<io::Result<()>> {
         self.check_head(cx)?;
         let before = buffer.filled().len();
-        std::task::ready!(poll_read(self.stream, cx, buffer))?;
+        let read = std::task::ready!(poll_read(self.stream, cx, buffer));
+        if read.is_err() || buffer.filled().len() == before {
+            self.activity.is_read_closed.store(true, Ordering::Relaxed);
+        }
+        read?;
         let is_first = !self.activity.is_serving.load(Ordering::Relaxed)
             && !self.activity.has_head.load(Ordering::Relaxed);
         if is_first && buffer.filled().len() > before {
