Log requests whose connection ends before their answer

A client that left was counted, but not logged, so a cut could not be put down to a request. The gateway now logs each request that is dropped before its answer: the client's ID and address, who ended the connection and why, whether its body was being read, its decision awaited or an attempt made, the upstream of the last attempt, and the time since it came. The line on answers that break off while they are streamed tells the client's address and the cause as well.

--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -9,9 +9,10 @@
         bodies::{Bodies, ReadError},
         guard::RequestGuard,
         metrics::GatewayMetrics,
+        progress::Progress,
         stream::{Delivery, StreamedBody},
     },
-    http::{Body, json, metrics, strip_hop_by_hop_headers, with_body},
+    http::{Body, Client, json, metrics, strip_hop_by_hop_headers, with_body},
 };
 use gate::{BusyUpstream, Decision, Ending, Failure, Load, NextStep, Refusal, Target};
 use http_body_util::BodyExt;
@@ -77,10 +78,12 @@
 
 impl GatewayHttp {
     /// Answers a client's request. Never fails: errors become responses without a body.
-    pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+    pub async fn handle(self, request: Request<Incoming>, client: Client) -> Response<Body> {
         self.metrics.requests.inc();
-        let arrived_us = self.clock.now_us();
-        let mut response = self.serve(request, arrived_us).await;
+        let id = attempt_id(request.headers());
+        let mut progress = Progress::new(id, client, self.clock, &self.log);
+        let mut response = self.serve(request, &mut progress).await;
+        progress.finish();
         if self.answers_until.borrow().is_some() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
@@ -88,7 +91,8 @@
         response
     }
 
-    async fn serve(&self, request: Request<Incoming>, arrived_us: TimeUs) -> Response<Body> {
+    async fn serve(&self, request: Request<Incoming>, progress: &mut Progress) -> Response<Body> {
+        let arrived_us = progress.arrived_us();
         let (mut head, body) = request.into_parts();
         let limits = *self.limits.borrow();
         if limits.is_some_and(|limits| head_bytes(&head) > limits.header_max_bytes) {
@@ -112,6 +116,7 @@
             None => return refuse(Refusal::Stopping, STOPPED_RETRY_MS),
         };
         self.metrics.record_body_room(self.bodies.free_bytes());
+        progress.await_decision();
         let request = self.next_request.fetch_add(1, Ordering::Relaxed);
         let mut guard = RequestGuard::new(self.actor.clone(), request);
         let arrival = arrival(guard.request(), &head.headers, &head.uri);
@@ -145,7 +150,7 @@
             headers: head.headers,
             body,
         };
-        let attempts = self.run_attempts(&call, target, guard, arrived_us);
+        let attempts = self.run_attempts(&call, target, guard, progress);
         match self.until_stop_ends(attempts).await {
             Some(response) => response,
             None => {
@@ -184,21 +189,24 @@
         call: &Call,
         mut target: Target,
         mut guard: RequestGuard,
-        arrived_us: TimeUs,
+        progress: &mut Progress,
     ) -> Response<Body> {
+        let arrived_us = progress.arrived_us();
         let mut failed = false;
         let response = loop {
+            progress.begin_attempt(&target);
             let outcome = self.attempt_runner.run(call, &target).await;
             guard.report_notices(outcome.notices).await;
             let response = match (outcome.ending, outcome.response) {
                 (Ending::Answered, Some(UpstreamAnswer::Streamed(response))) => {
-                    let delivery = self.delivery(call, target, guard, outcome.load, arrived_us);
+                    let delivery = self.delivery(call, target, guard, outcome.load, progress);
                     return stream(*response, Some(delivery));
                 }
                 (_, Some(UpstreamAnswer::Streamed(response))) => Some(stream(*response, None)),
                 (_, Some(UpstreamAnswer::Whole(response))) => Some(response),
                 (_, None) => None,
             };
+            progress.begin_answer();
             let next = guard.end_attempt(outcome.ending, outcome.load).await;
             if outcome.ending != Ending::Answered {
                 failed = true;
@@ -243,14 +251,15 @@
         target: Target,
         guard: RequestGuard,
         load: Option<Load>,
-        arrived_us: TimeUs,
+        progress: &Progress,
     ) -> Delivery {
         Delivery {
             guard,
             load,
             target,
             attempt_id: attempt_id(&call.headers),
-            arrived_us,
+            client: progress.client().clone(),
+            arrived_us: progress.arrived_us(),
             clock: self.clock,
             metrics: Arc::clone(&self.metrics),
             log: self.log.clone(),
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod guard;
 mod http;
 mod metrics;
+mod progress;
 mod start;
 mod stream;
 mod tenants;
--- a/crates/daemon/src/gateway/start.rs
+++ b/crates/daemon/src/gateway/start.rs
@@ -151,8 +151,8 @@
     let status_limits = ServerLimits::new(&settings.limits, "status", &recorder)
         .with_memory_fraction(STATUS_FRACTION)
         .with_connections_max(descriptors(STATUS_FRACTION));
-    let server = serve(role_settings.listen, limits, move |request, _| {
-        http.clone().handle(request)
+    let server = serve(role_settings.listen, limits, move |request, client| {
+        http.clone().handle(request, client)
     })
     .await?;
     let status = StatusHttp {
--- a/crates/daemon/src/gateway/stream.rs
+++ b/crates/daemon/src/gateway/stream.rs
@@ -3,7 +3,7 @@
 use crate::{
     clock::Clock,
     gateway::{guard::RequestGuard, metrics::GatewayMetrics},
-    http::{AnswerBody, Connection},
+    http::{AnswerBody, Client, Connection},
 };
 use bytes::Bytes;
 use gate::{Ending, Load, Target};
@@ -30,6 +30,8 @@
     pub target: Target,
     /// The client's ID of the request, for the log.
     pub attempt_id: String,
+    /// The client that takes the answer.
+    pub client: Client,
     /// When the request arrived.
     pub arrived_us: TimeUs,
     /// The clock of the core.
@@ -49,7 +51,9 @@
             info!(self.log, "answer broken off";
                 "request" => &self.attempt_id,
                 "tenant" => self.target.caller.tenant(),
+                "client" => %self.client.address(),
                 "ending" => ending.as_str(),
+                "cause" => self.client.end().map(<&'static str>::from),
                 "upstream" => self.target.upstream.as_str(),
                 "attempt" => self.target.attempt,
                 "elapsed_ms" => elapsed_us / 1_000);
