--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -325,12 +325,16 @@
             return;
         }
         if core.plan_version() != before {
+            let limits = core.limits();
             info!(self.args.log, "plan in force";
-                "version" => core.plan_version(), "revision" => core.revision());
+                "version" => core.plan_version(),
+                "revision" => core.revision(),
+                "idle_timeout_ms" => limits.map(|it| it.idle_timeout_ms),
+                "header_timeout_ms" => limits.map(|it| it.header_timeout_ms));
             let version = i64::try_from(core.plan_version()).unwrap_or(i64::MAX);
             self.args.metrics.plan_version.set(version);
             self.tenants.set_tenants(core.tenants());
-            if let Some(limits) = core.limits() {
+            if let Some(limits) = limits {
                 self.args.heads.send_replace(HeadLimits::of_plan(&limits));
                 self.args.limits.send_replace(Some(limits));
             }
