Leave requests unread that come behind the end of an idle connection

What callers saw: a request that was sent as the gateway closed an idle connection, by its limit or by a planned stop, got neither an answer nor a reset; and one that had arrived before was dropped when the process ran late.

Cause: the HTTP library ended idle connections by itself. Its timer is noticed before what has come on the socket, as after a pause of the process, and its graceful shutdown looks at what it has parsed only. Since the socket's owner then read and dropped whole requests behind the close, as if an answer had announced it.

Change: the task of a connection decides when it is idle (plan::KeepAlive), looks at the socket before it closes, and drops bytes only behind an answer that closes the connection. Behind any other end they stay unread and reset the connection once the last answer counts as taken. At a stop the next answer carries `connection: close`; requests that were sent ahead and a head that has begun are still answered.

--- a/crates/daemon/src/http/ending.rs
+++ b/crates/daemon/src/http/ending.rs
@@ -58,12 +58,10 @@
 }
 
 impl End {
-    /// How the service of a connection ended by the HTTP library's account. `idle_since` is since when
-    /// it had waited for a request when the listener stopped.
-    pub fn of(served: hyper::Result<()>, activity: &Activity, idle_since: Option<Instant>) -> Self {
+    /// How the service of a connection ended by the HTTP library's account.
+    pub fn of(served: hyper::Result<()>, activity: &Activity) -> Self {
         match served {
             Ok(()) if activity.is_read_closed() => Self::ClientClosed,
-            Ok(()) if idle_since.is_some() && idle_since == activity.waits_since() => Self::Stopped,
             Ok(()) => Self::LastAnswer,
             Err(error) => Self::of_error(&error, activity),
         }
@@ -75,15 +73,13 @@
         if let Some(CutError(end)) = cut.and_then(|it| it.downcast_ref()) {
             return *end;
         }
-        match (activity.is_serving(), activity.has_head()) {
+        match activity.is_serving() {
             _ if error.is_parse_too_large() => Self::HeadSize,
             _ if error.is_parse() => Self::Malformed,
-            (true, _) if error.is_incomplete_message() => Self::ClientLeft,
-            (false, _) if error.is_incomplete_message() => Self::ClientClosed,
+            true if error.is_incomplete_message() => Self::ClientLeft,
+            false if error.is_incomplete_message() => Self::ClientClosed,
             _ if error.is_user() => Self::BrokenAnswer,
             _ if io_error.is_some() => Self::SocketFailed,
-            (_, true) if error.is_timeout() => Self::HeadTime,
-            (_, false) if error.is_timeout() => Self::Idle,
             _ => Self::LibraryFailed,
         }
     }
@@ -96,6 +92,23 @@
         )
     }
 
+    /// Whether an answer has told the client that nothing behind it is served, or the client has closed.
+    pub const fn is_announced(self) -> bool {
+        match self {
+            Self::LastAnswer | Self::ClientClosed | Self::HeadSize | Self::Malformed => true,
+            Self::Idle
+            | Self::Stopped
+            | Self::ClientLeft
+            | Self::ClientReset
+            | Self::HeadTime
+            | Self::Stalled
+            | Self::BrokenAnswer
+            | Self::SocketFailed
+            | Self::LibraryFailed
+            | Self::Evicted => false,
+        }
+    }
+
     /// Who ended the connection.
     pub const fn party(self) -> Party {
         match self {
--- a/crates/daemon/src/http/limits.rs
+++ b/crates/daemon/src/http/limits.rs
@@ -2,7 +2,6 @@
 
 use crate::http::ending::{ConnectionRecorder, DroppedBytes, End};
 use hyper::server::conn::http1;
-use hyper_util::rt::TokioTimer;
 use settings::LimitSettings;
 use std::{net::SocketAddr, time::Duration};
 use strum::IntoStaticStr;
@@ -51,8 +50,9 @@
     pub head_max_bytes: usize,
     /// Time for a head to arrive, from its first byte.
     pub head_timeout: Duration,
-    /// Time for a complete head to arrive from the opening of the connection or the previous answer.
-    pub idle_timeout: Duration,
+    /// Time for the first byte of a head to arrive from the opening of the connection or the previous
+    /// answer, in milliseconds.
+    pub idle_timeout_ms: u64,
 }
 
 impl HeadLimits {
@@ -62,7 +62,7 @@
         Self {
             head_max_bytes: 0,
             head_timeout,
-            idle_timeout: head_timeout,
+            idle_timeout_ms: settings.head_timeout_ms,
         }
     }
 
@@ -72,7 +72,7 @@
         Self {
             head_max_bytes: usize::try_from(limits.header_max_bytes).unwrap_or(usize::MAX),
             head_timeout: head_timeout.mul_f64(1.0 + HEAD_TIME_EXTRA),
-            idle_timeout: Duration::from_millis(limits.idle_timeout_ms),
+            idle_timeout_ms: limits.idle_timeout_ms,
         }
     }
 }
@@ -167,9 +167,9 @@
     /// The builder of a connection that is accepted now.
     pub fn builder(&self) -> http1::Builder {
         let mut builder = http1::Builder::new();
+        // The stream and the task of the connection bound the time themselves.
         builder
-            .timer(TokioTimer::new())
-            .header_read_timeout(self.heads.borrow().idle_timeout)
+            .header_read_timeout(None)
             .max_buf_size(self.buffer_bytes())
             .max_headers(self.fields_max);
         builder
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -15,6 +15,7 @@
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
+use plan::KeepAlive;
 use std::{
     convert::Infallible,
     future::Future,
@@ -228,11 +229,13 @@
 }
 
 impl ServedConnection {
-    async fn run<H, F>(mut self, stream: TcpStream, handler: H)
+    async fn run<H, F>(self, stream: TcpStream, handler: H)
     where
         H: Fn(Request<Incoming>, Client) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
+        let mut closed = self.closed.clone();
+        let mut keep_alive = KeepAlive::new(self.limits.heads.borrow().idle_timeout_ms);
         let activity = Arc::clone(&self.activity);
         let socket = ClientSocket::new(stream, self.client, activity, self.limits.clone());
         let service = service_fn(|request: Request<Incoming>| {
@@ -244,7 +247,7 @@
             });
             let (activity, limits) = (Arc::clone(&self.activity), &self.limits);
             async move {
-                let response = match answer {
+                let mut response = match answer {
                     Ok((room, answer)) => {
                         let response = answer.await;
                         drop(room);
@@ -255,6 +258,10 @@
                         no_room_response()
                     }
                 };
+                if activity.is_retiring() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, close);
+                }
                 Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, activity)))
             }
         });
@@ -263,22 +270,19 @@
             let served = self.limits.builder().serve_connection(io, service);
             let client_left = socket.client_left();
             tokio::pin!(served, client_left);
-            let end = tokio::select! {
-                biased;
-                ended = served.as_mut() => Some(End::of(ended, &self.activity, None)),
-                end = client_left.as_mut() => Some(end),
-                () = closing(&mut self.closed) => None,
-            };
-            let end = match end {
-                Some(end) => end,
-                None => {
-                    let idle_since = self.activity.waits_since();
-                    served.as_mut().graceful_shutdown();
-                    tokio::select! {
-                        biased;
-                        ended = served => End::of(ended, &self.activity, idle_since),
-                        end = client_left => end,
+            let end = loop {
+                tokio::select! {
+                    biased;
+                    ended = served.as_mut() => break End::of(ended, &self.activity),
+                    end = client_left.as_mut() => break end,
+                    () = closing(&mut closed), if !keep_alive.is_retiring() => {
+                        keep_alive.retire();
+                        self.activity.retire();
                     }
+                    () = socket.idle_over(keep_alive) => break match keep_alive.is_retiring() {
+                        true => End::Stopped,
+                        false => End::Idle,
+                    },
                 }
             };
             self.record_end(end);
--- a/crates/daemon/src/http/socket.rs
+++ b/crates/daemon/src/http/socket.rs
@@ -9,18 +9,30 @@
 use crate::http::{
     Cut, ServerLimits,
     ending::{DroppedBytes, End},
-    stream::{Activity, ClientStream},
+    stream::{Activity, ClientStream, unread_bytes},
+};
+use plan::KeepAlive;
+use std::{
+    future::{Future, poll_fn},
+    io,
+    net::SocketAddr,
+    pin::pin,
+    sync::Arc,
+    task::{Poll, ready},
+    time::Duration,
 };
-use std::{future::poll_fn, io, net::SocketAddr, sync::Arc, task::Poll};
 use tokio::{
     io::{AsyncWriteExt, Interest},
     net::TcpStream,
-    time::timeout_at,
+    time::{Instant, sleep_until, timeout_at},
 };
 
 /// How much is read and dropped at once, in bytes.
 const DISCARD_BYTES: usize = 8 * 1_024;
 
+/// How long after the last write a client that has sent on counts as having taken its answer.
+const TAKEN_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A client's socket.
 #[derive(Debug)]
 pub struct ClientSocket {
@@ -61,9 +73,7 @@
     /// were sent before the close may still be unread. To be polled by the task that serves the
     /// requests, after them.
     pub async fn client_left(&self) -> End {
-        // Sockets aren't registered for priority data, so this waits for the end of the stream alone,
-        // whatever is unread before it. An error ends the connection as well.
-        let _ = self.stream.ready(Interest::PRIORITY).await;
+        self.end_of_stream().await;
         // A request begins only while this task is polled.
         poll_fn(|_| match self.activity.is_serving() {
             true => Poll::Ready(()),
@@ -76,9 +86,32 @@
         }
     }
 
+    /// Waits until the connection may be closed as idle by `keep_alive`: a connection whose next request
+    /// has arrived unread may not. To be polled by the task that serves the requests, after them.
+    pub async fn idle_over(&self, keep_alive: KeepAlive) {
+        let mut timer = pin!(sleep_until(Instant::now()));
+        poll_fn(|cx| {
+            let Some(closes_us) = keep_alive.closes_at(self.activity.phase()) else {
+                return Poll::Pending;
+            };
+            let closes_at = self.activity.instant(closes_us);
+            if timer.deadline() != closes_at {
+                timer.as_mut().reset(closes_at);
+            }
+            ready!(timer.as_mut().poll(cx));
+            match unread_bytes(&self.stream) {
+                0 => Poll::Ready(()),
+                _ => Poll::Pending,
+            }
+        })
+        .await;
+    }
+
     /// Closes the socket once the client has closed its side, which it does when it has taken the last
-    /// answer. Until then, what it has sent is read and dropped. A client that has not closed
-    /// `stall_timeout` after the last write is given up.
+    /// answer. A client that has not closed `stall_timeout` after the last write is given up.
+    ///
+    /// What comes behind an answer that closes the connection is read and dropped. Otherwise it stays
+    /// unread and resets the connection, which tells the client that a request was not taken.
     pub async fn close(mut self, end: End) {
         let mut dropped = DroppedBytes::new();
         if let Some(written_at) = self.activity.written_at()
@@ -86,15 +119,46 @@
         {
             let deadline = written_at + self.limits.stall_timeout;
             // Either way, what is left unread is recorded below.
-            let _ = timeout_at(deadline, self.discard(&mut dropped)).await;
+            let _ = timeout_at(deadline, async {
+                match end.is_announced() {
+                    true => self.discard(&mut dropped).await,
+                    false => self.end_or_unread(written_at + TAKEN_TIMEOUT).await,
+                }
+            })
+            .await;
         }
-        dropped.unread_bytes = self.unread_bytes();
+        dropped.unread_bytes = unread_bytes(&self.stream);
         if dropped.unread_bytes > 0 {
             self.limits.count(Cut::Unread);
         }
         self.limits.record_dropped(self.client, end, &dropped);
     }
 
+    /// Waits until the client has closed its side of the connection, whatever is unread before that.
+    async fn end_of_stream(&self) {
+        // Sockets aren't registered for priority data, so this waits for the end of the stream alone.
+        // An error ends the connection as well.
+        let _ = self.stream.ready(Interest::PRIORITY).await;
+    }
+
+    /// Waits until the client has closed its side of the connection, or has sent on, but in that case at
+    /// least until `taken_at`.
+    async fn end_or_unread(&self, taken_at: Instant) {
+        while let Ok(ready) = self.stream.ready(Interest::READABLE).await {
+            if ready.is_read_closed() {
+                return;
+            }
+            if unread_bytes(&self.stream) > 0 {
+                // Only the time matters: the socket is closed in either case.
+                let _ = timeout_at(taken_at, self.end_of_stream()).await;
+                return;
+            }
+            // Clears a readiness that is out of date.
+            let nothing = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
+            let _ = self.stream.try_io(Interest::READABLE, nothing);
+        }
+    }
+
     /// Drops what the client sends, until it closes its side.
     async fn discard(&self, dropped: &mut DroppedBytes) {
         while self.stream.readable().await.is_ok() {
@@ -106,9 +170,4 @@
             }
         }
     }
-
-    /// How many bytes of the client have come that nobody has read.
-    fn unread_bytes(&self) -> u64 {
-        rustix::io::ioctl_fionread(&self.stream).unwrap_or_default()
-    }
 }
--- a/crates/daemon/src/http/stream.rs
+++ b/crates/daemon/src/http/stream.rs
@@ -3,6 +3,7 @@
 
 use crate::http::{Cut, End, ServerLimits, ending::CutError};
 use hyper::body::{Frame, SizeHint};
+use plan::ConnectionPhase;
 use std::{
     future::Future,
     io,
@@ -19,6 +20,7 @@
     net::TcpStream,
     time::{Instant, Sleep, sleep_until},
 };
+use types::TimeUs;
 
 /// How long a client takes nothing of an answer before its connection may be closed to make room.
 const STALL_MIN: Duration = Duration::from_secs(1);
@@ -42,6 +44,8 @@
     /// When bytes were last written to the socket, in milliseconds since the connection's start;
     /// [`NEVER_MS`] before the first.
     written_at_ms: AtomicU64,
+    /// Whether the next answer is the last one.
+    is_retiring: AtomicBool,
     /// Whether the client's side has ended, as far as it was read.
     is_read_closed: AtomicBool,
     /// Why the connection ended, once it has.
@@ -58,6 +62,7 @@
             has_head: AtomicBool::new(false),
             waits_since_ms: AtomicU64::new(0),
             written_at_ms: AtomicU64::new(NEVER_MS),
+            is_retiring: AtomicBool::new(false),
             is_read_closed: AtomicBool::new(false),
             end: OnceLock::new(),
         }
@@ -119,6 +124,38 @@
         is_written.then(|| self.started + Duration::from_millis(written_at_ms))
     }
 
+    /// What the connection is doing. Times are counted from its start.
+    pub fn phase(&self) -> ConnectionPhase {
+        if self.is_serving() || self.is_stalled() {
+            return ConnectionPhase::Serving;
+        }
+        if self.has_head() {
+            return ConnectionPhase::Receiving;
+        }
+        let waits_since_ms = self.waits_since_ms.load(Ordering::Relaxed);
+        let since_ms = match self.written_at_ms.load(Ordering::Relaxed) {
+            NEVER_MS => waits_since_ms,
+            written_at_ms => waits_since_ms.max(written_at_ms),
+        };
+        let since_us = TimeUs::default().after_ms(since_ms);
+        ConnectionPhase::Idle { since_us }
+    }
+
+    /// The instant of a time that is counted from the connection's start.
+    pub fn instant(&self, time_us: TimeUs) -> Instant {
+        self.started + Duration::from_micros(time_us.0)
+    }
+
+    /// Makes the next answer the last one.
+    pub fn retire(&self) {
+        self.is_retiring.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the next answer is the last one.
+    pub fn is_retiring(&self) -> bool {
+        self.is_retiring.load(Ordering::Relaxed)
+    }
+
     fn record_write(&self) {
         let elapsed_ms = self.elapsed_ms();
         self.written_at_ms.store(elapsed_ms, Ordering::Relaxed);
@@ -207,13 +244,15 @@
         io::Error::new(io::ErrorKind::TimedOut, CutError(end))
     }
 
-    /// Fails once the head that is coming has taken too long.
+    /// Fails once the head that is coming has taken too long. To be called when nothing of it can be read.
     fn check_head(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
         if !self.activity.has_head.load(Ordering::Relaxed) {
             self.head_deadline = None;
         }
         let deadline = self.head_deadline.as_mut();
-        match deadline.is_some_and(|it| it.as_mut().poll(cx).is_ready()) {
+        let is_over = deadline.is_some_and(|it| it.as_mut().poll(cx).is_ready());
+        // After a pause of the process the deadline is noticed before what has come in time.
+        match is_over && unread_bytes(self.stream) == 0 {
             true => Err(self.cut(Cut::HeadTime, End::HeadTime)),
             false => Ok(()),
         }
@@ -252,9 +291,11 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.check_head(cx)?;
         let before = buffer.filled().len();
-        let read = std::task::ready!(poll_read(self.stream, cx, buffer));
+        let Poll::Ready(read) = poll_read(self.stream, cx, buffer) else {
+            self.check_head(cx)?;
+            return Poll::Pending;
+        };
         if read.is_err() || buffer.filled().len() == before {
             self.activity.is_read_closed.store(true, Ordering::Relaxed);
         }
@@ -305,6 +346,11 @@
     }
 }
 
+/// How many bytes of the client have come that nobody has read.
+pub fn unread_bytes(stream: &TcpStream) -> u64 {
+    rustix::io::ioctl_fionread(stream).unwrap_or_default()
+}
+
 /// Reads what has come on a socket that is borrowed.
 fn poll_read(
     stream: &TcpStream,
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -10,6 +10,7 @@
 mod departures;
 mod instance;
 mod instances;
+mod keep_alive;
 mod model;
 mod steering;
 mod table;
@@ -22,6 +23,7 @@
     changes::PlanChanges,
     departures::BORN_AHEAD_MAX_MS,
     instance::{Instance, InstanceState, Registration, RegistrationStatus},
+    keep_alive::{ConnectionPhase, KeepAlive},
     model::{Limits, Plan, RetrySafety, Route, ServiceTerms, WeightedService},
     steering::{INACTIVE_MAX, Steering, SteeringChanges},
     table::RouteTable,
