Hold a raised idle limit for connections that are open

What callers saw: after a plan that raises the limit on idleness, a request on a connection that was open before met the close at the old limit.

Cause: a connection kept the limits of the plan in force when it was accepted, while its client goes by the newest one. A gateway that had just started, whose first plan came after the client, closed by its own shorter default.

Change: a connection takes over larger times of later plans (KeepAlive::extend), for idleness and for heads; it keeps the larger one when a plan lowers them, since a client may not know yet. Tasks of connections wake only when the limits differ.

--- a/crates/daemon/src/gateway/actor.rs
+++ b/crates/daemon/src/gateway/actor.rs
@@ -335,7 +335,10 @@
             self.args.metrics.plan_version.set(version);
             self.tenants.set_tenants(core.tenants());
             if let Some(limits) = limits {
-                self.args.heads.send_replace(HeadLimits::of_plan(&limits));
+                let declared = HeadLimits::of_plan(&limits);
+                // A change wakes the task of each connection.
+                let replace = |heads: &mut _| std::mem::replace(heads, declared) != declared;
+                self.args.heads.send_if_modified(replace);
                 self.args.limits.send_replace(Some(limits));
             }
         }
--- a/crates/daemon/src/http/limits.rs
+++ b/crates/daemon/src/http/limits.rs
@@ -94,7 +94,7 @@
     pub fields_max: usize,
     /// How long a client may take nothing of an answer.
     pub stall_timeout: Duration,
-    /// The limits of heads. A change applies to connections accepted later.
+    /// The limits of heads and of idleness. Open connections take over longer times.
     pub heads: watch::Receiver<HeadLimits>,
     /// Counts and logs how the connections of the process end.
     pub recorder: ConnectionRecorder,
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -234,8 +234,8 @@
         H: Fn(Request<Incoming>, Client) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
-        let mut closed = self.closed.clone();
-        let mut keep_alive = KeepAlive::new(self.limits.heads.borrow().idle_timeout_ms);
+        let (mut closed, mut heads) = (self.closed.clone(), self.limits.heads.clone());
+        let mut keep_alive = KeepAlive::new(heads.borrow_and_update().idle_timeout_ms);
         let activity = Arc::clone(&self.activity);
         let socket = ClientSocket::new(stream, self.client, activity, self.limits.clone());
         let service = service_fn(|request: Request<Incoming>| {
@@ -279,6 +279,9 @@
                         keep_alive.retire();
                         self.activity.retire();
                     }
+                    Ok(()) = heads.changed() => {
+                        keep_alive.extend(heads.borrow_and_update().idle_timeout_ms);
+                    }
                     () = socket.idle_over(keep_alive) => break match keep_alive.is_retiring() {
                         true => End::Stopped,
                         false => End::Idle,
--- a/crates/daemon/src/http/stream.rs
+++ b/crates/daemon/src/http/stream.rs
@@ -304,6 +304,8 @@
             && !self.activity.has_head.load(Ordering::Relaxed);
         if is_first && buffer.filled().len() > before {
             self.activity.has_head.store(true, Ordering::Relaxed);
+            let declared = self.limits.heads.borrow().head_timeout;
+            self.head_timeout = self.head_timeout.max(declared);
             let end = Instant::now() + self.head_timeout;
             self.head_deadline = Some(Box::pin(sleep_until(end)));
         }
--- a/crates/plan/src/keep_alive.rs
+++ b/crates/plan/src/keep_alive.rs
@@ -1,4 +1,7 @@
-//! Until when a client's connection is kept open.
+//! Until when a client's connection is kept open, while plans change the limit on idleness.
+//!
+//! A client goes by the plan that it knows, which may be older or newer than the one in force here. So
+//! the largest limit of all plans since the connection was opened binds it.
 
 use types::TimeUs;
 
@@ -33,6 +36,11 @@
         }
     }
 
+    /// Takes over the limit of a later plan if it is larger.
+    pub fn extend(&mut self, idle_timeout_ms: u64) {
+        self.idle_timeout_ms = self.idle_timeout_ms.max(idle_timeout_ms);
+    }
+
     /// Ends the connection as soon as it is idle.
     pub const fn retire(&mut self) {
         self.is_retiring = true;
