End connections whose buffer is too small for the heads of a new plan

What callers saw: after a plan that allows larger heads, 431 for such a head on a connection that was open before, and an answer on a new one.

Cause: the same as that of the idle limit: a connection keeps the buffer of the plan in force when it was accepted.

Change: such a connection is closed while it is idle, with what comes behind unread, or its next answer says `connection: close`.

--- a/crates/daemon/src/http/ending.rs
+++ b/crates/daemon/src/http/ending.rs
@@ -19,6 +19,8 @@
     Idle,
     /// The listener stopped while the connection waited for a request.
     Stopped,
+    /// A plan allows larger heads than the buffer of the connection holds.
+    Outdated,
     /// The last answer was given.
     LastAnswer,
     /// The client closed its side while no request of it was served.
@@ -98,6 +100,7 @@
             Self::LastAnswer | Self::ClientClosed | Self::HeadSize | Self::Malformed => true,
             Self::Idle
             | Self::Stopped
+            | Self::Outdated
             | Self::ClientLeft
             | Self::ClientReset
             | Self::HeadTime
--- a/crates/daemon/src/http/limits.rs
+++ b/crates/daemon/src/http/limits.rs
@@ -94,7 +94,8 @@
     pub fields_max: usize,
     /// How long a client may take nothing of an answer.
     pub stall_timeout: Duration,
-    /// The limits of heads and of idleness. Open connections take over longer times.
+    /// The limits of heads and of idleness. Open connections take over longer times;
+    /// those whose buffer is too small for a larger head end after their next answer.
     pub heads: watch::Receiver<HeadLimits>,
     /// Counts and logs how the connections of the process end.
     pub recorder: ConnectionRecorder,
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -235,6 +235,7 @@
         F: Future<Output = Response<Body>> + Send + 'static,
     {
         let (mut closed, mut heads) = (self.closed.clone(), self.limits.heads.clone());
+        let buffer_bytes = self.limits.buffer_bytes();
         let mut keep_alive = KeepAlive::new(heads.borrow_and_update().idle_timeout_ms);
         let activity = Arc::clone(&self.activity);
         let socket = ClientSocket::new(stream, self.client, activity, self.limits.clone());
@@ -281,9 +282,15 @@
                     }
                     Ok(()) = heads.changed() => {
                         keep_alive.extend(heads.borrow_and_update().idle_timeout_ms);
+                        // The buffer of a connection can't grow.
+                        if self.limits.buffer_bytes() > buffer_bytes {
+                            keep_alive.retire();
+                            self.activity.retire();
+                        }
                     }
                     () = socket.idle_over(keep_alive) => break match keep_alive.is_retiring() {
-                        true => End::Stopped,
+                        true if *closed.borrow() => End::Stopped,
+                        true => End::Outdated,
                         false => End::Idle,
                     },
                 }
