Say that an answer to a body that is not read closes the connection

What callers saw: after 413, 408 or 503 for a body that was not read to its end, the gateway closed the connection without having said so. A request that the client sent next crossed the close and was read and dropped.

Cause: the HTTP library writes the head of the answer before it finds that what is left of the request's body keeps it from using the connection again.

Change: the body of a client's request tells its connection whether it was read to its end, and an answer that begins before carries `connection: close`, on every listener.

--- a/crates/daemon/src/control/http.rs
+++ b/crates/daemon/src/control/http.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     control::actor::{Cancel, ControlActor, Dump, Submit},
-    http::{Body, bearer_token, error, json, metrics, read_body, same_token},
+    http::{Body, ClientBody, bearer_token, error, json, metrics, read_body, same_token},
 };
 use api::{HttpAnswer, HttpRequest, body_max_bytes, encode, parse};
 use bytes::Bytes;
@@ -10,7 +10,6 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
-    body::Incoming,
     header::{CONTENT_TYPE, HeaderValue},
 };
 use kameo::actor::ActorRef;
@@ -34,7 +33,7 @@
 
 impl ControlHttp {
     /// Routes a request and returns its response.
-    pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+    pub async fn handle(self, request: Request<ClientBody>) -> Response<Body> {
         let answer = match request.uri().path() {
             "/metrics" => metrics(&self.registry),
             "/ready" => self.ready().await,
@@ -44,7 +43,7 @@
         answer.unwrap_or_else(|failure| error(&failure))
     }
 
-    async fn handle_api(&self, request: Request<Incoming>) -> Result<Response<Body>, ApiError> {
+    async fn handle_api(&self, request: Request<ClientBody>) -> Result<Response<Body>, ApiError> {
         let (head, body) = request.into_parts();
         if head.method != hyper::Method::GET {
             self.authorize(&head.headers)?;
--- a/crates/daemon/src/control/platform_http.rs
+++ b/crates/daemon/src/control/platform_http.rs
@@ -2,12 +2,11 @@
 
 use crate::{
     control::http::ControlHttp,
-    http::{Body, read_body, with_body},
+    http::{Body, ClientBody, read_body, with_body},
 };
 use api::PLAN_MAX_BYTES;
 use hyper::{
     Request, Response, StatusCode,
-    body::Incoming,
     header::{HeaderValue, IF_MATCH, LOCATION},
 };
 use plan::Change;
@@ -34,7 +33,7 @@
 impl PlatformHttp {
     /// Answers a call of an instance or operator. `/metrics`, `/dump` and paths below `/v1/` go to
     /// the native interface.
-    pub async fn call(self, request: Request<Incoming>) -> Response<Body> {
+    pub async fn call(self, request: Request<ClientBody>) -> Response<Body> {
         let path = request.uri().path();
         if path == "/metrics" || path == "/dump" || path.starts_with("/v1/") {
             return self.control.handle(request).await;
@@ -61,7 +60,7 @@
     }
 
     /// Answers a look-up of a client, on the look-up listener.
-    pub async fn look_up(self, request: Request<Incoming>) -> Response<Body> {
+    pub async fn look_up(self, request: Request<ClientBody>) -> Response<Body> {
         let (method, uri) = (request.method(), request.uri());
         let call = decode_lookup(method.as_str(), uri.path(), uri.query());
         self.answer(call, "").await
--- a/crates/daemon/src/entry/http.rs
+++ b/crates/daemon/src/entry/http.rs
@@ -14,15 +14,14 @@
         relay::{RelayContext, RelayedBody, RequestGuard},
     },
     http::{
-        AnswerBody, Body, Connection, Pool, bearer_token, error, json, metrics, read_body,
-        same_token, strip_hop_by_hop_headers,
+        AnswerBody, Body, ClientBody, Connection, Pool, bearer_token, error, json, metrics,
+        read_body, same_token, strip_hop_by_hop_headers,
     },
 };
 use claim::ClaimKey;
 use http_body_util::BodyExt;
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri,
-    body::Incoming,
     header::{CACHE_CONTROL, HeaderName, HeaderValue},
 };
 use kameo::actor::ActorRef;
@@ -70,7 +69,7 @@
 
 impl EntryHttp {
     /// Routes a request and returns its response.
-    pub async fn handle(self, request: Request<Incoming>, client: IpAddr) -> Response<Body> {
+    pub async fn handle(self, request: Request<ClientBody>, client: IpAddr) -> Response<Body> {
         let path = request.uri().path().to_owned();
         let mut parts = path.trim_start_matches('/').splitn(3, '/');
         let route = (parts.next().unwrap_or(""), parts.next().unwrap_or(""));
@@ -94,7 +93,7 @@
         &self,
         service: &str,
         sender: IpAddr,
-        request: &Request<Incoming>,
+        request: &Request<ClientBody>,
     ) -> Result<Response<Body>, ApiError> {
         if request.method() != Method::GET {
             return Err(ApiError::MethodNotAllowed);
@@ -118,7 +117,7 @@
     async fn announce(
         &self,
         name: &str,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Result<Response<Body>, ApiError> {
         if request.method() != Method::PUT {
             return Err(ApiError::MethodNotAllowed);
@@ -176,7 +175,7 @@
         &self,
         service: &str,
         rest: &str,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Result<Response<Body>, ApiError> {
         let service = service_name(service)?;
         let timeout_ms = caller_timeout_ms(request.headers())?;
--- a/crates/daemon/src/gateway/bodies.rs
+++ b/crates/daemon/src/gateway/bodies.rs
@@ -5,10 +5,10 @@
 //! read, its size is reserved; while there is no room, the client's own sending waits. Small bodies have
 //! room of their own, so that large ones don't hold them up.
 
-use crate::http::{DISCARD_MAX_BYTES, discard_body};
+use crate::http::{ClientBody, DISCARD_MAX_BYTES, discard_body};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use std::{sync::Arc, time::Duration};
 use thiserror::Error;
 use tokio::{
@@ -113,7 +113,7 @@
     /// [`ReadError`]; nothing is kept of the body then.
     pub async fn read(
         &self,
-        body: Incoming,
+        body: ClientBody,
         limit_bytes: usize,
         client_timeout: Option<Duration>,
     ) -> Result<StoredBody, ReadError> {
@@ -145,7 +145,7 @@
 /// A body that is being read.
 struct Reader<'a> {
     bodies: &'a Bodies,
-    body: Incoming,
+    body: ClientBody,
     wait: Duration,
     room: Vec<OwnedSemaphorePermit>,
     reserved_bytes: usize,
--- a/crates/daemon/src/gateway/http.rs
+++ b/crates/daemon/src/gateway/http.rs
@@ -12,13 +12,12 @@
         progress::Progress,
         stream::{Delivery, StreamedBody},
     },
-    http::{Body, Client, json, metrics, strip_hop_by_hop_headers, with_body},
+    http::{Body, Client, ClientBody, json, metrics, strip_hop_by_hop_headers, with_body},
 };
 use gate::{BusyUpstream, Decision, Ending, Failure, Load, NextStep, Refusal, Target};
 use http_body_util::BodyExt;
 use hyper::{
     Request, Response, StatusCode, Uri,
-    body::Incoming,
     header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE},
     http::request::Parts,
 };
@@ -78,7 +77,7 @@
 
 impl GatewayHttp {
     /// Answers a client's request. Never fails: errors become responses without a body.
-    pub async fn handle(self, request: Request<Incoming>, client: Client) -> Response<Body> {
+    pub async fn handle(self, request: Request<ClientBody>, client: Client) -> Response<Body> {
         self.metrics.requests.inc();
         let id = attempt_id(request.headers());
         let mut progress = Progress::new(id, client, self.clock, &self.log);
@@ -91,7 +90,7 @@
         response
     }
 
-    async fn serve(&self, request: Request<Incoming>, progress: &mut Progress) -> Response<Body> {
+    async fn serve(&self, request: Request<ClientBody>, progress: &mut Progress) -> Response<Body> {
         let arrived_us = progress.arrived_us();
         let (mut head, body) = request.into_parts();
         let limits = *self.limits.borrow();
@@ -333,7 +332,7 @@
 
 impl StatusHttp {
     /// Routes a request and returns its response.
-    pub async fn handle(self, request: Request<Incoming>) -> Response<Body> {
+    pub async fn handle(self, request: Request<ClientBody>) -> Response<Body> {
         let answer = match request.uri().path() {
             "/metrics" => metrics(&self.registry),
             "/ready" => self.ready().await,
--- a/crates/daemon/src/http/body.rs
+++ b/crates/daemon/src/http/body.rs
@@ -1,8 +1,8 @@
 //! Reads request bodies within limits of size and time.
 
+use crate::http::ClientBody;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use std::time::Duration;
 use tokio::time::timeout;
 use types::ApiError;
@@ -20,12 +20,12 @@
 ///
 /// [`ApiError::BodyTooLarge`] or [`ApiError::BodyTimeout`]. A broken connection is reported as
 /// [`ApiError::BodyTimeout`] too, since the sender can't receive an answer.
-pub async fn read_body(body: Incoming, limit_bytes: usize) -> Result<Bytes, ApiError> {
+pub async fn read_body(body: ClientBody, limit_bytes: usize) -> Result<Bytes, ApiError> {
     let read = timeout(BODY_TIMEOUT, collect(body, limit_bytes)).await;
     read.unwrap_or(Err(ApiError::BodyTimeout))
 }
 
-async fn collect(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, ApiError> {
+async fn collect(mut body: ClientBody, limit_bytes: usize) -> Result<Bytes, ApiError> {
     let mut body_bytes = BytesMut::new();
     let mut discarded_bytes = 0;
     while let Some(frame) = body.frame().await {
@@ -51,7 +51,7 @@
 }
 
 /// Reads and throws away what is left of a body, at most `max_bytes` and for at most `limit`.
-pub async fn discard_body(mut body: Incoming, max_bytes: usize, limit: Duration) {
+pub async fn discard_body(mut body: ClientBody, max_bytes: usize, limit: Duration) {
     let discard = async {
         let mut left_bytes = max_bytes;
         while let Some(Ok(frame)) = body.frame().await {
--- a/crates/daemon/src/http/mod.rs
+++ b/crates/daemon/src/http/mod.rs
@@ -23,5 +23,6 @@
     pool::{Pool, Put, Take},
     reply::{Body, error, json, metrics, with_body},
     server::{Server, serve},
+    stream::ClientBody,
     token::{bearer_token, same_token},
 };
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -5,7 +5,7 @@
     Body, Client, Cut, End, ServerLimits,
     admission::{Connections, Room, Waiting},
     socket::ClientSocket,
-    stream::{Activity, ServedBody},
+    stream::{Activity, ClientBody, ServedBody},
     with_body,
 };
 use hyper::{
@@ -71,7 +71,7 @@
     handler: H,
 ) -> io::Result<Server>
 where
-    H: Fn(Request<Incoming>, Client) -> F + Clone + Send + Sync + 'static,
+    H: Fn(Request<ClientBody>, Client) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
@@ -124,7 +124,7 @@
 impl Acceptor {
     async fn run<H, F>(mut self, listener: TcpListener, handler: H)
     where
-        H: Fn(Request<Incoming>, Client) -> F + Clone + Send + Sync + 'static,
+        H: Fn(Request<ClientBody>, Client) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
         let mut waiting = None;
@@ -178,7 +178,7 @@
 
     fn start<H, F>(&mut self, stream: TcpStream, client: SocketAddr, handler: H)
     where
-        H: Fn(Request<Incoming>, Client) -> F + Clone + Send + Sync + 'static,
+        H: Fn(Request<ClientBody>, Client) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
         let id = self.next_id;
@@ -231,7 +231,7 @@
 impl ServedConnection {
     async fn run<H, F>(self, stream: TcpStream, handler: H)
     where
-        H: Fn(Request<Incoming>, Client) -> F + Clone + Send + Sync + 'static,
+        H: Fn(Request<ClientBody>, Client) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
         let (mut closed, mut heads) = (self.closed.clone(), self.limits.heads.clone());
@@ -244,6 +244,8 @@
             let reserved = reserve_head(&self.head_room, request.headers().len());
             let answer = reserved.map(|room| {
                 let client = Client::new(self.client, Arc::clone(&self.activity));
+                let activity = Arc::clone(&self.activity);
+                let request = request.map(|body| ClientBody::new(body, activity));
                 (room, handler(request, client))
             });
             let (activity, limits) = (Arc::clone(&self.activity), &self.limits);
@@ -259,7 +261,7 @@
                         no_room_response()
                     }
                 };
-                if activity.is_retiring() {
+                if activity.ends_with_answer() {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
--- a/crates/daemon/src/http/stream.rs
+++ b/crates/daemon/src/http/stream.rs
@@ -2,7 +2,8 @@
 //! answer too long to be taken.
 
 use crate::http::{Cut, End, ServerLimits, ending::CutError};
-use hyper::body::{Frame, SizeHint};
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use plan::ConnectionPhase;
 use std::{
     future::Future,
@@ -46,6 +47,8 @@
     written_at_ms: AtomicU64,
     /// Whether the next answer is the last one.
     is_retiring: AtomicBool,
+    /// Whether the body of the request that is served has not been read to its end.
+    has_open_body: AtomicBool,
     /// Whether the client's side has ended, as far as it was read.
     is_read_closed: AtomicBool,
     /// Why the connection ended, once it has.
@@ -63,6 +66,7 @@
             waits_since_ms: AtomicU64::new(0),
             written_at_ms: AtomicU64::new(NEVER_MS),
             is_retiring: AtomicBool::new(false),
+            has_open_body: AtomicBool::new(false),
             is_read_closed: AtomicBool::new(false),
             end: OnceLock::new(),
         }
@@ -146,16 +150,17 @@
         self.started + Duration::from_micros(time_us.0)
     }
 
+    /// Whether an answer that begins now is the last one: the connection is to end, or the library can't
+    /// keep it since the body of the request was not read.
+    pub fn ends_with_answer(&self) -> bool {
+        self.is_retiring.load(Ordering::Relaxed) || self.has_open_body.load(Ordering::Relaxed)
+    }
+
     /// Makes the next answer the last one.
     pub fn retire(&self) {
         self.is_retiring.store(true, Ordering::Relaxed);
     }
 
-    /// Whether the next answer is the last one.
-    pub fn is_retiring(&self) -> bool {
-        self.is_retiring.load(Ordering::Relaxed)
-    }
-
     fn record_write(&self) {
         let elapsed_ms = self.elapsed_ms();
         self.written_at_ms.store(elapsed_ms, Ordering::Relaxed);
@@ -172,6 +177,54 @@
     }
 }
 
+/// The body of a client's request.
+#[derive(Debug)]
+pub struct ClientBody {
+    body: Incoming,
+    activity: Arc<Activity>,
+    has_failed: bool,
+}
+
+impl ClientBody {
+    /// The body of the request that is served on the connection of `activity`.
+    pub fn new(body: Incoming, activity: Arc<Activity>) -> Self {
+        let is_open = !body.is_end_stream();
+        activity.has_open_body.store(is_open, Ordering::Relaxed);
+        Self {
+            body,
+            activity,
+            has_failed: false,
+        }
+    }
+}
+
+impl Body for ClientBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        // A body that has failed ends too, but not with its last byte.
+        self.has_failed |= matches!(frame, Poll::Ready(Some(Err(_))));
+        let has_ended = matches!(frame, Poll::Ready(None)) || self.body.is_end_stream();
+        if has_ended && !self.has_failed {
+            self.activity.has_open_body.store(false, Ordering::Relaxed);
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// The body of an answer; once it is dropped, its request has been served.
 #[derive(Debug)]
 pub struct ServedBody {
@@ -192,8 +245,8 @@
     }
 }
 
-impl hyper::body::Body for ServedBody {
-    type Data = bytes::Bytes;
+impl Body for ServedBody {
+    type Data = Bytes;
     type Error = io::Error;
 
     fn poll_frame(
