Log ends of connections with a part of an answer unwritten

The request of such an answer is no longer being served once the HTTP library holds its body, so an end before the last byte was written was counted but not logged.

--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -297,7 +297,8 @@
     /// Records how the connection ends, before the request that is being served is dropped.
     fn record_end(&self, end: End) {
         self.activity.set_end(end);
-        let is_unanswered = self.activity.is_serving() || end.breaks_answer();
+        let has_request = self.activity.is_serving() || self.activity.is_stalled();
+        let is_unanswered = has_request || end.breaks_answer();
         self.limits.record_end(self.client, end, is_unanswered);
     }
 }
