Count an attempt's end for the run of the instance that it went to

After a restart of an instance, the end of an attempt at the earlier run was held against the new one: a connection that failed paused the new run, which then got no requests though it was sound, and the new run's count of own requests went down by one that it never had. The upstream was looked up by its name only, while the notices of an answer are compared with the run.

The test failed before: one pause of the new run after `not-sent`. It passes now, with all other tests of the package.

--- a/crates/gate/src/requests.rs
+++ b/crates/gate/src/requests.rs
@@ -461,6 +461,9 @@
             return;
         };
         let upstream = &mut service.upstreams[index];
+        if upstream.instance.born_ms != pending.born_ms {
+            return;
+        }
         upstream.own_requests = upstream.own_requests.saturating_sub(1);
         let pauses = upstream.record_ending(ending, now_us);
         if pauses {
--- a/crates/gate/tests/plan_changes.rs
+++ b/crates/gate/tests/plan_changes.rs
@@ -6,7 +6,7 @@
 mod support;
 
 use control::GatewayPollAnswer;
-use gate::{Arrival, Decision, Ending, Failure, Gate, NextStep, Notices, Target};
+use gate::{Arrival, Decision, Ending, Failure, Gate, NextStep, Notices, StateChange, Target};
 use plan::{Instance, KeyDigest, KeyUse, Limits, Plan, PlanChanges, RetrySafety, Route, Tenant};
 use proptest::prelude::*;
 use share::{QuotaTerms, TokenAnswer, TokenGrant};
@@ -470,6 +470,29 @@
     }
 }
 
+// Guards against a failure of an instance's earlier run that is held against the next one, which then gets
+// no requests though it is sound.
+#[test]
+fn an_attempt_at_an_earlier_run_says_nothing_of_the_next_run() {
+    for ending in [Ending::NotSent, Ending::Misdirected] {
+        let mut gate = serving(UNLIMITED);
+        let target = forwarded(gate.handle_arrival(&request(), at_ms(1)));
+        let mut restarted = answer(30, None, instances(21, 2));
+        restarted
+            .changes
+            .instances
+            .retain(|it| it.id == target.upstream);
+        gate.handle_poll_answer(REPLICA, restarted, at_ms(40));
+        gate.take_state_changes();
+        gate.attempt_ended(target.request, ending, None, at_ms(50));
+        let changes = gate.take_state_changes();
+        let pauses = changes
+            .iter()
+            .filter(|it| matches!(it, StateChange::Paused { .. }));
+        assert_eq!(pauses.count(), 0, "{ending:?}: {changes:?}");
+    }
+}
+
 /// A step of a random day.
 #[derive(Clone, Copy, Debug)]
 enum Step {
