Leave what crosses the end of an idle connection unread without a reset

What callers saw (shown by the review of this fix, not by operators): a slow reader that sent one more request behind the end of its idle connection got 4 kB of the answer before it and a reset.

Cause: the fix of idle ends closed the socket half a second after its last write once unread bytes had come. A write ends in the system's send buffer, not at the client.

Change: the socket stays open, with the request unread, until the client closes its side or the stall timeout is over. Tests see that a request is unread by the system's list of sockets, after the time in which it would have been read, in place of a reset that came within it. An answer to HTTP/1.0 that ends its connection keeps that version: the library added a keep-alive beside the close.

--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -241,6 +241,7 @@
         let socket = ClientSocket::new(stream, self.client, activity, self.limits.clone());
         let service = service_fn(|request: Request<Incoming>| {
             self.activity.begin_request();
+            let version = request.version();
             let reserved = reserve_head(&self.head_room, request.headers().len());
             let answer = reserved.map(|room| {
                 let client = Client::new(self.client, Arc::clone(&self.activity));
@@ -264,6 +265,8 @@
                 if activity.ends_with_answer() {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
+                    // The library adds a keep-alive to the answer of another version.
+                    *response.version_mut() = version;
                 }
                 Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, activity)))
             }
--- a/crates/daemon/src/http/socket.rs
+++ b/crates/daemon/src/http/socket.rs
@@ -19,7 +19,6 @@
     pin::pin,
     sync::Arc,
     task::{Poll, ready},
-    time::Duration,
 };
 use tokio::{
     io::{AsyncWriteExt, Interest},
@@ -30,9 +29,6 @@
 /// How much is read and dropped at once, in bytes.
 const DISCARD_BYTES: usize = 8 * 1_024;
 
-/// How long after the last write a client that has sent on counts as having taken its answer.
-const TAKEN_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// A client's socket.
 #[derive(Debug)]
 pub struct ClientSocket {
@@ -111,7 +107,7 @@
     /// answer. A client that has not closed `stall_timeout` after the last write is given up.
     ///
     /// What comes behind an answer that closes the connection is read and dropped. Otherwise it stays
-    /// unread and resets the connection, which tells the client that a request was not taken.
+    /// unread: a request whose client can't know that it is too late must not be taken.
     pub async fn close(mut self, end: End) {
         let mut dropped = DroppedBytes::new();
         if let Some(written_at) = self.activity.written_at()
@@ -122,7 +118,7 @@
             let _ = timeout_at(deadline, async {
                 match end.is_announced() {
                     true => self.discard(&mut dropped).await,
-                    false => self.end_or_unread(written_at + TAKEN_TIMEOUT).await,
+                    false => self.end_of_stream().await,
                 }
             })
             .await;
@@ -141,24 +137,6 @@
         let _ = self.stream.ready(Interest::PRIORITY).await;
     }
 
-    /// Waits until the client has closed its side of the connection, or has sent on, but in that case at
-    /// least until `taken_at`.
-    async fn end_or_unread(&self, taken_at: Instant) {
-        while let Ok(ready) = self.stream.ready(Interest::READABLE).await {
-            if ready.is_read_closed() {
-                return;
-            }
-            if unread_bytes(&self.stream) > 0 {
-                // Only the time matters: the socket is closed in either case.
-                let _ = timeout_at(taken_at, self.end_of_stream()).await;
-                return;
-            }
-            // Clears a readiness that is out of date.
-            let nothing = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
-            let _ = self.stream.try_io(Interest::READABLE, nothing);
-        }
-    }
-
     /// Drops what the client sends, until it closes its side.
     async fn discard(&self, dropped: &mut DroppedBytes) {
         while self.stream.readable().await.is_ok() {
