Ask the leader anew when a tenant's limit has changed

Clients of a tenant whose rate a plan had raised were still refused with 429 by the old rate: for up to 5 s, the longest time for which the leader says that there is nothing, the gateway didn't ask again. A tenant with less than four requests a second isn't asked for in advance either, so nothing ended that early.

What the leader said is now forgotten with the limit that it said it of. The test failed before (429 with 0.5 s to wait, in place of a wait for a token) and passes now, with all others of gate and share.

--- a/crates/gate/tests/plan_changes.rs
+++ b/crates/gate/tests/plan_changes.rs
@@ -6,13 +6,15 @@
 mod support;
 
 use control::GatewayPollAnswer;
-use gate::{Arrival, Decision, Ending, Failure, Gate, NextStep, Notices, StateChange, Target};
+use gate::{
+    Arrival, Decision, Ending, Failure, Gate, NextStep, Notices, Refusal, StateChange, Target,
+};
 use plan::{Instance, KeyDigest, KeyUse, Limits, Plan, PlanChanges, RetrySafety, Route, Tenant};
 use proptest::prelude::*;
 use share::{QuotaTerms, TokenAnswer, TokenGrant};
 use std::collections::{BTreeMap, BTreeSet};
 use support::{
-    REPLICA, answer, arrival, at_ms, forwarded, gate, instance, name, plan, route, tenant,
+    REPLICA, answer, arrival, at_ms, forwarded, gate, instance, name, plan, refusal, route, tenant,
 };
 
 const KEY: &str = "key-of-acme";
@@ -470,6 +472,30 @@
     }
 }
 
+// Guards against requests that are refused by a limit that is no longer in force: the leader had said that
+// there is nothing for a while, by the rate of the earlier plan.
+#[test]
+fn a_raised_limit_binds_at_once() {
+    const EMPTY_MS: u64 = 1_000;
+    let mut gate = serving(LIMITED);
+    let decision = gate.handle_arrival(&request(), at_ms(1));
+    assert_eq!(decision, Decision::Wait);
+    grant(&mut gate, 0, 5);
+    gate.take_decided(at_ms(5));
+    let under_old = gate.handle_arrival(&request(), at_ms(10));
+    assert_eq!(refusal(&under_old), Some(Refusal::Quota));
+    let raised = Change {
+        what: "tenant.rate_milli_per_s, more",
+        apply: |it| tenant_of(it).rate_milli_per_s = 1_000_000,
+    };
+    gate.handle_poll_answer(REPLICA, next_answer(LIMITED, raised, 2), at_ms(20));
+    let decision = gate.handle_arrival(&request(), at_ms(5 + EMPTY_MS / 2));
+    assert_eq!(decision, Decision::Wait);
+    grant(&mut gate, 1, 10 + EMPTY_MS / 2);
+    let decided = gate.take_decided(at_ms(10 + EMPTY_MS / 2));
+    forwarded(decided[0].1.clone());
+}
+
 // Guards against a failure of an instance's earlier run that is held against the next one, which then gets
 // no requests though it is sound.
 #[test]
--- a/crates/share/src/quota/stock.rs
+++ b/crates/share/src/quota/stock.rs
@@ -280,7 +280,7 @@
     }
 
     /// Sets the limits of all tenants that have one. Where a limit has changed, the static
-    /// part starts empty; granted tokens last for a second at most.
+    /// part starts empty, and the leader is asked anew; granted tokens last for a second at most.
     pub fn set_limits<'a>(
         &mut self,
         limits: impl Iterator<Item = (&'a str, QuotaLimit)>,
@@ -295,6 +295,8 @@
                 stock.limit = limit;
                 stock.static_tokens = 0.0;
                 stock.static_filled_us = now_us;
+                // The leader said so of the earlier limit.
+                stock.empty_until_us = now_us;
             }
             tenants.insert(name, stock);
         }
