Ask a connection to make room instead of aborting its task

What callers could see (by reading, on a runtime of several threads): a request that came as the full listener closed its connection was read, or passed on, and got no answer.

Cause: the acceptor looked whether a connection was idle and then aborted its task, which may have begun a request in between: the state and the end had two owners.

Change: the acceptor sends a message; the task ends its connection if it is still idle, or stalled, and counts the end itself. The new connection waits until there is room. A connection that closes already gives way at once, as before.

Measured: the race itself was not brought about. client_limits (crowds beyond the limits), client_requests, kept_connections, sent_ahead, endings, connection_ends and stops pass.

--- a/crates/daemon/src/http/admission.rs
+++ b/crates/daemon/src/http/admission.rs
@@ -51,6 +51,11 @@
         self.open.insert(id, (address, connection));
     }
 
+    /// A connection, if it is still there.
+    pub fn get(&self, id: u64) -> Option<&T> {
+        self.open.get(&id).map(|(_, connection)| connection)
+    }
+
     /// Removes a connection, if it is still there.
     pub fn remove(&mut self, id: u64) -> Option<T> {
         let (address, connection) = self.open.remove(&id)?;
--- a/crates/daemon/src/http/server.rs
+++ b/crates/daemon/src/http/server.rs
@@ -27,7 +27,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch},
-    task::{AbortHandle, JoinHandle},
+    task::JoinHandle,
     time::{Instant, sleep},
 };
 
@@ -98,9 +98,9 @@
 
 /// A connection in the acceptor's table.
 struct Connection {
-    client: SocketAddr,
     activity: Arc<Activity>,
-    task: AbortHandle,
+    /// Asks its task to end the connection, unless a request has come meanwhile.
+    evict: mpsc::Sender<Cut>,
 }
 
 impl Waiting for Connection {
@@ -139,9 +139,11 @@
                 },
             }
             waiting = waiting.and_then(|(stream, client)| match self.make_room(client.ip()) {
-                Room::Wait => Some((stream, client)),
+                Room::Wait | Room::CloseForAll(_) | Room::CloseForAddress(_) => {
+                    Some((stream, client))
+                }
                 Room::Refuse => None,
-                Room::Free | Room::CloseForAll(_) | Room::CloseForAddress(_) => {
+                Room::Free => {
                     self.start(stream, client, handler.clone());
                     None
                 }
@@ -155,23 +157,22 @@
         }
     }
 
-    /// Closes a connection if a new one from `address` has no room otherwise.
-    fn make_room(&mut self, address: IpAddr) -> Room {
+    /// Asks a connection to end if a new one from `address` has no room otherwise.
+    fn make_room(&self, address: IpAddr) -> Room {
         let (all, one) = (self.limits.connections(), self.limits.address_connections());
         let room = self.connections.room(address, all, one);
-        let (closed, cut) = match room {
+        let (evicted, cut) = match room {
             Room::Free | Room::Wait => return room,
-            Room::Refuse => (None, Cut::Address),
-            Room::CloseForAddress(id) => (Some(id), Cut::Address),
-            Room::CloseForAll(id) => (Some(id), Cut::Full),
+            Room::Refuse => {
+                self.limits.count(Cut::Address);
+                return room;
+            }
+            Room::CloseForAddress(id) => (id, Cut::Address),
+            Room::CloseForAll(id) => (id, Cut::Full),
         };
-        self.limits.count(cut);
-        if let Some(connection) = closed.and_then(|id| self.connections.remove(id)) {
-            connection.activity.set_end(End::Evicted);
-            let is_unanswered = connection.activity.is_stalled();
-            self.limits
-                .record_end(connection.client, End::Evicted, is_unanswered);
-            connection.task.abort();
+        if let Some(connection) = self.connections.get(evicted) {
+            // Fails when the connection ends already, or has been asked.
+            let _ = connection.evict.try_send(cut);
         }
         room
     }
@@ -184,6 +185,7 @@
         let id = self.next_id;
         self.next_id += 1;
         let activity = Arc::new(Activity::new());
+        let (evict, evicted) = mpsc::channel(1);
         let served = ServedConnection {
             client,
             closed: self.closed.clone(),
@@ -195,12 +197,8 @@
                 ended: self.ended.clone(),
             },
         };
-        let task = tokio::spawn(served.run(stream, handler)).abort_handle();
-        let connection = Connection {
-            client,
-            activity,
-            task,
-        };
+        tokio::spawn(served.run(stream, evicted, handler));
+        let connection = Connection { activity, evict };
         self.connections.insert(id, client.ip(), connection);
     }
 }
@@ -229,7 +227,7 @@
 }
 
 impl ServedConnection {
-    async fn run<H, F>(self, stream: TcpStream, handler: H)
+    async fn run<H, F>(self, stream: TcpStream, mut evicted: mpsc::Receiver<Cut>, handler: H)
     where
         H: Fn(Request<ClientBody>, Client) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
@@ -293,6 +291,10 @@
                             self.activity.retire();
                         }
                     }
+                    Some(cut) = evicted.recv() => if self.activity.waits_since().is_some() {
+                        self.limits.count(cut);
+                        break End::Evicted;
+                    },
                     () = socket.idle_over(keep_alive) => break match keep_alive.is_retiring() {
                         true if *closed.borrow() => End::Stopped,
                         true => End::Outdated,
@@ -304,12 +306,14 @@
             end
         };
         match end {
-            End::ClientLeft | End::ClientReset => self.limits.count(Cut::Left),
-            End::HeadSize => {
-                self.limits.count(Cut::HeadSize);
-                socket.close(end).await;
-            }
-            _ => socket.close(end).await,
+            End::ClientLeft | End::ClientReset => return self.limits.count(Cut::Left),
+            End::Evicted => return,
+            End::HeadSize => self.limits.count(Cut::HeadSize),
+            _ => {}
+        }
+        tokio::select! {
+            () = socket.close(end) => {}
+            Some(cut) = evicted.recv() => self.limits.count(cut),
         }
     }
 
