--- a/crates/daemon/src/http/stream.rs
+++ b/crates/daemon/src/http/stream.rs
@@ -117,7 +117,7 @@
 
     /// Sets why the connection ends, before its requests are dropped.
     pub fn set_end(&self, end: End) {
-        // A second cause comes only with an abort of a connection that ends already.
+        // Nothing else sets it: a connection ends once.
         let _ = self.end.set(end);
     }
 
